--- a/release/catalog.go
+++ b/release/catalog.go
@@ -97,6 +97,9 @@
 // ServiceRevision returns the revision of the last change of a live service, 0 for others.
 func (c *Catalog) ServiceRevision(name string) int64 { return c.live[name].revision }
 
+// Remembers reports whether a service is live or was withdrawn at or above the floor.
+func (c *Catalog) Remembers(name string) bool { return c.lastChange(name) > 0 }
+
 // Services returns all services sorted by name. The caller must not change them.
 func (c *Catalog) Services() []*contract.Service { return c.sorted }
 
