link: yamux sessions between entry instances

Cause: instances need exchanges whose errors say truthfully whether a handler may have run. Change: Hello with id and incarnation, one stream per exchange, Call and streamed Forward, accounting of wire bytes by cause and zone pair from the yamux frames, pings only while an exchange waits, drain on shutdown.

--- /dev/null
+++ b/link/hello.go
@@ -0,0 +1,127 @@
+package link
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadasill/cicadasill/link/wire"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/zone"
+)
+
+// protocolVersion is the version of the messages in link/wire.
+const protocolVersion = 1
+
+// maxHello bounds a Hello in bytes; the sender is not yet known.
+const maxHello = 4 << 10
+
+// ToWire converts an instance to its message.
+func ToWire(i machine.Instance) *wire.Instance {
+	return &wire.Instance{
+		Id: i.ID, Incarnation: i.Incarnation, PeerAddr: i.PeerAddr, HttpAddr: i.HTTPAddr,
+		Region: i.Zone.Region, DataCentre: i.Zone.DataCentre,
+	}
+}
+
+// FromWire converts a message to an instance.
+func FromWire(w *wire.Instance) machine.Instance {
+	return machine.Instance{
+		ID: w.GetId(), Incarnation: w.GetIncarnation(), PeerAddr: w.GetPeerAddr(), HTTPAddr: w.GetHttpAddr(),
+		Zone: zone.Zone{Region: w.GetRegion(), DataCentre: w.GetDataCentre()},
+	}
+}
+
+// byteReader reads single bytes without buffering, so that nothing behind the Hello is lost.
+type byteReader struct {
+	io.Reader
+	n int64
+}
+
+func (r *byteReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.n += int64(n)
+	return n, err
+}
+
+func (r *byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r, b[:])
+	return b[0], err
+}
+
+func sendHello(conn net.Conn, self machine.Instance, toID string) (int64, error) {
+	b, err := delimited(&wire.Hello{From: ToWire(self), ToId: toID, Protocol: protocolVersion})
+	if err != nil {
+		return 0, err
+	}
+	n, err := conn.Write(b)
+	return int64(n), err
+}
+
+func readHello(conn net.Conn) (*wire.Hello, int64, error) {
+	var h wire.Hello
+	r := &byteReader{Reader: conn}
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxHello}).UnmarshalFrom(r, &h); err != nil {
+		return nil, r.n, err
+	}
+	if h.GetProtocol() != protocolVersion {
+		return nil, r.n, fmt.Errorf("%w: %d", errProtocol, h.GetProtocol())
+	}
+	return &h, r.n, nil
+}
+
+// helloOut introduces the dialler and learns who answers.
+func (n *Node) helloOut(conn net.Conn, toID string) (machine.Instance, *counter, error) {
+	_ = conn.SetDeadline(time.Now().Add(n.opts.HelloTimeout))
+	sent, err := sendHello(conn, n.self, toID)
+	if err != nil {
+		return machine.Instance{}, nil, err
+	}
+	h, received, err := readHello(conn)
+	if err != nil {
+		return machine.Instance{}, nil, err
+	}
+	peer := FromWire(h.GetFrom())
+	c := n.account.counter(peer.Zone, Overhead)
+	c.add(sent, received)
+	return peer, c, conn.SetDeadline(time.Time{})
+}
+
+// helloIn learns who dials and answers with this instance. A dialler that expects another
+// instance receives the answer too, so that it knows whom it reached; accepted is then false.
+func (n *Node) helloIn(conn net.Conn) (peer machine.Instance, c *counter, accepted bool, err error) {
+	_ = conn.SetDeadline(time.Now().Add(n.opts.HelloTimeout))
+	h, received, err := readHello(conn)
+	if err != nil {
+		return machine.Instance{}, nil, false, err
+	}
+	peer = FromWire(h.GetFrom())
+	sent, err := sendHello(conn, n.self, peer.ID)
+	if err != nil {
+		return machine.Instance{}, nil, false, err
+	}
+	c = n.account.counter(peer.Zone, Overhead)
+	c.add(sent, received)
+	return peer, c, h.GetToId() == n.self.ID, conn.SetDeadline(time.Time{})
+}
+
+// delimited returns m with its length prefix.
+func delimited(m proto.Message) ([]byte, error) {
+	var buf sliceWriter
+	if _, err := protodelim.MarshalTo(&buf, m); err != nil {
+		return nil, err
+	}
+	return buf, nil
+}
+
+type sliceWriter []byte
+
+func (w *sliceWriter) Write(p []byte) (int, error) {
+	*w = append(*w, p...)
+	return len(p), nil
+}
--- /dev/null
+++ b/link/options.go
@@ -0,0 +1,96 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout     = time.Second
+	DefaultHelloTimeout    = time.Second
+	DefaultExchangeTimeout = 10 * time.Second
+	// DefaultKeepaliveInterval plus DefaultKeepaliveTimeout stay under the 2 s that a silent
+	// connection may cost a caller.
+	DefaultKeepaliveInterval = 500 * time.Millisecond
+	DefaultKeepaliveTimeout  = 1200 * time.Millisecond
+	// DefaultFreshFor is how long a session counts as working after its last received byte.
+	DefaultFreshFor = time.Second
+	// DefaultIdleTimeout closes unused sessions, so that the number of open connections follows
+	// the traffic and not the number of nodes.
+	DefaultIdleTimeout  = 30 * time.Second
+	DefaultDrainTimeout = 10 * time.Second
+	DefaultBackoffMin   = 50 * time.Millisecond
+	DefaultBackoffMax   = time.Second
+	// DefaultMaxServed bounds exchanges served at once by one node.
+	DefaultMaxServed = 4096
+	// DefaultMaxMessage bounds one protobuf message in bytes.
+	DefaultMaxMessage = 16 << 20
+	// acceptBacklog bounds streams of one session that the peer has not accepted yet.
+	acceptBacklog = 256
+	// streamWindow is the flow control window of a stream in bytes.
+	streamWindow = 256 << 10
+	// streamCloseTimeout frees a half-closed stream whose peer never closes.
+	streamCloseTimeout = 30 * time.Second
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Options configure a Node. Zero fields take the defaults.
+type Options struct {
+	Registerer  prometheus.Registerer
+	Logger      *log.Logger
+	DialContext DialFunc
+
+	DialTimeout  time.Duration
+	HelloTimeout time.Duration
+	// ExchangeTimeout bounds a Call whose context has no deadline.
+	ExchangeTimeout   time.Duration
+	KeepaliveInterval time.Duration
+	KeepaliveTimeout  time.Duration
+	FreshFor          time.Duration
+	IdleTimeout       time.Duration
+	DrainTimeout      time.Duration
+	BackoffMin        time.Duration
+	BackoffMax        time.Duration
+	MaxServed         int
+	MaxMessage        int64
+}
+
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = log.New(io.Discard)
+	}
+	if o.DialContext == nil {
+		o.DialContext = (&net.Dialer{}).DialContext
+	}
+	setDuration(&o.DialTimeout, DefaultDialTimeout)
+	setDuration(&o.HelloTimeout, DefaultHelloTimeout)
+	setDuration(&o.ExchangeTimeout, DefaultExchangeTimeout)
+	setDuration(&o.KeepaliveInterval, DefaultKeepaliveInterval)
+	setDuration(&o.KeepaliveTimeout, DefaultKeepaliveTimeout)
+	setDuration(&o.FreshFor, DefaultFreshFor)
+	setDuration(&o.IdleTimeout, DefaultIdleTimeout)
+	setDuration(&o.DrainTimeout, DefaultDrainTimeout)
+	setDuration(&o.BackoffMin, DefaultBackoffMin)
+	setDuration(&o.BackoffMax, DefaultBackoffMax)
+	if o.MaxServed == 0 {
+		o.MaxServed = DefaultMaxServed
+	}
+	if o.MaxMessage == 0 {
+		o.MaxMessage = DefaultMaxMessage
+	}
+	return o
+}
+
+func setDuration(d *time.Duration, def time.Duration) {
+	if *d == 0 {
+		*d = def
+	}
+}
--- /dev/null
+++ b/link/serve.go
@@ -0,0 +1,189 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/sourcegraph/conc"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadasill/cicadasill/link/wire"
+)
+
+// acceptPause keeps a failing accept (too many open files) from spinning.
+const acceptPause = 20 * time.Millisecond
+
+// Serve accepts connections until ctx ends. It then refuses new exchanges, waits up to the
+// drain timeout for those in flight, closes all sessions and returns nil.
+func (n *Node) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	var wg conc.WaitGroup
+	err := n.acceptLoop(ctx, ln, &wg)
+	n.drain()
+	n.Close()
+	wg.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (n *Node) acceptLoop(ctx context.Context, ln net.Listener, wg *conc.WaitGroup) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			n.log.Error("accept failed", "err", err)
+			select {
+			case <-ctx.Done():
+			case <-time.After(acceptPause):
+			}
+			continue
+		}
+		wg.Go(func() { n.acceptConn(conn) })
+	}
+}
+
+func (n *Node) acceptConn(conn net.Conn) {
+	peer, c, accepted, err := n.helloIn(conn)
+	if err != nil || !accepted || n.draining.Load() {
+		_ = conn.Close()
+		return
+	}
+	if _, err := n.newSession(conn, c, peer, false); err != nil {
+		n.log.Debug("session not started", "peer", peer.Ref(), "err", err)
+	}
+}
+
+// drain refuses new streams and waits until no exchange is in flight.
+func (n *Node) drain() {
+	n.draining.Store(true)
+	n.mu.Lock()
+	sessions := n.allSessionsLocked()
+	n.mu.Unlock()
+	for _, s := range sessions {
+		_ = s.ys.GoAway()
+	}
+	deadline := time.After(n.opts.DrainTimeout)
+	t := time.NewTicker(acceptPause)
+	defer t.Stop()
+	for n.inFlight() > 0 {
+		select {
+		case <-t.C:
+		case <-deadline:
+			n.log.Warn("drain timeout, closing with exchanges in flight", "count", n.inFlight())
+			return
+		}
+	}
+}
+
+func (n *Node) inFlight() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var total int64
+	for _, s := range n.allSessionsLocked() {
+		total += s.active.Load()
+	}
+	return total
+}
+
+// serve handles one exchange that the peer opened.
+func (s *session) serve(st *yamux.Stream) {
+	defer func() { _ = st.Close() }()
+	n := s.node
+	_ = st.SetReadDeadline(time.Now().Add(n.opts.ExchangeTimeout))
+	r := bufio.NewReader(st)
+	var req wire.Request
+	if err := (protodelim.UnmarshalOptions{MaxSize: n.opts.MaxMessage}).UnmarshalFrom(r, &req); err != nil {
+		return
+	}
+	_ = st.SetReadDeadline(time.Time{})
+	s.meter.bind(st.StreamID(), n.account.counter(s.peer.Zone, Cause(req.Cause)))
+	select {
+	case n.serving <- struct{}{}:
+		defer func() { <-n.serving }()
+	default:
+		_ = writeMessage(st, refusal(req.Method, remoteBusy, "too many exchanges"))
+		return
+	}
+	ctx, cancel := s.requestContext(&req)
+	defer cancel()
+	ctx, span := n.tracer.Start(ctx, "serve "+req.Method, trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+
+	var wg conc.WaitGroup
+	wg.Go(func() { watchCaller(st, r, cancel) })
+	s.dispatch(ctx, st, &req)
+	_ = st.SetReadDeadline(past)
+	wg.Wait()
+}
+
+// watchCaller ends the request context when the caller closes its end or the connection dies.
+func watchCaller(st *yamux.Stream, r *bufio.Reader, cancel context.CancelFunc) {
+	_, err := r.ReadByte()
+	if err != nil && errors.Is(err, yamux.ErrTimeout) {
+		return // the handler has finished
+	}
+	cancel()
+	_ = st.SetWriteDeadline(past)
+}
+
+func (s *session) requestContext(req *wire.Request) (context.Context, context.CancelFunc) {
+	ctx := s.node.prop.Extract(s.ctx, propagation.MapCarrier{"traceparent": req.Traceparent})
+	if req.TimeoutMs > 0 {
+		return context.WithTimeout(ctx, time.Duration(req.TimeoutMs)*time.Millisecond)
+	}
+	return context.WithCancel(ctx)
+}
+
+func (s *session) dispatch(ctx context.Context, st *yamux.Stream, req *wire.Request) {
+	if req.Method == httpMethod {
+		s.serveHTTP(ctx, st, req)
+		return
+	}
+	// After a panic the stream closes without a response, which the caller sees as unknown.
+	defer s.recoverHandler()
+	_ = writeMessage(st, s.callHandler(ctx, req))
+}
+
+func (s *session) callHandler(ctx context.Context, req *wire.Request) *wire.Response {
+	h := s.node.handlers[req.Method]
+	if h == nil {
+		return &wire.Response{ErrorCode: remoteUnknownMethod, Error: req.Method}
+	}
+	payload, err := h(ctx, req.Payload)
+	if err == nil {
+		return &wire.Response{Payload: payload}
+	}
+	var re *RemoteError
+	if errors.As(err, &re) {
+		return &wire.Response{ErrorCode: re.Code, Error: re.Message}
+	}
+	return &wire.Response{ErrorCode: remoteHandlerError, Error: err.Error()}
+}
+
+func refusal(method, code, message string) proto.Message {
+	if method == httpMethod {
+		return &wire.HttpResponse{ErrorCode: code, Error: message, End: true}
+	}
+	return &wire.Response{ErrorCode: code, Error: message}
+}
+
+func writeMessage(st *yamux.Stream, m proto.Message) error {
+	b, err := delimited(m)
+	if err != nil {
+		return err
+	}
+	_, err = st.Write(b)
+	return err
+}
--- /dev/null
+++ b/link/session.go
@@ -0,0 +1,163 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/hashicorp/yamux"
+	"github.com/sourcegraph/conc"
+
+	"github.com/cicadasill/cicadasill/machine"
+)
+
+// session is one connection to a peer.
+type session struct {
+	node    *Node
+	peer    machine.Instance
+	dialled bool
+	meter   *meter
+	ys      *yamux.Session
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	active   atomic.Int64 // exchanges in flight, both directions
+	lastUsed atomic.Int64 // unix nanoseconds of the last end of an exchange
+	suspect  atomic.Bool  // an exchange timed out without any byte received
+	retired  atomic.Bool  // takes no new exchanges
+	kick     chan struct{}
+}
+
+func newSession(n *Node, peer machine.Instance, dialled bool, m *meter, ys *yamux.Session) *session {
+	ctx, cancel := context.WithCancel(n.ctx)
+	s := &session{node: n, peer: peer, dialled: dialled, meter: m, ys: ys, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1)}
+	s.lastUsed.Store(time.Now().UnixNano())
+	return s
+}
+
+func (s *session) dialler() machine.Instance {
+	if s.dialled {
+		return s.node.self
+	}
+	return s.peer
+}
+
+func (s *session) usable() bool {
+	return !s.suspect.Load() && !s.retired.Load() && !s.ys.IsClosed()
+}
+
+func (s *session) begin() { s.active.Add(1) }
+
+func (s *session) end() {
+	s.lastUsed.Store(time.Now().UnixNano())
+	s.active.Add(-1)
+}
+
+func (s *session) close() {
+	s.retired.Store(true)
+	s.cancel()
+	_ = s.ys.Close()
+}
+
+// retire stops new exchanges in both directions and lets those in flight finish.
+func (s *session) retire() {
+	if s.retired.CompareAndSwap(false, true) {
+		_ = s.ys.GoAway()
+	}
+}
+
+// run accepts streams until the connection ends.
+func (s *session) run() {
+	var wg conc.WaitGroup
+	wg.Go(s.watch)
+	for {
+		st, err := s.ys.AcceptStream()
+		if err != nil {
+			break
+		}
+		s.begin()
+		wg.Go(func() {
+			defer s.end()
+			s.serve(st)
+		})
+	}
+	s.close()
+	s.node.untrack(s)
+	wg.Wait()
+}
+
+// watch closes the connection when it is silent while an exchange waits on it, or idle.
+func (s *session) watch() {
+	t := time.NewTicker(s.node.opts.KeepaliveInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-t.C:
+		case <-s.kick:
+		}
+		switch {
+		case s.suspect.Load():
+			if s.ping() {
+				s.suspect.Store(false)
+			}
+		case s.active.Load() > 0:
+			if s.meter.quiet() >= s.node.opts.KeepaliveInterval {
+				s.ping()
+			}
+		case s.retired.Load():
+			if s.ys.NumStreams() == 0 {
+				s.close()
+			}
+		case time.Since(time.Unix(0, s.lastUsed.Load())) > s.node.opts.IdleTimeout:
+			s.retire()
+		}
+	}
+}
+
+// ping reports whether the connection answers, and closes it when it does not.
+func (s *session) ping() bool {
+	start := time.Now().UnixNano()
+	if _, err := s.ys.Ping(); err == nil || s.meter.lastRead.Load() > start {
+		return true
+	}
+	s.node.log.Warn("closing silent connection", "peer", s.peer.Ref(), "quiet", s.meter.quiet())
+	s.close()
+	return false
+}
+
+// fresh checks a session that has been quiet before it is trusted with an exchange.
+func (s *session) fresh() bool {
+	if s.meter.quiet() < s.node.opts.FreshFor {
+		return true
+	}
+	return s.ping()
+}
+
+// timedOut is told of an exchange that ran out of time. Nothing received since its start makes
+// the session suspect: no new exchange uses it until it answers a ping.
+func (s *session) timedOut(start time.Time) {
+	if s.meter.lastRead.Load() >= start.UnixNano() {
+		return
+	}
+	s.suspect.Store(true)
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// yamuxLogger passes yamux's lines to the node's logger.
+type yamuxLogger struct{ l *log.Logger }
+
+func (y yamuxLogger) Print(v ...any)                 { y.write(fmt.Sprint(v...)) }
+func (y yamuxLogger) Println(v ...any)               { y.write(fmt.Sprint(v...)) }
+func (y yamuxLogger) Printf(format string, v ...any) { y.write(fmt.Sprintf(format, v...)) }
+
+func (y yamuxLogger) write(line string) {
+	y.l.Debug("yamux", "line", strings.TrimSpace(line))
+}
