--- /dev/null
+++ b/standin/plain/ledger.go
@@ -0,0 +1,117 @@
+package plain
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cicadasill/cicadasill/standin"
+)
+
+// maxRuns bounds the ledger; the oldest runs are dropped beyond it.
+const maxRuns = 500_000
+
+// Run is one execution of a request.
+type Run struct {
+	RequestID string
+	Key       string
+	Call      string
+	BodyHash  string
+	At        time.Time
+}
+
+// Ledger records every run by key and by request id.
+type Ledger struct {
+	mu        sync.Mutex
+	runs      []Run
+	byKey     map[string]int
+	byRequest map[string]int
+	refusals  int
+	lastRun   time.Time
+	total     int64
+}
+
+func newLedger() *Ledger {
+	return &Ledger{byKey: map[string]int{}, byRequest: map[string]int{}}
+}
+
+func (l *Ledger) ran(req request) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.runs = append(l.runs, Run{RequestID: req.id, Key: req.key, Call: req.call, BodyHash: standin.BodyHash(req.body), At: now})
+	if len(l.runs) > maxRuns {
+		old := l.runs[0]
+		l.runs = l.runs[1:]
+		decrement(l.byKey, old.Key)
+		decrement(l.byRequest, old.RequestID)
+	}
+	if req.key != "" {
+		l.byKey[req.key]++
+	}
+	l.byRequest[req.id]++
+	l.lastRun = now
+	l.total++
+	return l.total
+}
+
+func decrement(m map[string]int, key string) {
+	if m[key]--; m[key] <= 0 {
+		delete(m, key)
+	}
+}
+
+func (l *Ledger) refused(request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals++
+}
+
+// RunsOfKey returns how often key ran.
+func (l *Ledger) RunsOfKey(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byKey[key]
+}
+
+// RunsOfRequest returns how often the request with this id ran.
+func (l *Ledger) RunsOfRequest(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byRequest[id]
+}
+
+// Keys returns the number of runs of each key.
+func (l *Ledger) Keys() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]int, len(l.byKey))
+	for k, n := range l.byKey {
+		out[k] = n
+	}
+	return out
+}
+
+// Runs returns all retained runs in order.
+func (l *Ledger) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.runs...)
+}
+
+// Total returns the number of runs and of true refusals.
+func (l *Ledger) Total() (runs int64, refusals int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.total, l.refusals
+}
+
+// RunsAfter returns the number of retained runs that began after t.
+func (l *Ledger) RunsAfter(t time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for i := len(l.runs) - 1; i >= 0 && l.runs[i].At.After(t); i-- {
+		n++
+	}
+	return n
+}
