--- /dev/null
+++ b/weights/driver.go
@@ -0,0 +1,231 @@
+package weights
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/machine"
+)
+
+// sampler is what the lease holder knows of one sampler.
+type sampler struct {
+	backend  machine.Backend
+	reported bool
+	version  int64
+	held     []int64
+	// failures counts failed loads from samplers of the region in a row, storeFailures the others.
+	failures, storeFailures int
+	unfit                   bool
+	nextTry                 time.Time
+	swappedAt               time.Time
+	failedSource            string
+	// swapping is set while an order is in flight; source is where it loads from.
+	swapping bool
+	source   string
+	serving  int
+}
+
+func (s *sampler) holds(version int64) bool {
+	return s.reported && (s.version == version || slices.Contains(s.held, version))
+}
+
+// driver drives the samplers of one service under one lease.
+type driver struct {
+	d       *Distributor
+	service string
+	lease   Held
+	wg      conc.WaitGroup
+	ended   chan struct{} // one token when an order ends
+
+	mu       sync.Mutex
+	samplers map[string]*sampler
+	swapping int
+	orders   int
+	regions  map[string]*region
+	target   int64
+	since    time.Time
+	complete bool
+}
+
+// region is the state of loading the target into a region from outside.
+type region struct {
+	failures int
+	nextTry  time.Time
+}
+
+// region returns the state of the region called name. Called with mu held.
+func (dr *driver) region(name string) *region {
+	r := dr.regions[name]
+	if r == nil {
+		r = &region{}
+		dr.regions[name] = r
+	}
+	return r
+}
+
+func newDriver(d *Distributor, service string, lease Held) *driver {
+	return &driver{
+		d: d, service: service, lease: lease, ended: make(chan struct{}, 1),
+		samplers: make(map[string]*sampler), regions: make(map[string]*region),
+	}
+}
+
+// reportLag is how old a load report may be. A report from before a swap's end does not undo it.
+const reportLag = time.Second
+
+// sweep asks every sampler without an order in flight which version it runs.
+func (dr *driver) sweep(ctx context.Context, svc *contract.Service) {
+	dr.sync(svc)
+	reports := dr.d.reports(ctx, svc.Backends)
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for id, s := range dr.samplers {
+		if s.unfit {
+			dr.d.opts.Unfit(id, true)
+		}
+		rep, ok := reports[id]
+		if !ok || s.swapping || time.Since(s.swappedAt) < reportLag {
+			continue
+		}
+		s.reported, s.version, s.held = true, rep.Version, rep.Held
+	}
+}
+
+// sync follows the contract's list of samplers.
+func (dr *driver) sync(svc *contract.Service) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	listed := make(map[string]bool, len(svc.Backends))
+	for _, b := range svc.Backends {
+		listed[b.ID] = true
+		s, ok := dr.samplers[b.ID]
+		if !ok || (s.backend.Addr != b.Addr && !s.swapping) {
+			dr.samplers[b.ID] = &sampler{backend: b}
+			continue
+		}
+		s.backend.Zone = b.Zone
+	}
+	for id, s := range dr.samplers {
+		if !listed[id] && !s.swapping {
+			delete(dr.samplers, id)
+		}
+	}
+}
+
+// assign starts the orders that are possible now. It returns the time until the next retry, 0 if
+// nothing waits for one.
+func (dr *driver) assign(ctx context.Context, svc *contract.Service) time.Duration {
+	dr.sync(svc)
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	target := dr.d.opts.Directory.Newest(svc.Name)
+	dr.retarget(target)
+	if target == 0 {
+		return 0
+	}
+	now := time.Now()
+	limit := swapLimit(svc)
+	var retry time.Duration
+	behind := dr.behind(target)
+	for _, s := range behind {
+		if s.swapping {
+			continue
+		}
+		if dr.swapping >= limit {
+			break
+		}
+		source, next := dr.source(s, target)
+		if s.nextTry.After(next) {
+			next = s.nextTry
+		}
+		if wait := next.Sub(now); wait > 0 {
+			retry = earlier(retry, wait)
+		} else if source != "" {
+			dr.start(ctx, s, target, source)
+		}
+	}
+	dr.note(target, len(behind))
+	return retry
+}
+
+// earlier returns the shorter of two waits, of which 0 is none.
+func earlier(a, b time.Duration) time.Duration {
+	if a == 0 || b < a {
+		return b
+	}
+	return a
+}
+
+// retarget resets what is known about the way to the target when it changes.
+func (dr *driver) retarget(target int64) {
+	if target == dr.target {
+		return
+	}
+	dr.target, dr.since, dr.complete = target, time.Now(), false
+	clear(dr.regions)
+	for _, s := range dr.samplers {
+		if !s.swapping {
+			s.nextTry = time.Time{}
+		}
+	}
+}
+
+// behind lists the samplers that do not run target, in the order of their ids.
+func (dr *driver) behind(target int64) []*sampler {
+	var out []*sampler
+	for _, s := range dr.samplers {
+		if !s.reported || s.version != target {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *sampler) int {
+		return cmp.Or(cmp.Compare(a.failures, b.failures), cmp.Compare(a.storeFailures, b.storeFailures),
+			cmp.Compare(a.backend.ID, b.backend.ID))
+	})
+	return out
+}
+
+func (dr *driver) note(target int64, behind int) {
+	m := dr.d.metrics
+	m.behind.WithLabelValues(dr.service).Set(float64(behind))
+	m.swapping.WithLabelValues(dr.service).Set(float64(dr.swapping))
+	unfit := 0
+	for _, s := range dr.samplers {
+		if s.unfit {
+			unfit++
+		}
+	}
+	m.unfit.WithLabelValues(dr.service).Set(float64(unfit))
+	if behind == 0 && !dr.complete {
+		dr.complete = true
+		took := time.Since(dr.since)
+		m.complete.WithLabelValues(dr.service).Observe(took.Seconds())
+		dr.d.log.Info("version distributed", "service", dr.service, "version", target, "took", took)
+	}
+}
+
+// wait blocks until there may be something to do and reports whether a sweep is due.
+func (dr *driver) wait(ctx context.Context, held Held, changed <-chan struct{}, sweep <-chan time.Time, retry time.Duration) bool {
+	var timer <-chan time.Time
+	if retry > 0 {
+		t := time.NewTimer(retry)
+		defer t.Stop()
+		timer = t.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-held.Lost():
+	case <-changed:
+	case <-dr.ended:
+	case <-timer:
+	case <-sweep:
+		return true
+	}
+	return false
+}
