release: diff by field, verdicts by id

Cause: the operators' command line shows each changed field and lists verdicts by note id. Change: Change holds kind, object, field, before and after; DiffNote diffs a note against the services in force; Verdict takes an id and VerdictOf a note; Versions lists usable versions. Result: go test -race ./release ./control passes.

--- a/control/state.go
+++ b/control/state.go
@@ -40,11 +40,8 @@
 	return d.Sum64()
 }
 
-// Verdict returns the verdict on a note that has been applied and is remembered.
-func (s *State) Verdict(n *release.Note) (release.Verdict, bool) { return s.Catalog.Verdict(n) }
-
-// VerdictByID returns the verdict on the note with an id, when it is remembered.
-func (s *State) VerdictByID(id string) (release.Verdict, bool) { return s.Catalog.VerdictByID(id) }
+// Verdicts returns the verdicts that are remembered, by note id.
+func (s *State) Verdicts() map[string]release.Verdict { return s.Catalog.Verdicts() }
 
 // Apply returns the state after rec, whose offset must be s.Offset; a state with another
 // offset is returned unchanged. A record without effect still moves the offset and the chain.
--- a/control/versions.go
+++ b/control/versions.go
@@ -53,6 +53,24 @@
 	return ok && e.Announced >= 0
 }
 
+// AnnouncedVersion is a version that was announced and not withdrawn.
+type AnnouncedVersion struct {
+	Version int64
+	// Offset is that of the first announcement.
+	Offset int64
+}
+
+// Usable returns the announced, not withdrawn versions of a service, lowest first.
+func (v Versions) Usable(service string) []AnnouncedVersion {
+	var all []AnnouncedVersion
+	for _, e := range v.services[service].Entries {
+		if e.Announced >= 0 && !e.Withdrawn {
+			all = append(all, AnnouncedVersion{e.Version, e.Announced})
+		}
+	}
+	return all
+}
+
 func (h history) find(version int64) (versionEntry, bool) {
 	i, ok := h.index(version)
 	if !ok {
--- a/release/catalog.go
+++ b/release/catalog.go
@@ -103,8 +103,8 @@
 // Services returns all services sorted by name. The caller must not change them.
 func (c *Catalog) Services() []*contract.Service { return c.sorted }
 
-// Verdict returns what became of the note, when it has been applied and is remembered.
-func (c *Catalog) Verdict(n *Note) (Verdict, bool) {
+// VerdictOf returns what became of the note, when it has been applied and is remembered.
+func (c *Catalog) VerdictOf(n *Note) (Verdict, bool) {
 	old, ok := c.ids[n.ID]
 	if !ok {
 		return Verdict{}, false
@@ -115,8 +115,17 @@
 	return old.Verdict, true
 }
 
-// VerdictByID returns the verdict of the note with the id, when it is remembered.
-func (c *Catalog) VerdictByID(id string) (Verdict, bool) {
+// Verdicts returns the verdicts that are remembered, by note id.
+func (c *Catalog) Verdicts() map[string]Verdict {
+	all := make(map[string]Verdict, len(c.ids))
+	for id, s := range c.ids {
+		all[id] = s.Verdict
+	}
+	return all
+}
+
+// Verdict returns the verdict on the note with the id, when it is remembered.
+func (c *Catalog) Verdict(id string) (Verdict, bool) {
 	old, ok := c.ids[id]
 	return old.Verdict, ok
 }
@@ -124,7 +133,7 @@
 // Apply returns the catalog after the note at a log offset and the note's verdict. The catalog
 // depends on nothing but its arguments. A note that was applied before has no second effect.
 func (c *Catalog) Apply(n *Note, offset int64) (*Catalog, Verdict) {
-	if v, ok := c.Verdict(n); ok {
+	if v, ok := c.VerdictOf(n); ok {
 		return c, v
 	}
 	next, v := c.try(n, offset+1)
@@ -134,7 +143,7 @@
 
 // Check tells what the verdict on a note would be if it were applied now.
 func (c *Catalog) Check(n *Note) Verdict {
-	if v, ok := c.Verdict(n); ok {
+	if v, ok := c.VerdictOf(n); ok {
 		return v
 	}
 	_, v := c.try(n, c.revision+1)
--- a/release/diff.go
+++ b/release/diff.go
@@ -1,83 +1,104 @@
 package release
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
-	"reflect"
 	"slices"
+
+	"github.com/cicadasill/cicadasill/contract"
 )
 
-// Operation is what happened to a service between two catalogs.
-type Operation string
+// ChangeKind is what happens to a service between two catalogs.
+type ChangeKind string
 
-// Operations of a Change.
+// Kinds of changes.
 const (
-	Added     Operation = "added"
-	Changed   Operation = "changed"
-	Withdrawn Operation = "withdrawn"
+	Added     ChangeKind = "added"
+	Changed   ChangeKind = "changed"
+	Withdrawn ChangeKind = "withdrawn"
 )
 
-// Change is one difference between two catalogs. Fields names the top-level fields of the
-// contract that differ.
+// Change is one difference between two catalogs. A changed service has one Change for each
+// top-level field of its contract that differs; Before and After hold the field as JSON.
 type Change struct {
-	Service      string    `json:"service"`
-	Operation    Operation `json:"operation"`
-	FromRevision int64     `json:"from_revision,omitempty"`
-	ToRevision   int64     `json:"to_revision,omitempty"`
-	Fields       []string  `json:"fields,omitempty"`
+	Kind   ChangeKind `json:"kind"`
+	Object string     `json:"object"`
+	Field  string     `json:"field,omitempty"`
+	Before string     `json:"before,omitempty"`
+	After  string     `json:"after,omitempty"`
 }
 
-// Diff returns the changes that lead from one catalog to the other, sorted by service.
+// Diff returns the changes that lead from one catalog to the other, sorted by service and field.
 func Diff(from, to *Catalog) []Change {
-	names := map[string]bool{}
-	for name := range from.live {
-		names[name] = true
+	return diff(byName(from.sorted), byName(to.sorted))
+}
+
+// DiffNote returns the changes that a note would make to services if it were accepted.
+func DiffNote(services []*contract.Service, n *Note) []Change {
+	before := byName(services)
+	after := maps.Clone(before)
+	for _, list := range [][]contract.Service{n.Added, n.Changed} {
+		for i := range list {
+			after[list[i].Name] = &list[i]
+		}
+	}
+	for _, name := range n.Withdrawn {
+		delete(after, name)
 	}
-	for name := range to.live {
-		names[name] = true
+	return diff(before, after)
+}
+
+func byName(services []*contract.Service) map[string]*contract.Service {
+	m := make(map[string]*contract.Service, len(services))
+	for _, s := range services {
+		m[s.Name] = s
 	}
+	return m
+}
+
+func diff(from, to map[string]*contract.Service) []Change {
+	names := maps.Clone(from)
+	maps.Copy(names, to)
 	var changes []Change
 	for _, name := range slices.Sorted(maps.Keys(names)) {
-		old, before := from.live[name]
-		current, after := to.live[name]
-		change := Change{Service: name, FromRevision: old.revision, ToRevision: current.revision}
+		before, existed := from[name]
+		after, exists := to[name]
 		switch {
-		case !before:
-			change.Operation = Added
-		case !after:
-			change.Operation = Withdrawn
+		case !existed:
+			changes = append(changes, Change{Kind: Added, Object: name})
+		case !exists:
+			changes = append(changes, Change{Kind: Withdrawn, Object: name})
 		default:
-			change.Operation = Changed
-			change.Fields = differing(fieldsOf(old.service), fieldsOf(current.service))
-			if len(change.Fields) == 0 {
-				continue
-			}
+			changes = append(changes, diffFields(name, fieldsOf(before), fieldsOf(after))...)
+		}
+	}
+	return changes
+}
+
+func diffFields(object string, before, after map[string]json.RawMessage) []Change {
+	names := maps.Clone(before)
+	maps.Copy(names, after)
+	var changes []Change
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if !bytes.Equal(before[name], after[name]) {
+			changes = append(changes, Change{
+				Kind: Changed, Object: object, Field: name, Before: string(before[name]), After: string(after[name]),
+			})
 		}
-		changes = append(changes, change)
 	}
 	return changes
 }
 
-func fieldsOf(v any) map[string]any {
-	fields := map[string]any{}
-	data, err := json.Marshal(v)
+// fieldsOf returns the top-level fields of a contract as JSON.
+func fieldsOf(s *contract.Service) map[string]json.RawMessage {
+	fields := map[string]json.RawMessage{}
+	data, err := json.Marshal(s)
 	if err == nil {
 		err = json.Unmarshal(data, &fields)
 	}
 	if err != nil {
-		return nil
+		return map[string]json.RawMessage{}
 	}
 	return fields
 }
-
-func differing(a, b map[string]any) []string {
-	names := map[string]bool{}
-	for _, m := range []map[string]any{a, b} {
-		for name := range m {
-			if !reflect.DeepEqual(a[name], b[name]) {
-				names[name] = true
-			}
-		}
-	}
-	return slices.Sorted(maps.Keys(names))
-}
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -174,7 +174,7 @@
 	second, err := json.Marshal(&back)
 	is.NoErr(err)
 	is.Equal(string(second), string(data))
-	v, ok := back.VerdictByID("n2")
+	v, ok := back.Verdict("n2")
 	is.True(ok)
 	is.Equal(v.Code, release.Conflict)
 }
@@ -185,12 +185,14 @@
 	from, _ := release.Empty().Apply(add("n0", 0, plain("a"), plain("b"), plain("same")), 0)
 	b := plain("b")
 	b.QueueLimit = 9
-	to, v := from.Apply(&release.Note{
+	n := &release.Note{
 		ID: "n1", Author: "a", Base: 1, Added: []contract.Service{plain("c")},
 		Changed: []contract.Service{b, plain("same")}, Withdrawn: []string{"a"},
-	}, 1)
+	}
+	to, v := from.Apply(n, 1)
 	is.True(v.Accepted)
-	is.Equal(fmt.Sprint(release.Diff(from, to)), "[{a withdrawn 1 0 []} {b changed 1 2 [queue_limit]} {c added 0 2 []}]")
+	is.Equal(fmt.Sprint(release.Diff(from, to)), "[{withdrawn a   } {changed b queue_limit  9} {added c   }]")
+	is.Equal(release.Diff(from, to), release.DiffNote(from.Services(), n))
 }
 
 // Guards against a panic on any input, and against an accepted note that the fold then refuses
