--- /dev/null
+++ b/gateway/errors.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cicadasill/cicadasill/limit"
+	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/routing"
+)
+
+// Code is the type of an error given to a caller.
+type Code string
+
+// Codes of the gateway itself. Refusals by queues, routing and claims use the reasons of
+// those packages.
+const (
+	UnknownService Code = "unknown_service"
+	UnknownCall    Code = "unknown_call"
+	InvalidHeader  Code = "invalid_header"
+	InvalidBody    Code = "invalid_body"
+	BodyTooLarge   Code = "body_too_large"
+	BodyCut        Code = "body_incomplete"
+	KeyRequired    Code = "key_required"
+	// KeyUnsupported: the call is non-idempotent but its back ends are engines.
+	KeyUnsupported Code = "non_idempotent_engine_call"
+	Draining       Code = "draining"
+	DeadlinePassed Code = "deadline_passed"
+	CallerGone     Code = "caller_gone"
+	BackendFailed  Code = "backend_failed"
+	AnswerLost     Code = "answer_lost"
+)
+
+// Error is an error response.
+type Error struct {
+	Code       Code
+	Status     int
+	Outcome    Outcome
+	Message    string
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err != nil {
+		return fmt.Sprintf("%s (%s): %v", e.Code, e.Outcome, e.Err)
+	}
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Outcome, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// errorBody is the JSON form of an Error.
+type errorBody struct {
+	Code         Code    `json:"code"`
+	Message      string  `json:"message"`
+	Outcome      Outcome `json:"outcome"`
+	RetryAfterMs int64   `json:"retry_after_ms"`
+}
+
+func (e *Error) body() map[string]errorBody {
+	return map[string]errorBody{"error": {e.Code, e.Message, e.Outcome, e.RetryAfter.Milliseconds()}}
+}
+
+// write sends e as the response.
+func (e *Error) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, string(e.Outcome))
+	h.Set(HeaderReason, string(e.Code))
+	if e.RetryAfter > 0 {
+		h.Set(headerRetry, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(e.Status)
+	_ = json.NewEncoder(w).Encode(e.body())
+}
+
+// refusal turns the error of a step before dispatch into a response. Its outcome is what
+// can truly be said of the request.
+func (r *request) refusal(err error) *Error {
+	var own *Error
+	var queue *limit.Refused
+	var none *routing.NoBackend
+	out := &Error{Status: http.StatusServiceUnavailable, Outcome: r.refusalOutcome(), Err: err}
+	switch {
+	case errors.As(err, &own):
+		return own
+	case errors.As(err, &queue):
+		out.Code, out.RetryAfter = Code(queue.Reason), queue.RetryAfter
+	case errors.As(err, &none):
+		out.Code, out.RetryAfter = Code(none.Reason), none.RetryAfter
+	case errors.Is(err, context.Canceled):
+		out.Code = CallerGone
+	case errors.Is(err, context.DeadlineExceeded):
+		out.Code, out.RetryAfter = DeadlinePassed, limit.RetryAfter(0)
+	default:
+		out.Code, out.RetryAfter = BackendFailed, limit.RetryAfter(0)
+	}
+	out.Message = "the request was refused: " + string(out.Code)
+	return out
+}
+
+// failure is the response after the attempts are exhausted.
+func (r *request) failure(err error) *Error {
+	out := r.refusal(err)
+	var p *platform.Error
+	if out.Outcome == Unknown && errors.As(err, &p) {
+		out.Code, out.Status = AnswerLost, http.StatusBadGateway
+		if r.call.Idempotent {
+			out.Code = BackendFailed
+		}
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		out.Code, out.Status = DeadlinePassed, http.StatusGatewayTimeout
+	}
+	out.Message = "no complete answer: " + err.Error()
+	if out.RetryAfter == 0 {
+		out.RetryAfter = limit.RetryAfter(0)
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// Results of a forwarding in metrics.
+const (
+	forwardAnswered = "answered"
+	forwardNotRun   = "not_run"
+	forwardUnknown  = "unknown"
+)
+
+// extract continues the caller's trace.
+func extract(in *http.Request) context.Context {
+	return otel.GetTextMapPropagator().Extract(in.Context(), propagation.HeaderCarrier(in.Header))
+}
+
+// forward sends a request to the owner of its key. It reports whether the owner's answer
+// was passed on; otherwise this instance goes through its own claim path.
+func (g *Gateway) forward(ctx context.Context, w http.ResponseWriter, r *request) bool {
+	if g.opts.Owner == nil || g.opts.Forward == nil || r.forwarded {
+		return false
+	}
+	owner := g.opts.Owner(r.service.Name, r.key)
+	if owner.Ref() == g.opts.Self.Ref() || owner.ID == "" {
+		return false
+	}
+	ctx, span := g.tracer.Start(ctx, "forward")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, g.opts.ForwardTimeout)
+	defer cancel()
+	resp, body, err := g.exchange(ctx, r, func(out *http.Request) (*http.Response, error) {
+		return g.opts.Forward(ctx, owner, out)
+	})
+	if err != nil {
+		span.RecordError(err)
+		r.ownerMayRun = !provedNotRun(err)
+		g.countForward(r.ownerMayRun)
+		g.log.Debug("owner of the key did not answer", "owner", owner.ID, "request", r.id, "err", err)
+		return false
+	}
+	if resp.Header.Get(HeaderReason) == string(Draining) {
+		g.countForward(false)
+		return false
+	}
+	g.metrics.forwards.WithLabelValues(forwardAnswered).Inc()
+	r.reason = "forwarded"
+	for _, name := range []string{"Content-Type", HeaderOutcome, HeaderReason, headerRetry} {
+		if v := resp.Header.Get(name); v != "" {
+			w.Header().Set(name, v)
+		}
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(resp.StatusCode)
+	_, _ = w.Write(body)
+	return true
+}
+
+func (g *Gateway) countForward(mayRun bool) {
+	if mayRun {
+		g.metrics.forwards.WithLabelValues(forwardUnknown).Inc()
+	} else {
+		g.metrics.forwards.WithLabelValues(forwardNotRun).Inc()
+	}
+}
+
+// exchange sends the request on and reads the whole answer: only a whole answer is passed on.
+func (g *Gateway) exchange(ctx context.Context, r *request, send func(*http.Request) (*http.Response, error)) (*http.Response, []byte, error) {
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://peer/v1/services/"+r.service.Name+"/calls/"+r.call.Name, bytes.NewReader(r.body))
+	if err != nil {
+		return nil, nil, err
+	}
+	out.Header.Set(HeaderForwarded, g.opts.Self.Ref().String())
+	out.Header.Set(HeaderKey, r.key)
+	out.Header.Set(HeaderDeadline, strconv.FormatInt(max(1, time.Until(r.deadline).Milliseconds()), 10))
+	if r.attempt > 0 {
+		out.Header.Set(HeaderAttempt, strconv.Itoa(r.attempt))
+	}
+	if r.contentType != "" {
+		out.Header.Set("Content-Type", r.contentType)
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(out.Header))
+	resp, err := send(out)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
+	return resp, body, err
+}
+
+// provedNotRun reports whether a forwarding error proves that the owner did not handle the
+// request. An error after the response's status proves nothing.
+func provedNotRun(err error) bool {
+	var e interface{ NotRun() bool }
+	return errors.As(err, &e) && e.NotRun()
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,189 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/machine"
+)
+
+// maxKeyBytes bounds Cicadasill-Key.
+const maxKeyBytes = 256
+
+// request is one accepted request and what is known about its fate.
+type request struct {
+	id          string
+	service     *contract.Service
+	call        contract.Call
+	key         string
+	attempt     int // as stated by the caller, 0 if not stated
+	deadline    time.Time
+	contentType string
+	body        []byte
+	forwarded   bool
+	generate    *generateBody // for engine calls
+
+	claimed      bool // this instance's claim is the first for the key
+	ownerMayRun  bool // the request was forwarded and its fate at the owner is not known
+	mayHaveRun   bool // a byte may have reached a back end and it did not say that it ran nothing
+	reason       string
+	backendCalls int
+}
+
+// generateBody is the body of an engine call.
+type generateBody struct {
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+	PrefixID  string `json:"prefix_id"`
+	Seed      int64  `json:"seed"`
+}
+
+// refusalOutcome says what a refusal may truly state. A repeated key may have run in an
+// earlier attempt until a claim proves otherwise.
+func (r *request) refusalOutcome() Outcome {
+	switch {
+	case r.mayHaveRun || r.ownerMayRun:
+		return Unknown
+	case r.claimed || r.key == "" || r.attempt == 1 || r.call.Idempotent:
+		return NotRun
+	default:
+		return Unknown
+	}
+}
+
+func (r *request) refuse(status int, code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Status: status, Outcome: r.refusalOutcome(), Message: fmt.Sprintf(format, args...)}
+}
+
+// parse validates everything that needs no other machine.
+func (g *Gateway) parse(w http.ResponseWriter, in *http.Request, p httprouter.Params) (*request, *Error) {
+	r := &request{
+		id: g.nextID(), key: in.Header.Get(HeaderKey),
+		contentType: in.Header.Get("Content-Type"), forwarded: in.Header.Get(HeaderForwarded) != "",
+	}
+	if e := r.parseAttempt(in.Header.Get(HeaderAttempt)); e != nil {
+		return r, e
+	}
+	if e := g.lookup(r, p.ByName("service"), p.ByName("call")); e != nil {
+		return r, e
+	}
+	if e := r.parseDeadline(in.Header.Get(HeaderDeadline), g.opts.MaxDeadline); e != nil {
+		return r, e
+	}
+	if len(r.key) > maxKeyBytes {
+		return r, r.refuse(http.StatusBadRequest, InvalidHeader, "%s is longer than %d bytes", HeaderKey, maxKeyBytes)
+	}
+	if !r.call.Idempotent && r.key == "" {
+		return r, r.refuse(http.StatusBadRequest, KeyRequired, "call %s is non-idempotent and needs the header %s", r.call.Name, HeaderKey)
+	}
+	if e := g.readBody(r, w, in); e != nil {
+		return r, e
+	}
+	if r.service.Kind == machine.Sampler {
+		return r, g.parseGenerate(r)
+	}
+	return r, nil
+}
+
+func (r *request) parseAttempt(s string) *Error {
+	if s == "" {
+		return nil
+	}
+	n, err := strconv.Atoi(s)
+	if err != nil || n < 1 {
+		return r.refuse(http.StatusBadRequest, InvalidHeader, "%s must be a whole number from 1", HeaderAttempt)
+	}
+	r.attempt = n
+	return nil
+}
+
+func (r *request) parseDeadline(s string, longest time.Duration) *Error {
+	d := r.call.Deadline()
+	if s != "" {
+		ms, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || ms < 1 {
+			return r.refuse(http.StatusBadRequest, InvalidHeader, "%s must be a whole number of milliseconds from 1", HeaderDeadline)
+		}
+		d = time.Duration(min(ms, longest.Milliseconds())) * time.Millisecond
+	}
+	r.deadline = time.Now().Add(min(d, longest))
+	return nil
+}
+
+func (g *Gateway) lookup(r *request, service, call string) *Error {
+	s, ok := g.opts.Service(service)
+	if !ok {
+		return r.refuse(http.StatusNotFound, UnknownService, "there is no service %q", service)
+	}
+	r.service = s
+	c, ok := s.Call(call)
+	if !ok {
+		return r.refuse(http.StatusNotFound, UnknownCall, "service %s has no call %q", service, call)
+	}
+	if s.Kind == machine.Sampler && !c.Idempotent {
+		return r.refuse(http.StatusBadRequest, KeyUnsupported, "call %s of engines must be idempotent in its contract", call)
+	}
+	r.call = c
+	return nil
+}
+
+func (g *Gateway) readBody(r *request, w http.ResponseWriter, in *http.Request) *Error {
+	body := http.MaxBytesReader(w, in.Body, g.opts.MaxBody)
+	var err error
+	if n := in.ContentLength; n > 0 && n <= g.opts.MaxBody {
+		r.body = make([]byte, n)
+		_, err = io.ReadFull(body, r.body)
+	} else {
+		r.body, err = io.ReadAll(body)
+	}
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large):
+		return r.refuse(http.StatusRequestEntityTooLarge, BodyTooLarge, "the body exceeds %d bytes", g.opts.MaxBody)
+	default:
+		return r.refuse(http.StatusBadRequest, BodyCut, "the body is incomplete: %v", err)
+	}
+}
+
+func (g *Gateway) parseGenerate(r *request) *Error {
+	r.generate = &generateBody{}
+	dec := json.NewDecoder(bytes.NewReader(r.body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(r.generate); err != nil {
+		return r.refuse(http.StatusBadRequest, InvalidBody, "the body is not a generate request: %v", err)
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return r.refuse(http.StatusBadRequest, InvalidBody, "the body holds more than one JSON value")
+	}
+	if r.generate.Prompt == "" {
+		return r.refuse(http.StatusBadRequest, InvalidBody, "prompt must not be empty")
+	}
+	if r.generate.MaxTokens < 1 || r.generate.MaxTokens > g.opts.MaxTokens {
+		return r.refuse(http.StatusBadRequest, InvalidBody, "max_tokens must be from 1 to %d", g.opts.MaxTokens)
+	}
+	return nil
+}
+
+// context returns a context that ends at the request's deadline.
+func (r *request) context(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(ctx, r.deadline)
+}
+
+// backendID returns a new id for one attempt at a back end.
+func (r *request) backendID() string {
+	r.backendCalls++
+	return r.id + "-" + strconv.Itoa(r.backendCalls)
+}
