--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standin"
 )
 
 // Bounds of the ledger; the oldest entries are dropped beyond them.
@@ -16,6 +17,7 @@
 // Execution is one generation.
 type Execution struct {
 	RequestID string
+	Prompt    string // hash of the prompt, as of a body
 	Priority  int
 	Started   time.Time
 	Ended     time.Time
@@ -40,21 +42,28 @@
 type Ledger struct {
 	mu         sync.Mutex
 	executions []*Execution
+	byPrompt   map[string]int
 	orders     []*OrderRecord
 	tokens     int64
 }
 
-func newLedger() *Ledger { return &Ledger{} }
+func newLedger() *Ledger { return &Ledger{byPrompt: map[string]int{}} }
 
 func (l *Ledger) begin(q *sequence) {
 	e := &Execution{
-		RequestID: q.req.RequestID, Priority: q.req.Priority, Started: time.Now(), Resumed: q.produced, Cached: q.cached,
+		RequestID: q.req.RequestID, Prompt: standin.BodyHash([]byte(q.req.Prompt)), Priority: q.req.Priority,
+		Started: time.Now(), Resumed: q.produced, Cached: q.cached,
 	}
 	q.execution = e
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.executions = append(l.executions, e)
+	l.byPrompt[e.Prompt]++
 	if len(l.executions) > maxExecutions {
+		old := l.executions[0].Prompt
+		if l.byPrompt[old]--; l.byPrompt[old] == 0 {
+			delete(l.byPrompt, old)
+		}
 		l.executions = l.executions[1:]
 	}
 }
@@ -107,6 +116,13 @@
 	return out
 }
 
+// RunsOfPrompt returns how many executions had a prompt with this hash.
+func (l *Ledger) RunsOfPrompt(hash string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byPrompt[hash]
+}
+
 // Orders returns all retained orders.
 func (l *Ledger) Orders() []OrderRecord {
 	l.mu.Lock()
--- a/standin/plain/ledger.go
+++ b/standin/plain/ledger.go
@@ -25,30 +25,34 @@
 	runs      []Run
 	byKey     map[string]int
 	byRequest map[string]int
+	byBody    map[string]int
 	refusals  int
 	lastRun   time.Time
 	total     int64
 }
 
 func newLedger() *Ledger {
-	return &Ledger{byKey: map[string]int{}, byRequest: map[string]int{}}
+	return &Ledger{byKey: map[string]int{}, byRequest: map[string]int{}, byBody: map[string]int{}}
 }
 
 func (l *Ledger) ran(req request) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.runs = append(l.runs, Run{RequestID: req.id, Key: req.key, Call: req.call, BodyHash: standin.BodyHash(req.body), At: now})
+	hash := standin.BodyHash(req.body)
+	l.runs = append(l.runs, Run{RequestID: req.id, Key: req.key, Call: req.call, BodyHash: hash, At: now})
 	if len(l.runs) > maxRuns {
 		old := l.runs[0]
 		l.runs = l.runs[1:]
 		decrement(l.byKey, old.Key)
 		decrement(l.byRequest, old.RequestID)
+		decrement(l.byBody, old.BodyHash)
 	}
 	if req.key != "" {
 		l.byKey[req.key]++
 	}
 	l.byRequest[req.id]++
+	l.byBody[hash]++
 	l.lastRun = now
 	l.total++
 	return l.total
@@ -80,6 +84,14 @@
 	return l.byRequest[id]
 }
 
+// RunsOfBody returns how often a request with this body hash ran. Callers whose bodies are all
+// different learn from it the runs of a request without trusting the key that arrived.
+func (l *Ledger) RunsOfBody(hash string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byBody[hash]
+}
+
 // Keys returns the number of runs of each key.
 func (l *Ledger) Keys() map[string]int {
 	l.mu.Lock()
