--- /dev/null
+++ b/rollout/compare/deployment.go
@@ -0,0 +1,242 @@
+package compare
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/rollout"
+	"github.com/cicadasill/cicadasill/rollout/enginesim"
+)
+
+var (
+	errInstanceDown = errors.New("instance is down")
+	errCut          = errors.New("the connection between two instances is cut")
+)
+
+// Config describes a deployment.
+type Config struct {
+	Fleet     *enginesim.Fleet
+	Service   contract.Service
+	Instances int
+	// PerEngine bounds the samples of one instance at one engine.
+	PerEngine int
+	// Adjust changes the options of every instance.
+	Adjust func(*rollout.Options)
+}
+
+// Deployment is a set of rollout servers whose requests are forwarded in memory.
+type Deployment struct {
+	cfg Config
+
+	mu        sync.Mutex
+	service   contract.Service
+	newest    int64
+	instances []*instance
+	cut       map[[2]int]bool
+}
+
+type instance struct {
+	d      *Deployment
+	index  int
+	self   machine.Instance
+	view   []int // nil means all that are up
+	up     bool
+	router *httprouter.Router
+	stop   context.CancelFunc
+	wg     *conc.WaitGroup
+}
+
+// New starts a deployment.
+func New(cfg Config) *Deployment {
+	cfg.Service.Backends = cfg.Fleet.Backends(cfg.Service.Name)
+	d := &Deployment{cfg: cfg, service: cfg.Service, cut: make(map[[2]int]bool)}
+	for i := range cfg.Instances {
+		d.instances = append(d.instances, &instance{d: d, index: i})
+		d.Start(i)
+	}
+	return d
+}
+
+// Start starts instance i as a new incarnation; one that runs is killed first.
+func (d *Deployment) Start(i int) {
+	d.Kill(i)
+	in := d.instances[i]
+	opts := rollout.Options{
+		Directory: d, Engine: d.cfg.Fleet, View: in, Owner: Owner,
+		Picker: &LeastLoaded{Fleet: d.cfg.Fleet, PerEngine: d.cfg.PerEngine},
+		Forward: func(ctx context.Context, to machine.Instance, req *http.Request) (*http.Response, error) {
+			return d.forward(ctx, i, to, req)
+		},
+	}
+	if d.cfg.Adjust != nil {
+		d.cfg.Adjust(&opts)
+	}
+	srv := rollout.New(opts)
+	router := httprouter.New()
+	srv.Register(router)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.mu.Lock()
+	in.self = machine.Instance{ID: fmt.Sprintf("entry-%d", i), Incarnation: in.self.Incarnation + 1}
+	in.up, in.router, in.stop, in.wg = true, router, cancel, &conc.WaitGroup{}
+	wg := in.wg
+	d.mu.Unlock()
+	wg.Go(func() { _ = srv.Run(ctx) })
+}
+
+// Kill ends instance i with everything that it holds.
+func (d *Deployment) Kill(i int) {
+	d.mu.Lock()
+	in := d.instances[i]
+	up, stop, wg := in.up, in.stop, in.wg
+	in.up = false
+	d.mu.Unlock()
+	if up {
+		stop()
+		wg.Wait()
+	}
+}
+
+// Close ends all instances.
+func (d *Deployment) Close() {
+	for i := range d.instances {
+		d.Kill(i)
+	}
+}
+
+// SetView makes instance i believe that exactly these instances live; nil restores the truth.
+func (d *Deployment) SetView(i int, live []int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.instances[i].view = live
+}
+
+// Cut cuts or restores the link from instance a to b.
+func (d *Deployment) Cut(a, b int, on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut[[2]int{a, b}] = on
+}
+
+// OwnerOf returns the index of the instance that owns trainer's steps in the true view.
+func (d *Deployment) OwnerOf(trainer string) int {
+	owner := Owner(d.service.Name+"/"+trainer, d.instances[0].Live())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.IndexFunc(d.instances, func(in *instance) bool { return in.self.ID == owner.ID })
+}
+
+// Announce makes version the newest announced one.
+func (d *Deployment) Announce(version int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.newest = version
+}
+
+// Service implements rollout.Directory.
+func (d *Deployment) Service(name string) (*contract.Service, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if name != d.service.Name {
+		return nil, false
+	}
+	svc := d.service
+	return &svc, true
+}
+
+// NewestVersion implements rollout.Directory.
+func (d *Deployment) NewestVersion(string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.newest
+}
+
+// Self implements rollout.View.
+func (in *instance) Self() machine.Instance {
+	in.d.mu.Lock()
+	defer in.d.mu.Unlock()
+	return in.self
+}
+
+// Live implements rollout.View.
+func (in *instance) Live() []machine.Instance {
+	in.d.mu.Lock()
+	defer in.d.mu.Unlock()
+	var out []machine.Instance
+	for i, other := range in.d.instances {
+		if in.view == nil && other.up || slices.Contains(in.view, i) {
+			out = append(out, other.self)
+		}
+	}
+	return out
+}
+
+// Owner is rendezvous hashing over live.
+func Owner(key string, live []machine.Instance) machine.Instance {
+	var best machine.Instance
+	var top uint64
+	for _, in := range live {
+		if h := xxhash.Sum64String(key + "\x00" + in.ID); best.ID == "" || h > top {
+			best, top = in, h
+		}
+	}
+	return best
+}
+
+func (d *Deployment) forward(ctx context.Context, from int, to machine.Instance, req *http.Request) (*http.Response, error) {
+	d.mu.Lock()
+	i := slices.IndexFunc(d.instances, func(in *instance) bool { return in.self.Ref() == to.Ref() })
+	cut := i < 0 || d.cut[[2]int{from, i}]
+	d.mu.Unlock()
+	if cut {
+		return nil, errCut
+	}
+	return d.Do(i, req.WithContext(ctx))
+}
+
+// Do serves a request at instance i. The death of the instance loses the response.
+func (d *Deployment) Do(i int, req *http.Request) (*http.Response, error) {
+	d.mu.Lock()
+	in := d.instances[i]
+	up, router, self := in.up, in.router, in.self
+	d.mu.Unlock()
+	if !up {
+		return nil, errInstanceDown
+	}
+	w := &response{header: make(http.Header), status: http.StatusOK}
+	router.ServeHTTP(w, req)
+	d.mu.Lock()
+	alive := in.up && in.self == self
+	d.mu.Unlock()
+	if !alive {
+		return nil, errInstanceDown
+	}
+	return &http.Response{StatusCode: w.status, Header: w.header, Body: io.NopCloser(&w.body)}, nil
+}
+
+// response collects a handler's response in memory.
+type response struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (r *response) Header() http.Header { return r.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (r *response) WriteHeader(status int) { r.status = status }
+
+// Write implements http.ResponseWriter.
+func (r *response) Write(b []byte) (int, error) { return r.body.Write(b) }
--- a/rollout/enginesim/engine.go
+++ b/rollout/enginesim/engine.go
@@ -57,7 +57,7 @@
 	down    bool
 	silent  bool
 	leaving bool
-	swap    chan struct{} // not nil while a swap pauses generation
+	swap    bool // generation pauses
 	slow    float64
 	version int64
 	held    []int64
--- a/rollout/enginesim/order.go
+++ b/rollout/enginesim/order.go
@@ -74,7 +74,7 @@
 }
 
 // Order implements platform.Engine.
-func (f *Fleet) Order(ctx context.Context, addr string, o platform.Order) error {
+func (f *Fleet) Order(_ context.Context, addr string, o platform.Order) error {
 	e := f.at(addr)
 	if e == nil {
 		return &platform.Error{Code: platform.NotSent, Op: "order", Err: errDown}
@@ -92,7 +92,7 @@
 		return err
 	}
 	f.countSwap(1)
-	err := e.carryOut(ctx, o)
+	err := e.carryOut(o)
 	f.countSwap(-1)
 	if err == nil && e.loses() {
 		return &platform.Error{Code: platform.OutcomeUnknown, Op: "order"}
@@ -127,7 +127,7 @@
 	return nil
 }
 
-func (e *Engine) carryOut(ctx context.Context, o platform.Order) error {
+func (e *Engine) carryOut(o platform.Order) error {
 	e.mu.Lock()
 	held, life := slices.Contains(e.held, o.Version), e.life
 	e.mu.Unlock()
@@ -135,7 +135,7 @@
 		if err := e.fleet.fetch(e, o); err != nil {
 			return err
 		}
-		if err := e.wait(ctx, life, e.opts.LoadTime); err != nil {
+		if err := e.wait(life, e.opts.LoadTime); err != nil {
 			return err
 		}
 	}
@@ -145,12 +145,12 @@
 		e.mu.Unlock()
 		return &platform.Error{Code: platform.Unavailable, Op: "order", Err: errSwap}
 	}
-	e.swap = make(chan struct{})
+	e.swap = true
 	e.mu.Unlock()
-	err := e.wait(ctx, life, e.opts.SwapTime)
+	err := e.wait(life, e.opts.SwapTime)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.swap = nil
+	e.swap = false
 	if err == nil {
 		e.version = o.Version
 		e.held = append(e.held, o.Version)
@@ -158,7 +158,7 @@
 	return err
 }
 
-func (e *Engine) wait(_ context.Context, life chan struct{}, d time.Duration) error {
+func (e *Engine) wait(life chan struct{}, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/rollout/enginesim/stream.go
+++ b/rollout/enginesim/stream.go
@@ -118,7 +118,7 @@
 		case <-timer.C:
 		}
 		s.e.mu.Lock()
-		blocked := s.e.silent || s.e.swap != nil
+		blocked := s.e.silent || s.e.swap
 		s.e.mu.Unlock()
 		if !blocked {
 			return nil
--- /dev/null
+++ b/rollout/exactlyonce_test.go
@@ -0,0 +1,142 @@
+package rollout_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/rollout"
+)
+
+// Guards against requests that open, take or acknowledge the wrong thing without a typed refusal.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) { o.MaxHeldTokens = 1000 })
+	b.trainer.Begin(1, groups(1, 2, 10))
+	_, err := b.trainer.Take(b.ctx, 0, 0, false)
+	is.Equal(code(err), rollout.CodeStepNotOpen)
+	is.NoErr(b.trainer.Reopen(b.ctx))
+	is.NoErr(b.trainer.Reopen(b.ctx)) // same body
+	is.Equal(code(b.trainer.Open(b.ctx, 1, groups(1, 3, 10))), rollout.CodeStepConflict)
+	is.Equal(code(b.trainer.Open(b.ctx, 2, groups(1, 101, 10))), rollout.CodeStepTooLarge)
+	is.Equal(code(b.trainer.Open(b.ctx, 2, groups(1, 100, 10))), rollout.CodeBusy)
+	is.Equal(code(b.trainer.Open(b.ctx, 2, groups(0, 1, 10))), rollout.CodeBadRequest)
+	other := *b.trainer
+	other.Name = "stranger"
+	is.Equal(code(other.Open(b.ctx, 1, groups(1, 2, 10))), rollout.CodeNotATrainer)
+	other.Service = "nothing"
+	is.Equal(code(other.Open(b.ctx, 1, groups(1, 2, 10))), rollout.CodeUnknownService)
+	b.whole(is, 2)
+	is.NoErr(b.trainer.Ack(b.ctx))
+	is.NoErr(b.trainer.Ack(b.ctx)) // repeated
+	_, err = b.trainer.Take(b.ctx, 0, 0, false)
+	is.Equal(code(err), rollout.CodeStepNotOpen)
+}
+
+// Guards against a lost take answer that loses its samples.
+func TestLostTakeAnswers(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), nil)
+	b.begin(is, 1, groups(4, 4, 40))
+	for range 5 {
+		_, err := b.trainer.Take(b.ctx, testTimeout, 3, true)
+		is.NoErr(err)
+	}
+	b.whole(is, 16)
+	is.Equal(b.trainer.Ledger().Delivered, 16)
+}
+
+// Guards against a trainer that restarts from an older checkpoint and never gets again what it lost.
+func TestTrainerRestartsWithOlderBitmap(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), nil)
+	b.begin(is, 1, groups(4, 4, 40))
+	_, err := b.trainer.Take(b.ctx, testTimeout, 3, false)
+	is.NoErr(err)
+	old := b.trainer.Checkpoint()
+	b.whole(is, 16)
+	b.trainer.Restore(old)
+	b.whole(is, 16)
+	is.NoErr(b.trainer.Reopen(b.ctx)) // the restarted trainer may open the step again
+	b.whole(is, 16)
+}
+
+// Guards against a dead owner whose finished samples are lost for good, and against generating
+// again what the trainer has.
+func TestOwnerDiesWithFinishedSamples(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), nil)
+	b.begin(is, 1, groups(4, 4, 40))
+	_, err := b.trainer.Take(b.ctx, testTimeout, 8, false)
+	is.NoErr(err)
+	got := b.trainer.Count()
+	before := len(b.fleet.Starts())
+	b.Kill(b.via)
+	b.via = 1 - b.via
+	b.whole(is, 16)
+	is.Equal(b.trainer.Ledger().Reopened, 1)
+	is.True(len(b.fleet.Starts())-before <= 16-got+1) // one hedge at most
+}
+
+// Guards against two owners that each deliver the same sample.
+func TestTwoOwners(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), nil)
+	b.SetView(0, []int{0})
+	b.SetView(1, []int{1})
+	b.begin(is, 1, groups(4, 4, 40))
+	for b.ctx.Err() == nil {
+		b.via = 1 - b.via
+		resp, err := b.trainer.Take(b.ctx, testTimeout, 2, false)
+		if code(err) == rollout.CodeStepNotOpen {
+			is.NoErr(b.trainer.Reopen(b.ctx))
+			continue
+		}
+		is.NoErr(err)
+		if resp.Complete {
+			break
+		}
+	}
+	b.whole(is, 16)
+	is.Equal(b.trainer.Ledger().Delivered, 16)
+}
+
+// Guards against a request that two instances with different views forward to each other for ever,
+// and against a trainer that is refused because the owner cannot be reached.
+func TestForwardingLoopAndUnreachableOwner(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), nil)
+	b.SetView(0, []int{1})
+	b.SetView(1, []int{0})
+	b.begin(is, 1, groups(2, 2, 20))
+	b.whole(is, 4)
+	b.SetView(0, nil)
+	b.SetView(1, nil)
+	owner := b.OwnerOf("main")
+	b.via = 1 - owner
+	b.Cut(b.via, owner, true)
+	b.begin(is, 2, groups(2, 2, 20))
+	b.whole(is, 4)
+}
+
+// Guards against a step of a trainer that never comes back holding memory for ever.
+func TestStepExpires(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) { o.StepExpiry, o.MaxHeldTokens = testTimeout/1000, 100 })
+	is.NoErr(b.trainer.Open(b.ctx, 1, groups(1, 10, 10)))
+	b.until(is, func() bool { return b.trainer.Open(b.ctx, 2, groups(1, 10, 10)) == nil })
+}
+
+// Guards against a late copy of a PUT that makes engines generate an acknowledged step again.
+func TestLatePutAfterAck(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), nil)
+	b.begin(is, 1, groups(1, 4, 10))
+	b.whole(is, 4)
+	is.NoErr(b.trainer.Ack(b.ctx))
+	before := len(b.fleet.Starts())
+	is.NoErr(b.trainer.Reopen(b.ctx))
+	b.trainer.Begin(2, groups(1, 4, 10))
+	b.whole(is, 4)
+	is.Equal(len(b.fleet.Starts()), before+4)
+}
--- /dev/null
+++ b/rollout/tail_test.go
@@ -0,0 +1,129 @@
+package rollout_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/rollout"
+)
+
+// Guards against a step that waits for an engine that went silent with open streams.
+func TestSilentEngine(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) { o.NoHedging = true })
+	e := b.fleet.Engine("s0")
+	e.At(20, func() { e.SetSilent(true) })
+	b.begin(is, 1, groups(3, 3, 100))
+	b.whole(is, 9)
+	is.Equal(b.trainer.Ledger().Attempts, 9) // resumed, not started again
+}
+
+// Guards against a tail that waits for one stalled engine although a second attempt would end it,
+// and against a hedge beyond the budget.
+func TestHedgeWinsOverStalledEngine(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) {
+		o.ProgressTimeout, o.FirstTokenTimeout = testTimeout, testTimeout
+	})
+	for _, id := range []string{"s0", "s1", "s2"} {
+		e := b.fleet.Engine(id)
+		e.At(50, func() {
+			if len(b.fleet.Starts()) == 1 {
+				e.SetSilent(true)
+			}
+		})
+	}
+	b.begin(is, 1, groups(1, 1, 100))
+	b.whole(is, 1)
+	is.Equal(len(b.fleet.Starts()), 2)
+	is.Equal(b.metric("hedges_total", ""), 1.0)
+}
+
+// Guards against a hedge and its original that both finish and are both delivered, and against
+// tokens of the loser that no metric shows.
+func TestHedgeAndOriginalBothFinish(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) {
+		o.ProgressTimeout, o.FirstTokenTimeout = testTimeout, testTimeout
+	})
+	for _, id := range []string{"s0", "s1", "s2"} {
+		e := b.fleet.Engine(id)
+		e.At(50, func() {
+			if len(b.fleet.Starts()) == 1 {
+				e.SetSilent(true)
+			}
+		})
+		e.At(90, func() { // the hedge is nearly done when the original goes on
+			for _, id := range []string{"s0", "s1", "s2"} {
+				b.fleet.Engine(id).SetSilent(false)
+			}
+		})
+	}
+	b.begin(is, 1, groups(1, 1, 100))
+	b.whole(is, 1)
+	_, err := b.trainer.Take(b.ctx, 0, 0, false)
+	is.NoErr(err)
+	is.Equal(b.trainer.Ledger().Delivered, 1)
+	generated := int64(0)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		generated += b.fleet.Engine(id).Tokens()
+	}
+	is.True(b.metric("wasted_tokens_total", "hedge_loser") <= float64(generated-100))
+}
+
+// Guards against a long sample that stays on an engine at a fraction of the others' speed.
+func TestSampleMovesOffSlowEngine(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) { o.NoHedging = true })
+	for _, id := range []string{"s0", "s1", "s2"} {
+		b.fleet.Engine(id).SetVersion(1)
+	}
+	b.fleet.Engine("s0").SetSlow(0.05)
+	b.begin(is, 1, groups(1, 3, 1000))
+	b.whole(is, 3)
+	is.True(b.metric("moves_total", "") >= 1)
+	is.Equal(b.trainer.Ledger().Attempts, 3)
+	imported := false
+	for _, r := range b.fleet.Starts() {
+		imported = imported || (r.KVFrom != "" && len(r.ResumeTokens) > 0)
+	}
+	is.True(imported) // the slow engine still held the KV cache of the same version
+}
+
+// Guards against short samples that occupy the engines while the long ones wait for the end.
+func TestLongGroupsFirst(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) { o.SlotsPerSampler = 1 })
+	req := groups(8, 1, 20)
+	req.Groups[7].MaxTokens = 400
+	b.begin(is, 1, req)
+	b.whole(is, 8) // learns the lengths
+	before := len(b.fleet.Starts())
+	b.begin(is, 2, req)
+	b.whole(is, 8)
+	first := b.fleet.Starts()[before : before+3]
+	is.True(first[0].MaxTokens == 400 || first[1].MaxTokens == 400 || first[2].MaxTokens == 400)
+}
+
+// Guards against a trainer with a small share that starves beside a large one.
+func TestShares(t *testing.T) {
+	is := is.New(t)
+	svc := service()
+	svc.Trainers[0].Share = 0.7
+	svc.Trainers = append(svc.Trainers, service().Trainers[0])
+	svc.Trainers[1].Name, svc.Trainers[1].Share = "second", 0.3
+	b := newBed(t, svc, func(o *rollout.Options) { o.SlotsPerSampler, o.Owner = 4, nil })
+	large, small := b.trainer, *b.trainer
+	small.Name = "second"
+	b.begin(is, 1, groups(40, 4, 200))
+	b.until(is, func() bool { return len(b.fleet.Starts()) >= 12 })
+	small.Begin(1, groups(2, 1, 20))
+	is.NoErr(small.Reopen(b.ctx))
+	is.NoErr(small.Complete(b.ctx, testTimeout))
+	is.True(large.Count() == 0)
+	b.whole(is, 160)
+	resp, err := large.Take(b.ctx, 0, 0, false)
+	is.NoErr(err)
+	is.True(resp.Complete)
+}
