gateway: tests of refusals, whole answers, callers who leave, drain

Change: tests through HTTP for typed refusals, crossed and truncated events, cancel at the engine, the same key at another instance, ask by key, a lost forwarding answer, early refusal and drain. Each names the failure it guards against.

--- /dev/null
+++ b/gateway/callers_test.go
@@ -0,0 +1,283 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/gateway"
+	"github.com/cicadasill/cicadasill/limit"
+	"github.com/cicadasill/cicadasill/machine"
+)
+
+// Guards against untyped refusals and against not_run for a key that an earlier attempt
+// may have run.
+func TestTypedRefusals(t *testing.T) {
+	d := deploy(t, func(o *gateway.Options) { o.MaxBody = 100 }, "a")
+	large := strings.Repeat("x", 101)
+	for _, c := range []struct {
+		path, body string
+		header     []string
+		status     int
+		code       gateway.Code
+		outcome    gateway.Outcome
+	}{
+		{"none/calls/read", "body", nil, 404, gateway.UnknownService, gateway.NotRun},
+		{"none/calls/read", "body", []string{gateway.HeaderKey, "k"}, 404, gateway.UnknownService, gateway.Unknown},
+		{"line-desk/calls/none", "body", []string{gateway.HeaderAttempt, "2"}, 404, gateway.UnknownCall, gateway.NotRun},
+		{"line-desk/calls/read", large, nil, 413, gateway.BodyTooLarge, gateway.NotRun},
+		{"line-desk/calls/book", large, []string{gateway.HeaderKey, "k"}, 413, gateway.BodyTooLarge, gateway.Unknown},
+		{"line-desk/calls/book", large, []string{gateway.HeaderKey, "k", gateway.HeaderAttempt, "1"}, 413, gateway.BodyTooLarge, gateway.NotRun},
+		{"line-desk/calls/book", "body", nil, 400, gateway.KeyRequired, gateway.NotRun},
+		{"line-desk/calls/book", "body", []string{gateway.HeaderKey, large + large + large}, 400, gateway.InvalidHeader, gateway.Unknown},
+		{"line-desk/calls/read", "body", []string{gateway.HeaderDeadline, "0"}, 400, gateway.InvalidHeader, gateway.NotRun},
+		{"line-desk/calls/read", "body", []string{gateway.HeaderAttempt, "x"}, 400, gateway.InvalidHeader, gateway.NotRun},
+		{"fry-lm/calls/generate", `{"prompt":"p"}`, nil, 400, gateway.InvalidBody, gateway.NotRun},
+		{"fry-lm/calls/generate", `{"prompt":"p","max_tokens":1,"prefx_id":""}`, nil, 400, gateway.InvalidBody, gateway.NotRun},
+		{"fry-lm/calls/generate", `{"prompt":"p","max_tokens":1}{}`, nil, 400, gateway.InvalidBody, gateway.NotRun},
+	} {
+		t.Run(fmt.Sprint(c.path, c.code, c.outcome), func(t *testing.T) {
+			is := is.New(t)
+			r := d.post(context.Background(), "a", c.path, c.body, c.header...)
+			var e struct {
+				Error struct {
+					Code, Message string
+					Outcome       gateway.Outcome
+					RetryAfterMs  int64 `json:"retry_after_ms"`
+				}
+			}
+			is.NoErr(json.Unmarshal([]byte(r.body), &e))
+			is.Equal(r.status, c.status)
+			is.Equal(e.Error.Code, string(c.code))
+			is.Equal(r.reason, string(c.code))
+			is.Equal(e.Error.Outcome, c.outcome)
+			is.Equal(r.outcome, c.outcome)
+		})
+	}
+	is.New(t).Equal(d.ran("k", large), 0)
+}
+
+// Guards P4: an engine's crossed or truncated events must be neither passed on nor end the answer.
+func TestCrossedAndTruncatedEvents(t *testing.T) {
+	for _, streamed := range []bool{true, false} {
+		for name, spoil := range map[string]func(*conn){
+			"crossed": func(c *conn) { c.crossed = true }, "truncated": func(c *conn) { c.truncated = true },
+		} {
+			t.Run(fmt.Sprint(name, streamed), func(t *testing.T) {
+				is := is.New(t)
+				d := deploy(t, nil, "a")
+				var once atomic.Bool
+				d.hook = func(_, step string, _ *backend, c *conn) {
+					if step == stream && once.CompareAndSwap(false, true) {
+						spoil(c)
+					}
+				}
+				r := d.post(context.Background(), "a", "fry-lm/calls/generate", fmt.Sprintf(generateBody, streamed))
+				is.Equal(r.outcome, gateway.Answered)
+				if streamed {
+					is.NoErr(checkTokens(r.body))
+					return
+				}
+				var whole struct {
+					Tokens   []int64
+					Versions []struct{ Version, From, To int64 }
+					Total    int
+				}
+				is.NoErr(json.Unmarshal([]byte(r.body), &whole))
+				is.Equal(len(whole.Tokens), 20)
+				is.Equal(whole.Total, 20)
+				is.Equal(fmt.Sprint(whole.Versions), "[{3 0 20}]") // one version, although two engines took part
+			})
+		}
+	}
+}
+
+// Guards against engines that generate for callers who left.
+func TestCallerGoneCancelsAtEngine(t *testing.T) {
+	d := deploy(t, nil, "a")
+	ctx, leave := context.WithCancel(context.Background())
+	d.hook = func(_, step string, _ *backend, c *conn) {
+		if step == stream {
+			leave()
+			c.silent = true
+		}
+	}
+	d.post(ctx, "a", "fry-lm/calls/generate", fmt.Sprintf(generateBody, true))
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		d.mu.Lock()
+		n := d.cancels
+		d.mu.Unlock()
+		if n > 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the engine was not told within 10 s")
+		}
+	}
+}
+
+// Guards P6 when a caller leaves during the run and repeats the key at another instance,
+// and against a key reused for another request.
+func TestSameKeyAtAnotherInstance(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, nil, "a", "b")
+	ctx, leave := context.WithCancel(context.Background())
+	d.hook = func(inst, step string, b *backend, _ *conn) {
+		if inst == "a" && step == firstByte {
+			leave()
+			b.slow = slowness
+		}
+	}
+	is.Equal(d.send(ctx, "a", book, "1").outcome, gateway.Outcome(""))
+	r := d.send(context.Background(), "b", book, "2")
+	is.Equal(r.outcome, gateway.Answered)
+	is.Equal(r.reason, "replayed")
+	is.Equal(d.ran("key", "body"), 1)
+	r = d.post(context.Background(), "b", "line-desk/calls/book", "other", gateway.HeaderKey, "key")
+	is.Equal(r.status, http.StatusUnprocessableEntity)
+	is.Equal(d.ran("key", "other"), 0)
+}
+
+// Guards against unknown outcomes where the back end can be asked, and P6 in a log outage.
+func TestAskByKey(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, nil, "a")
+	order := func(key string) reply {
+		return d.post(context.Background(), "a", "line-desk/calls/order", "body", gateway.HeaderKey, key)
+	}
+	d.hook = func(_, step string, _ *backend, c *conn) { c2(c, step == end) }
+	is.Equal(order("k1").outcome, gateway.Answered)
+	is.Equal(d.ran("k1", "body"), 1)
+	d.mu.Lock()
+	d.hook, d.logDown = nil, true
+	d.mu.Unlock()
+	is.Equal(order("k2").outcome, gateway.Answered) // without a claim, at the key's own back end
+	r := d.post(context.Background(), "a", "line-desk/calls/book", "body", gateway.HeaderKey, "k3")
+	is.Equal(r.outcome, gateway.Unknown) // the attempt is not stated: an earlier one may have run
+	is.Equal(r.reason, "log_unavailable")
+}
+
+func c2(c *conn, reset bool) {
+	if c != nil && reset {
+		c.reset = true
+	}
+}
+
+// Guards P5 behind a forwarding whose answer was lost: the owner may still run the request,
+// so this instance must not say not_run, even for a first attempt.
+func TestLostForwardAnswerIsNeverNotRun(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, func(o *gateway.Options) { o.ForwardTimeout = slowness }, "a", "b")
+	d.owner = "b"
+	d.paused["b"] = make(chan struct{})
+	d.logDown = true
+	r := d.send(context.Background(), "a", book, "1")
+	is.Equal(r.outcome, gateway.Unknown)
+	is.Equal(r.reason, "log_unavailable")
+	d.mu.Lock()
+	close(d.paused["b"])
+	delete(d.paused, "b")
+	d.mu.Unlock()
+	d.quiesce()
+}
+
+// Guards against waiting for an answer that cannot come in time: the refusal comes early,
+// is true and says when to come back.
+func TestDeadlineThatCannotBeMet(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, nil, "a")
+	for _, b := range d.backends {
+		b.slow = slowness
+	}
+	d.instances["a"].tracker.Update([]machine.Backend{d.backends["line-desk-0"].Backend})
+	done := make(chan reply)
+	for range 40 {
+		go func() { done <- d.post(context.Background(), "a", "line-desk/calls/read", "body") }()
+	}
+	for range 40 {
+		<-done
+	}
+	for range 60 {
+		go func() { done <- d.post(context.Background(), "a", "line-desk/calls/read", "body") }()
+	}
+	var refused reply
+	for refused.outcome == "" {
+		r := d.post(context.Background(), "a", "line-desk/calls/read", "early", gateway.HeaderDeadline, "100")
+		if r.outcome == gateway.NotRun {
+			refused = r
+		}
+	}
+	is.Equal(refused.reason, string(limit.DeadlineTooClose))
+	is.True(refused.header.Get("Retry-After") != "")
+	for range 60 {
+		is.Equal((<-done).outcome, gateway.Answered)
+	}
+}
+
+// Guards P8: a request in flight when the drain begins is answered; later ones are
+// refused truly and the caller's connection is closed.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, nil, "a")
+	reached, resume := make(chan struct{}), make(chan struct{})
+	d.mu.Lock()
+	d.hook = func(_, step string, b *backend, _ *conn) {
+		if step == firstByte {
+			d.paused["a"] = resume
+			close(reached)
+			d.hook = nil
+		}
+	}
+	d.mu.Unlock()
+	answered, drained := make(chan reply), make(chan error)
+	go func() { answered <- d.send(context.Background(), "a", book, "1") }()
+	<-reached
+	go func() { drained <- d.instances["a"].Drain(context.Background()) }()
+	d.mu.Lock()
+	delete(d.paused, "a")
+	d.mu.Unlock()
+	var r reply
+	for r.reason != string(gateway.Draining) {
+		r = d.post(context.Background(), "a", "line-desk/calls/read", "late")
+	}
+	is.Equal(r.outcome, gateway.NotRun)
+	select {
+	case <-drained:
+		t.Fatal("drained with a request in flight")
+	default:
+	}
+	close(resume)
+	is.Equal((<-answered).outcome, gateway.Answered)
+	is.NoErr(<-drained)
+}
+
+// Guards the 10% that rollouts keep and the staff's precedence where callers see it: with
+// staff waiting permanently a rollout call is still answered.
+func TestRolloutIsServedUnderStaffLoad(t *testing.T) {
+	d := deploy(t, nil, "a")
+	s := d.services["line-desk"]
+	s.Calls = append(s.Calls, contract.Call{Name: "score", Idempotent: true, Priority: contract.Rollout})
+	d.mu.Lock()
+	for _, b := range d.backends {
+		b.slow = time.Millisecond
+	}
+	d.mu.Unlock()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for range 100 {
+		go func() {
+			for ctx.Err() == nil {
+				d.post(ctx, "a", "line-desk/calls/read", "body")
+			}
+		}()
+	}
+	is.New(t).Equal(d.post(ctx, "a", "line-desk/calls/score", "body", gateway.HeaderDeadline, "20000").outcome, gateway.Answered)
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -225,7 +225,7 @@
 	case s.k.crossed:
 		e.RequestID = "of-another-request"
 	case s.k.truncated:
-		e.Done = true
+		e.Done, e.Total = true, s.req.MaxTokens
 	}
 	return e, nil
 }
