--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -67,7 +67,10 @@
 	n = run(t, func(w http.ResponseWriter, r *http.Request, body []byte, ran func()) { ran(); ran(); whole(w, r, body) })
 	is.Equal(n.Doubled, n.Sent)
 
-	n = run(t, func(w http.ResponseWriter, r *http.Request, _ []byte, ran func()) { ran(); whole(w, r, []byte("another")) })
+	n = run(t, func(w http.ResponseWriter, r *http.Request, _ []byte, ran func()) {
+		ran()
+		whole(w, r, []byte("another"))
+	})
 	is.Equal(n.MixedUp, n.Sent)
 
 	for _, falsely := range []bool{false, true} {
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -31,6 +31,7 @@
 		return
 	}
 	if s.leaving.Load() {
+		s.ledger.refused()
 		serve.Refuse(w, http.StatusServiceUnavailable, platform.LeavingBackend, "leaving", true)
 		return
 	}
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -44,6 +44,7 @@
 	executions []*Execution
 	byPrompt   map[string]int
 	orders     []*OrderRecord
+	refusals   []time.Time
 	tokens     int64
 }
 
@@ -141,12 +142,20 @@
 	return l.tokens
 }
 
-// StartedAfter returns the number of retained executions that began after t.
-func (l *Ledger) StartedAfter(t time.Time) int {
+func (l *Ledger) refused() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.refusals) < maxExecutions {
+		l.refusals = append(l.refusals, time.Now())
+	}
+}
+
+// RefusedAfter returns the number of generations refused because of leaving after t.
+func (l *Ledger) RefusedAfter(t time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
-	for i := len(l.executions) - 1; i >= 0 && l.executions[i].Started.After(t); i-- {
+	for i := len(l.refusals) - 1; i >= 0 && l.refusals[i].After(t); i-- {
 		n++
 	}
 	return n
--- a/standin/plain/ledger.go
+++ b/standin/plain/ledger.go
@@ -26,8 +26,7 @@
 	byKey     map[string]int
 	byRequest map[string]int
 	byBody    map[string]int
-	refusals  int
-	lastRun   time.Time
+	refusals  []time.Time
 	total     int64
 }
 
@@ -53,7 +52,6 @@
 	}
 	l.byRequest[req.id]++
 	l.byBody[hash]++
-	l.lastRun = now
 	l.total++
 	return l.total
 }
@@ -64,10 +62,12 @@
 	}
 }
 
-func (l *Ledger) refused(request) {
+func (l *Ledger) refused() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refusals++
+	if len(l.refusals) < maxRuns {
+		l.refusals = append(l.refusals, time.Now())
+	}
 }
 
 // RunsOfKey returns how often key ran.
@@ -114,15 +114,15 @@
 func (l *Ledger) Total() (runs int64, refusals int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.total, l.refusals
+	return l.total, len(l.refusals)
 }
 
-// RunsAfter returns the number of retained runs that began after t.
-func (l *Ledger) RunsAfter(t time.Time) int {
+// RefusedAfter returns the number of requests refused after t.
+func (l *Ledger) RefusedAfter(t time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
-	for i := len(l.runs) - 1; i >= 0 && l.runs[i].At.After(t); i-- {
+	for i := len(l.refusals) - 1; i >= 0 && l.refusals[i].After(t); i-- {
 		n++
 	}
 	return n
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -23,8 +23,6 @@
 	DefaultThink      = 5 * time.Millisecond
 	DefaultWorkers    = 32
 	DefaultQueueLimit = 1024
-	// maxKeys bounds the keys whose results are kept for AskByKey.
-	maxKeys = 200_000
 )
 
 // Options configure a plain service.
@@ -39,6 +37,8 @@
 	QueueLimit int
 	// AskByKey makes the service run a key at most once and report its result on request.
 	AskByKey bool
+	// Keys is shared by the servers of one service, as a common database; nil means one's own.
+	Keys *Keys
 }
 
 // Answer is the body of every answer.
@@ -63,17 +63,9 @@
 	ledger  *Ledger
 
 	mu   sync.Mutex
-	keys map[string]*keyed
 	last Answer // most recent answer, used by the crossed fault
 }
 
-// keyed is what became of a key when AskByKey is enabled.
-type keyed struct {
-	done     chan struct{}
-	ran      bool
-	response platform.PlainResponse
-}
-
 // Start starts a plain service.
 func Start(opts Options) (*Server, error) {
 	if opts.Think == 0 {
@@ -85,9 +77,10 @@
 	if opts.QueueLimit == 0 {
 		opts.QueueLimit = DefaultQueueLimit
 	}
-	s := &Server{
-		opts: opts, workers: make(chan struct{}, opts.Workers), ledger: newLedger(), keys: map[string]*keyed{},
+	if opts.Keys == nil {
+		opts.Keys = NewKeys()
 	}
+	s := &Server{opts: opts, workers: make(chan struct{}, opts.Workers), ledger: newLedger()}
 	r := httprouter.New()
 	r.POST("/v1/calls/:call", s.handleCall)
 	r.GET("/v1/keys/:key", s.handleKey)
@@ -115,7 +108,7 @@
 		call: params.ByName("call"), body: body,
 	}
 	if s.leaving.Load() {
-		s.ledger.refused(req)
+		s.ledger.refused()
 		serve.Refuse(w, http.StatusServiceUnavailable, platform.LeavingBackend, "leaving", true)
 		return
 	}
@@ -124,7 +117,7 @@
 		serve.Abort()
 	}
 	if fault == Refuse || s.waiting.Load() >= int64(s.opts.QueueLimit) {
-		s.ledger.refused(req)
+		s.ledger.refused()
 		serve.Refuse(w, http.StatusServiceUnavailable, platform.Unavailable, "queue full", true)
 		return
 	}
@@ -148,34 +141,7 @@
 	if !s.opts.AskByKey || req.key == "" {
 		return s.execute(ctx, req)
 	}
-	s.mu.Lock()
-	k, known := s.keys[req.key]
-	if !known {
-		if len(s.keys) >= maxKeys {
-			s.mu.Unlock()
-			return resp, false
-		}
-		k = &keyed{done: make(chan struct{})}
-		s.keys[req.key] = k
-	}
-	s.mu.Unlock()
-	if known {
-		select {
-		case <-k.done:
-			return k.response, k.ran
-		case <-ctx.Done():
-			return resp, false
-		}
-	}
-	resp, ran = s.execute(ctx, req)
-	s.mu.Lock()
-	k.response, k.ran = resp, ran
-	if !ran {
-		delete(s.keys, req.key)
-	}
-	s.mu.Unlock()
-	close(k.done)
-	return resp, ran
+	return s.opts.Keys.once(ctx, req.key, func() (platform.PlainResponse, bool) { return s.execute(ctx, req) })
 }
 
 // execute waits for a worker, enters the run in the ledger and thinks. A run that has begun
@@ -229,12 +195,6 @@
 		serve.Refuse(w, http.StatusNotFound, platform.Refused, "keys are not kept", false)
 		return
 	}
-	s.mu.Lock()
-	k, known := s.keys[params.ByName("key")]
-	var status platform.KeyStatus
-	if known {
-		status = platform.KeyStatus{Ran: k.ran, Running: !k.ran, Response: k.response}
-	}
-	s.mu.Unlock()
+	status := s.opts.Keys.status(params.ByName("key"))
 	serve.JSON(w, http.StatusOK, status)
 }
