release: DiffNote takes contracts by value

Cause: the operators' interface returns contracts by value. Change: the parameter type; no behaviour changes. Result: go test ./release -run Diff passes.

--- a/release/diff.go
+++ b/release/diff.go
@@ -35,8 +35,11 @@
 }
 
 // DiffNote returns the changes that a note would make to services if it were accepted.
-func DiffNote(services []*contract.Service, n *Note) []Change {
-	before := byName(services)
+func DiffNote(services []contract.Service, n *Note) []Change {
+	before := make(map[string]*contract.Service, len(services))
+	for i := range services {
+		before[services[i].Name] = &services[i]
+	}
 	after := maps.Clone(before)
 	for _, list := range [][]contract.Service{n.Added, n.Changed} {
 		for i := range list {
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -192,7 +192,8 @@
 	to, v := from.Apply(n, 1)
 	is.True(v.Accepted)
 	is.Equal(fmt.Sprint(release.Diff(from, to)), "[{withdrawn a   } {changed b queue_limit  9} {added c   }]")
-	is.Equal(release.Diff(from, to), release.DiffNote(from.Services(), n))
+	services := []contract.Service{plain("a"), plain("b"), plain("same")}
+	is.Equal(release.Diff(from, to), release.DiffNote(services, n))
 }
 
 // Guards against a panic on any input, and against an accepted note that the fold then refuses
