claim: at-most-once claims in the log

Cause: a non-idempotent request may run at most once although any instance may die at any step. Change: group-committed claims, a fold that all instances compute alike, read back after lost append answers, verdict without a read when the offset is contiguous, joining and replay, claim.ask between instances, ends, releases that a late append cannot undo, outage rules.

--- /dev/null
+++ b/claim/fakes_test.go
@@ -0,0 +1,188 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/cicadasill/cicadasill/claim"
+	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeLog is an in-memory log with faults.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[string][]platform.Record
+	rng     *rand.Rand
+	appends int
+	latency time.Duration
+	outage  bool
+	// lost and late are the shares of appends whose answer is lost after the effect, and whose
+	// effect comes only after the answer was lost.
+	lost, late, limited float64
+	latecomers          sync.WaitGroup
+	first               int64 // first retained offset of every stream
+	shift               time.Duration
+}
+
+func newLog(seed uint64) *fakeLog {
+	return &fakeLog{streams: map[string][]platform.Record{}, rng: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func fail(code platform.Code) error { return &platform.Error{Code: code, Op: "fake log"} }
+
+func (l *fakeLog) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *fakeLog) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	l.mu.Lock()
+	l.appends++
+	dice, latency, outage := l.rng.Float64(), l.latency, l.outage
+	lost, late, limited := l.lost, l.late, l.limited
+	l.mu.Unlock()
+	if latency > 0 {
+		time.Sleep(latency)
+	}
+	switch {
+	case outage:
+		return 0, fail(platform.Unavailable)
+	case dice < limited:
+		return 0, fail(platform.RateLimited)
+	case dice < limited+late:
+		l.latecomers.Go(func() {
+			time.Sleep(15 * time.Millisecond)
+			l.add(stream, data)
+		})
+		return 0, fail(platform.OutcomeUnknown)
+	}
+	offset := l.add(stream, data)
+	if dice < limited+late+lost {
+		return 0, fail(platform.OutcomeUnknown)
+	}
+	return offset, ctx.Err()
+}
+
+func (l *fakeLog) add(stream string, data []byte) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	offset := l.first + int64(len(l.streams[stream]))
+	l.streams[stream] = append(l.streams[stream], platform.Record{Offset: offset, Time: time.Now().Add(l.shift), Data: append([]byte(nil), data...)})
+	return offset
+}
+
+func (l *fakeLog) Read(_ context.Context, stream string, from int64, limit int, _ time.Duration) (platform.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outage {
+		return platform.Page{}, fail(platform.Unavailable)
+	}
+	if from < l.first {
+		return platform.Page{}, fail(platform.Expired)
+	}
+	records := l.streams[stream]
+	p := platform.Page{First: l.first, Next: l.first + int64(len(records))}
+	if at := int(from - l.first); at < len(records) {
+		p.Records = append(p.Records, records[at:min(at+limit, len(records))]...)
+	}
+	return p, nil
+}
+
+// view is a membership view that a test can kill members in.
+type view struct {
+	c    *cluster
+	self machine.Instance
+}
+
+func (v view) Self() machine.Instance { return v.self }
+
+func (v view) Live() []machine.Instance {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
+	var out []machine.Instance
+	for _, i := range v.c.live {
+		out = append(out, i)
+	}
+	return out
+}
+
+func (v view) Lookup(ref machine.Ref) (machine.Instance, bool) {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
+	i, ok := v.c.live[ref.ID]
+	return i, ok && i.Ref() == ref
+}
+
+// cluster is a number of claim instances that share a log.
+type cluster struct {
+	t    testing.TB
+	log  *fakeLog
+	opts claim.Options
+	mu   sync.Mutex
+	live map[string]machine.Instance
+	runs uint64
+}
+
+type instance struct {
+	*claim.Claims
+	kill func() // stops at once, like a crash: nothing is flushed
+}
+
+func newCluster(t testing.TB, seed uint64, n int, opts claim.Options) (*cluster, []*instance) {
+	opts.AppendsPerSecond = 1e6
+	if opts.EndDelay == 0 {
+		opts.EndDelay = time.Millisecond
+	}
+	c := &cluster{t: t, log: newLog(seed), opts: opts, live: map[string]machine.Instance{}}
+	var out []*instance
+	for i := range n {
+		out = append(out, c.start(fmt.Sprint("i", i)))
+	}
+	return c, out
+}
+
+func (c *cluster) start(id string) *instance {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mu.Lock()
+	c.runs++
+	self := machine.Instance{ID: id, Incarnation: c.runs, PeerAddr: ln.Addr().String()}
+	c.live[id] = self
+	c.mu.Unlock()
+	node := link.NewNode(self, link.Options{DrainTimeout: time.Millisecond, FreshFor: time.Hour})
+	opts := c.opts
+	opts.FlushTimeout = time.Nanosecond
+	cl := claim.NewClaims(self, c.log, view{c, self}, node, opts)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = node.Serve(ctx, ln) }()
+	var once sync.Once
+	i := &instance{Claims: cl, kill: func() {
+		once.Do(func() {
+			c.mu.Lock()
+			if c.live[id] == self {
+				delete(c.live, id)
+			}
+			c.mu.Unlock()
+			cancel()
+			cl.Close()
+			<-done
+		})
+	}}
+	c.t.Cleanup(func() { i.kill(); c.log.latecomers.Wait() })
+	return i
+}
--- /dev/null
+++ b/claim/types.go
@@ -0,0 +1,123 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/machine"
+)
+
+// Streams is the number of claim streams.
+const Streams = 16
+
+// Key is the idempotency key of one request.
+type Key struct{ Service, Call, ID string }
+
+// hash identifies keys and bodies. A collision would replay the answer of another request, so
+// it is the first half of a cryptographic hash.
+type hash [16]byte
+
+func (k Key) hash() hash {
+	h := sha256.New()
+	for _, part := range []string{k.Service, k.Call, k.ID} {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
+		h.Write(n[:])
+		h.Write([]byte(part))
+	}
+	return hash(h.Sum(nil)[:16])
+}
+
+func bodyHash(body []byte) hash {
+	sum := sha256.Sum256(body)
+	return hash(sum[:16])
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (h hash) MarshalText() ([]byte, error) {
+	return base64.RawURLEncoding.AppendEncode(nil, h[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (h *hash) UnmarshalText(b []byte) error {
+	raw, err := base64.RawURLEncoding.DecodeString(string(b))
+	if err != nil {
+		return err
+	}
+	if len(raw) != len(h) {
+		return errHashLength
+	}
+	copy(h[:], raw)
+	return nil
+}
+
+// Owner returns the claim stream of key: claims-00 to claims-15.
+func Owner(key Key) (stream string) { return key.hash().stream() }
+
+func (h hash) stream() string { return fmt.Sprintf("claims-%02d", int(h[0])%Streams) }
+
+// Terms are what the caller and the contract state about a request.
+type Terms struct {
+	// RetryWindow is how long after the first attempt a caller may repeat the key; 0 takes the
+	// contract's default.
+	RetryWindow time.Duration
+	// Attempt is the caller's count; 0 if not stated. Only 1 excludes earlier attempts. Whoever
+	// calls Begin for a request that may have reached Begin at another instance, for example
+	// after a forward with unknown outcome, passes 0: the request may have run there.
+	Attempt int
+	// AskByKey states that the back end itself runs a key at most once.
+	AskByKey bool
+}
+
+func (t Terms) lifetime() time.Duration {
+	w := t.RetryWindow
+	if w <= 0 {
+		w = contract.DefaultRetryWindow
+	}
+	return w + slack
+}
+
+// Answer is the whole answer of a run.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Kind is the kind of a Decision.
+type Kind string
+
+// Kinds of decisions. A refusal is an *Error.
+const (
+	// Run: the request may run; Ticket is set.
+	Run Kind = "run"
+	// Replay: the request ran before; Answer is set.
+	Replay Kind = "replay"
+)
+
+// Decision is the result of Begin.
+type Decision struct {
+	Kind   Kind
+	Ticket *Ticket
+	Answer Answer
+}
+
+// claimID names a claim: the claimer's run and its sequence number.
+type claimID struct {
+	ref machine.Ref
+	seq uint64
+}
+
+func (id claimID) wire() string { return fmt.Sprintf("%d/%d", id.ref.Incarnation, id.seq) }
+
+func parseClaimID(s string, self string) (claimID, bool) {
+	var id claimID
+	n, err := fmt.Fscanf(strings.NewReader(s), "%d/%d", &id.ref.Incarnation, &id.seq)
+	id.ref.ID = self
+	return id, err == nil && n == 2
+}
