gateway: use the claim package's tickets; contract: shared_keys

Cause: the claim path now says when an earlier dispatch may have run, until when a ticket may be dispatched and what a release may state. Change: the gateway asks first where the ticket says so, releases an expired ticket and takes a refusal's outcome from it. A call with ask_by_key goes to one back end per key unless its contract states shared_keys, because only that one knows the key.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -38,6 +38,9 @@
 	Priority   Priority `json:"priority" validate:"required,oneof=staff rollout"`
 	// AskByKey states that the back end runs a key at most once and reports its result on request.
 	AskByKey bool `json:"ask_by_key"`
+	// SharedKeys states that all back ends of the service know each key that ran at any of
+	// them. Without it, every attempt of a key goes to the same back end.
+	SharedKeys bool `json:"shared_keys,omitempty"`
 	// RetryWindowS is the longest time in seconds after the first attempt at which a caller may repeat a key.
 	RetryWindowS int `json:"retry_window_s,omitempty" validate:"gte=0,lte=3600"`
 	// DeadlineMs is the deadline in milliseconds of a request that states none.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	claims "github.com/cicadasill/cicadasill/claim"
 	"github.com/cicadasill/cicadasill/gateway"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
@@ -237,7 +238,7 @@
 	claimer string
 	body    string
 	done    chan struct{}
-	answer  *platform.PlainResponse
+	answer  *claims.Answer
 	freed   bool
 }
 
@@ -246,10 +247,10 @@
 	c       *client
 	key     string
 	rec     *claimRecord
-	claimed bool
+	outcome claims.Outcome
 }
 
-func (t *ticket) settle(answer *platform.PlainResponse, freed bool) {
+func (t *ticket) settle(answer *claims.Answer, freed bool) {
 	_ = t.c.pass(context.Background(), t.c.inst, acknowledge, nil, nil)
 	t.c.mu.Lock()
 	defer t.c.mu.Unlock()
@@ -260,13 +261,19 @@
 	}
 }
 
-func (t *ticket) Finish(a platform.PlainResponse) { t.settle(&a, false) }
-func (t *ticket) Release()                        { t.settle(nil, true) }
-func (t *ticket) Unknown()                        { t.settle(nil, false) }
-func (t *ticket) Claimed() bool                   { return t.claimed }
+func (t *ticket) Finish(a claims.Answer)         { t.settle(&a, false) }
+func (t *ticket) Release()                       { t.settle(nil, true) }
+func (t *ticket) Unknown()                       { t.settle(nil, false) }
+func (t *ticket) AskFirst() bool                 { return false }
+func (t *ticket) Deadline() time.Time            { return time.Now().Add(time.Hour) }
+func (t *ticket) ReleaseOutcome() claims.Outcome { return t.outcome }
 
 // Begin follows the design page: the first claim of a key wins, others join or replay.
-func (c *client) Begin(ctx context.Context, r gateway.ClaimRequest) (gateway.Ticket, *platform.PlainResponse, error) {
+func (c *client) Begin(ctx context.Context, key claims.Key, body []byte, r claims.Terms) (gateway.Ticket, *claims.Answer, error) {
+	outcome := claims.Unknown
+	if r.Attempt == 1 {
+		outcome = claims.NotRun
+	}
 	if err := c.pass(ctx, c.inst, claim, nil, nil); err != nil {
 		return nil, nil, err
 	}
@@ -274,32 +281,28 @@
 	down, slow := c.logDown, c.logSlow
 	c.mu.Unlock()
 	if down && r.AskByKey {
-		return &ticket{c, r.Key, &claimRecord{done: make(chan struct{})}, false}, nil, nil
+		return &ticket{c, key.ID, &claimRecord{done: make(chan struct{})}, outcome}, nil, nil
 	}
 	if down {
-		outcome := gateway.Unknown
-		if r.Attempt == 1 {
-			outcome = gateway.NotRun
-		}
-		return nil, nil, &gateway.ClaimRefused{Outcome: outcome, Reason: "log_unavailable"}
+		return nil, nil, &claims.Error{Outcome: outcome, Reason: claims.LogUnavailable}
 	}
 	time.Sleep(slow)
 	for {
 		c.mu.Lock()
-		rec := c.claims[r.Key]
+		rec := c.claims[key.ID]
 		if rec == nil {
-			rec = &claimRecord{claimer: c.inst, body: string(r.Body), done: make(chan struct{})}
-			c.claims[r.Key] = rec
+			rec = &claimRecord{claimer: c.inst, body: string(body), done: make(chan struct{})}
+			c.claims[key.ID] = rec
 			c.mu.Unlock()
-			return &ticket{c, r.Key, rec, true}, nil, nil
+			return &ticket{c, key.ID, rec, claims.NotRun}, nil, nil
 		}
 		dead := c.killed[rec.claimer]
 		c.mu.Unlock()
 		switch {
-		case rec.body != string(r.Body):
-			return nil, nil, &gateway.ClaimRefused{Outcome: gateway.NotRun, Reason: "key_conflict", Conflict: true}
+		case rec.body != string(body):
+			return nil, nil, &claims.Error{Outcome: claims.Unknown, Reason: claims.KeyConflict}
 		case dead:
-			return nil, nil, &gateway.ClaimRefused{Outcome: gateway.Unknown, Reason: "claimer_dead"}
+			return nil, nil, &claims.Error{Outcome: claims.Unknown, Reason: claims.ClaimerLost}
 		}
 		select {
 		case <-rec.done:
@@ -310,7 +313,7 @@
 			return nil, rec.answer, nil
 		}
 		if !rec.freed {
-			return nil, nil, &gateway.ClaimRefused{Outcome: gateway.Unknown, Reason: "answer_lost"}
+			return nil, nil, &claims.Error{Outcome: claims.Unknown, Reason: claims.OutcomeUnknown}
 		}
 	}
 }
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -29,17 +29,17 @@
 			return r.refusal(err)
 		}
 	}
-	ticket, kept, e := g.claim(ctx, r)
+	ticket, earlier, e := g.claim(ctx, r)
 	if e != nil {
 		return e
 	}
-	if kept != nil {
+	if earlier != nil {
 		r.reason = reasonReplayed
 		w.Header().Set(HeaderReason, reasonReplayed)
-		writePlain(w, *kept)
+		writePlain(w, platform.PlainResponse{Status: earlier.Status, ContentType: earlier.ContentType, Body: earlier.Body})
 		return nil
 	}
-	r.claimed = ticket.Claimed()
+	r.ticketed, r.releaseOutcome = true, Outcome(ticket.ReleaseOutcome())
 	release, e := g.admit(ctx, r)
 	if e != nil {
 		ticket.Release()
@@ -54,44 +54,6 @@
 	return nil
 }
 
-// claim goes through the claim path.
-func (g *Gateway) claim(ctx context.Context, r *request) (Ticket, *platform.PlainResponse, *Error) {
-	ctx, span := g.tracer.Start(ctx, "claim")
-	defer span.End()
-	attempt := r.attempt
-	if r.ownerMayRun {
-		// The forwarded request is an earlier attempt whose fate is unknown.
-		attempt = max(attempt, 1) + 1
-	}
-	ticket, kept, err := g.opts.Claims.Begin(ctx, ClaimRequest{
-		Service: r.service.Name, Call: r.call.Name, Key: r.key, Body: r.body,
-		RetryWindow: r.call.RetryWindow(), Attempt: attempt, AskByKey: r.call.AskByKey,
-	})
-	if err == nil {
-		return ticket, kept, nil
-	}
-	span.RecordError(err)
-	var refused *ClaimRefused
-	if !errors.As(err, &refused) {
-		return nil, nil, r.refusal(err)
-	}
-	status := http.StatusServiceUnavailable
-	switch {
-	case refused.Conflict:
-		status = http.StatusUnprocessableEntity
-	case refused.Outcome == Unknown:
-		status = http.StatusBadGateway
-	}
-	outcome := refused.Outcome
-	if r.ownerMayRun {
-		outcome = Unknown
-	}
-	return nil, nil, &Error{
-		Code: Code(refused.Reason), Status: status, Outcome: outcome, RetryAfter: refused.RetryAfter,
-		Message: "the key's claim was refused: " + refused.Reason, Err: err,
-	}
-}
-
 // runOnce dispatches a claimed request. It is tried again only while nothing can have been
 // sent. From the dispatch on the caller's departure no longer ends it: the caller may come
 // back with the same key for the answer.
@@ -100,25 +62,27 @@
 	ctx, cancel := r.context(context.WithoutCancel(ctx))
 	defer cancel()
 	q := r.routing()
-	if r.call.AskByKey && !r.claimed {
-		// Only the key's own back end knows whether an earlier attempt ran.
+	if r.call.AskByKey && !r.call.SharedKeys {
+		// Only one back end knows whether the key ran, so every attempt goes to the same one.
 		q.Only = g.home(r)
 	}
 	var last error
 	for n := 1; ; n++ {
 		p, err := g.pick(caller, &q)
+		if err == nil && time.Now().After(ticket.Deadline()) {
+			// This process was paused; others may take the key as unused by now.
+			p.Done(0, 0, context.Canceled)
+			err = context.DeadlineExceeded
+		}
 		if err != nil {
 			ticket.Release()
 			return platform.PlainResponse{}, r.failure(errors.Join(err, last))
 		}
-		res := g.attempt(ctx, r, p, r.backendID(), true)
-		if res.err != nil && !platform.HadNoEffect(res.err) {
-			res = g.askByKey(r, p, res)
-		}
+		res := g.dispatch(ctx, r, p, ticket.AskFirst() && n == 1)
 		switch {
 		case res.err == nil:
 			g.opts.Retries.Deposit()
-			ticket.Finish(res.response)
+			ticket.Finish(kept(res.response))
 			return res.response, nil
 		case !platform.HadNoEffect(res.err):
 			r.mayHaveRun = true
@@ -134,7 +98,24 @@
 	}
 }
 
-// home returns the back end to which every instance sends a key that has no claim.
+// dispatch makes the attempt and finds out what became of it. With askFirst an earlier
+// dispatch may have run.
+func (g *Gateway) dispatch(ctx context.Context, r *request, p routing.Pick, askFirst bool) result {
+	if askFirst {
+		status, err := g.opts.Plain.AskByKey(ctx, p.Backend.Addr, r.key)
+		if err == nil && status.Ran {
+			p.Done(0, 0, context.Canceled)
+			return result{backend: p.Backend.ID, response: status.Response}
+		}
+	}
+	res := g.attempt(ctx, r, p, r.backendID(), true)
+	if res.err != nil && !platform.HadNoEffect(res.err) {
+		res = g.askByKey(context.WithoutCancel(ctx), r, p, res)
+	}
+	return res
+}
+
+// home returns the back end that every instance asks about a key.
 func (g *Gateway) home(r *request) string {
 	return rendezvous(r.key, r.service.Backends, func(b machine.Backend) string { return b.ID }).ID
 }
@@ -142,11 +123,11 @@
 // askByKey finds out what became of a dispatched request where the contract allows it. A
 // back end that does not know the key gets the request once more: it runs a key at most
 // once, so a late first copy does no harm.
-func (g *Gateway) askByKey(r *request, p routing.Pick, res result) result {
+func (g *Gateway) askByKey(ctx context.Context, r *request, p routing.Pick, res result) result {
 	if !r.call.AskByKey {
 		return res
 	}
-	ctx, span := g.tracer.Start(context.Background(), "ask by key")
+	ctx, span := g.tracer.Start(ctx, "ask by key")
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, g.opts.AskTimeout)
 	defer cancel()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,11 +33,12 @@
 	forwarded   bool
 	generate    *generateBody // for engine calls
 
-	claimed      bool // this instance's claim is the first for the key
-	ownerMayRun  bool // the request was forwarded and its fate at the owner is not known
-	mayHaveRun   bool // a byte may have reached a back end and it did not say that it ran nothing
-	reason       string
-	backendCalls int
+	ticketed       bool    // the claim path gave this instance a ticket
+	releaseOutcome Outcome // what the ticket says of a refusal
+	ownerMayRun    bool    // the request was forwarded and its fate at the owner is not known
+	mayHaveRun     bool    // a byte may have reached a back end and it did not say that it ran nothing
+	reason         string
+	backendCalls   int
 }
 
 // generateBody is the body of an engine call.
@@ -55,7 +56,9 @@
 	switch {
 	case r.mayHaveRun || r.ownerMayRun:
 		return Unknown
-	case r.claimed || r.key == "" || r.attempt == 1 || r.call.Idempotent:
+	case r.ticketed:
+		return r.releaseOutcome
+	case r.key == "" || r.attempt == 1 || r.call.Idempotent:
 		return NotRun
 	default:
 		return Unknown
