--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,345 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/control"
+	"github.com/cicadasill/cicadasill/feed"
+	"github.com/cicadasill/cicadasill/lease"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/release"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Guards against two winners of a race, a loser without a typed conflict, and instances that
+// disagree about the result.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, newLog())
+	nodes := d.start(0, 1, 2, 3, 4, 5, 6, 7, 8)
+	waitReady(t, nodes...)
+	base := publish(t, nodes[0], addNote("first", "desk")).Revision
+	waitOffset(t, base-1, nodes...)
+	verdicts := make(chan release.Verdict, len(nodes))
+	for i, n := range nodes {
+		n.wg.Go(func() {
+			note := &release.Note{ID: fmt.Sprint("race", i), Author: "a", Base: base, Changed: []contract.Service{service("desk", i+1)}}
+			v, err := n.PublishNote(context.Background(), note)
+			if err != nil {
+				v.Message = err.Error()
+			}
+			verdicts <- v
+		})
+	}
+	var won []release.Verdict
+	for range nodes {
+		v := <-verdicts
+		if v.Accepted {
+			won = append(won, v)
+			continue
+		}
+		is.Equal(v.Code, release.Conflict)
+		is.Equal(v.Object, "desk")
+		is.True(v.ObjectRevision > base)
+	}
+	is.Equal(len(won), 1)
+	waitOffset(t, d.log.next(control.Stream)-1, nodes...)
+	for _, n := range nodes {
+		is.Equal(n.State().Chain, nodes[0].State().Chain)
+		is.Equal(n.State().Catalog.Revision(), won[0].Revision)
+	}
+}
+
+// Guards against a publication that takes effect twice, or whose verdict is lost, when the
+// log's answer is lost whether or not the record was stored.
+func TestLostAppendAnswers(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, newLog())
+	n := d.start(0)[0]
+	waitReady(t, n)
+	d.log.loseNext(fate{true, platform.OutcomeUnknown})
+	is.True(publish(t, n, addNote("n1", "a")).Accepted)
+	is.Equal(d.log.next(control.Stream), int64(1))
+	d.log.loseNext(fate{false, platform.OutcomeUnknown}, fate{false, platform.RateLimited})
+	is.Equal(publish(t, n, addNote("n2", "b")), release.Verdict{Accepted: true, Revision: 2})
+	is.Equal(publish(t, n, addNote("n2", "b")), release.Verdict{Accepted: true, Revision: 2})
+	is.Equal(d.log.next(control.Stream), int64(2))
+	is.Equal(publish(t, n, &release.Note{ID: "n3"}).Code, release.Invalid)
+	d.log.setDown(true)
+	_, err := n.PublishNote(t.Context(), addNote("n4", "c"))
+	var typed *feed.Error
+	is.True(errors.As(err, &typed))
+	is.Equal(typed.Code, feed.LogUnavailable)
+	is.True(!n.LogReachable())
+}
+
+// Guards against a withdrawn version that becomes the newest again at an instance that starts
+// from a snapshot after the withdrawal's record has expired.
+func TestWithdrawnVersionAcrossRestart(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, newLog())
+	nodes := d.start(0, 1)
+	waitReady(t, nodes...)
+	publish(t, nodes[0], addNote("n", "lm"))
+	ctx := t.Context()
+	is.NoErr(nodes[0].AnnounceVersion(ctx, "lm", 1, "t"))
+	is.NoErr(nodes[1].AnnounceVersion(ctx, "lm", 2, "t"))
+	is.NoErr(nodes[0].WithdrawVersion(ctx, "lm", 2))
+	is.NoErr(nodes[0].WithdrawVersion(ctx, "lm", 2))
+	var typed *feed.Error
+	is.True(errors.As(nodes[0].AnnounceVersion(ctx, "lm", 2, "t"), &typed))
+	is.Equal(typed.Code, feed.VersionWithdrawn)
+	is.True(errors.As(nodes[0].AnnounceVersion(ctx, "none", 2, "t"), &typed))
+	is.Equal(typed.Code, feed.UnknownService)
+	writeSnapshots(t, nodes[0])
+	d.log.expire(control.Stream, 4)
+	for _, n := range nodes {
+		d.stop(n)
+	}
+	restarted := d.start(0)[0]
+	waitReady(t, restarted)
+	newest, offset := restarted.State().Versions.Newest("lm")
+	is.Equal(newest, int64(1))
+	is.Equal(offset, int64(1))
+	is.True(restarted.State().Versions.Withdrawn("lm", 2))
+	_, err := restarted.Append(ctx, control.Record{Kind: control.KindVersionAnnounced, Version: &control.Version{Service: "lm", Version: 2}})
+	is.NoErr(err)
+	newest, _ = restarted.State().Versions.Newest("lm")
+	is.Equal(newest, int64(1))
+}
+
+// writeSnapshots lets an instance hold the snapshot duty until it has written a snapshot.
+func writeSnapshots(t *testing.T, n *node) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m := lease.NewManager(n.self, n.Follower, lease.Options{Poll: 2 * time.Millisecond})
+	n.wg.Go(func() { _ = m.Run(ctx) })
+	n.wg.Go(func() { _ = n.RunSnapshots(ctx, m) })
+	eventually(t, "a snapshot", func() bool { return n.State().Marker.StateOffset > 0 })
+}
+
+// Guards against instances that serve without a state, or never start, when all of them start
+// while the log is down; and against a state that is lost when all are replaced at once.
+func TestAllStartWhileTheLogIsDown(t *testing.T) {
+	is := is.New(t)
+	log := newLog()
+	old := newDeployment(t, log)
+	first := old.start(0)[0]
+	waitReady(t, first)
+	for i := range 30 {
+		publish(t, first, addNote(fmt.Sprint("n", i), fmt.Sprint("s", i)))
+	}
+	writeSnapshots(t, first)
+	log.expire(control.Stream, 25)
+	want := first.State()
+	old.stop(first)
+	log.setDown(true)
+
+	d := newDeployment(t, log)
+	nodes := d.start(0, 1, 2, 3, 4, 5, 6, 7, 8)
+	for _, n := range nodes {
+		eventually(t, "a reason to wait", func() bool { return n.WaitingFor() == "the log (unavailable) or a peer with a state" })
+		is.Equal(n.State().Offset, int64(0))
+	}
+	log.setDown(false)
+	waitReady(t, nodes...)
+	for _, n := range nodes {
+		waitOffset(t, want.Offset-1, n)
+		is.Equal(n.State().Chain, want.Chain)
+		is.Equal(len(n.State().Catalog.Services()), 30)
+		is.Equal(n.WaitingFor(), "")
+	}
+}
+
+// Guards against an instance that cannot start from its peers during an outage of the log, and
+// against one that keeps a wrong state from a peer once the log is back.
+func TestBootFromPeers(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, newLog())
+	nodes := d.start(0, 1)
+	waitReady(t, nodes...)
+	last := publish(t, nodes[0], addNote("n", "desk")).Revision - 1
+	waitOffset(t, last, nodes...)
+	d.log.setDown(true)
+	late := d.start(2)[0]
+	waitReady(t, late)
+	is.Equal(late.State().Chain, nodes[0].State().Chain)
+
+	// i000 of the second deployment follows another log with other records and one more.
+	forged := newDeployment(t, d.log)
+	other := newLog()
+	wrong := forged.add(machine.Instance{ID: "i000", Incarnation: 1, Zone: nodes[0].self.Zone}, other)
+	wrong.run()
+	waitReady(t, wrong)
+	publish(t, wrong, addNote("forged", "wrong"))
+	victim := forged.start(1)[0]
+	waitReady(t, victim)
+	_, exists := victim.State().Catalog.Service("wrong")
+	is.True(exists)
+	d.log.setDown(false)
+	forged.stop(wrong)
+	eventually(t, "the log's state", func() bool {
+		_, exists := victim.State().Catalog.Service("wrong")
+		return !exists && victim.State().Chain == nodes[0].State().Chain
+	})
+}
+
+// Guards against records that stop spreading when the reader of a data centre dies or hangs
+// before the membership notices, or when a member cannot reach the log.
+func TestReaderSilentAndMemberWithoutLog(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, newLog())
+	nodes := d.start(0, 1, 2)
+	waitReady(t, nodes...)
+	var reader *node
+	eventually(t, "one reader", func() bool {
+		reader = nil
+		before := make([]int64, len(nodes))
+		for i, n := range nodes {
+			before[i] = n.log.reads.Load()
+		}
+		time.Sleep(100 * time.Millisecond)
+		readers := 0
+		for i, n := range nodes {
+			if n.log.reads.Load() > before[i] {
+				reader, readers = n, readers+1
+			}
+		}
+		return readers == 1
+	})
+	var others []*node
+	for _, n := range nodes {
+		if n != reader {
+			others = append(others, n)
+		}
+	}
+	others[0].log.cut.Store(true) // served by the reader alone
+	v := publish(t, others[1], addNote("n1", "a"))
+	waitOffset(t, v.Revision-1, nodes...)
+	is.True(others[0].LogReachable())
+
+	reader.stop() // still in every view, as before the failure is detected
+	d.silence(reader.self.ID)
+	v = publish(t, others[1], addNote("n2", "b"))
+	waitOffset(t, v.Revision-1, others[1])
+	eventually(t, "an unreachable log", func() bool { return !others[0].LogReachable() })
+	probe(others[0], others[1]) // the cut member learns the position and pulls
+	waitOffset(t, v.Revision-1, others[0])
+	v, err := others[1].PublishNote(t.Context(), addNote("n3", "c"))
+	is.NoErr(err)
+	others[0].log.cut.Store(false)
+	waitOffset(t, v.Revision-1, others[0]) // its own read of the log after the stall
+}
+
+// Guards against an instance that stays behind forever when the records it needs have expired,
+// with and without a usable snapshot in the log.
+func TestExpiredOffsets(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, newLog())
+	nodes := d.start(0, 3) // two data centres
+	ahead, behind := nodes[0], nodes[1]
+	waitReady(t, nodes...)
+	behind.log.cut.Store(true)
+	var last release.Verdict
+	for i := range 1100 { // more than the records that are kept for peers
+		last = publish(t, ahead, addNote(fmt.Sprint("n", i), fmt.Sprint("s", i%7)))
+	}
+	d.log.expire(control.Stream, 1090)
+	is.True(!last.Accepted)
+	probe(ahead, behind)
+	waitOffset(t, 1099, behind) // a peer's snapshot
+	is.Equal(behind.State().Chain, ahead.State().Chain)
+
+	fresh := d.start(6)[0]
+	waitReady(t, fresh) // no snapshot in the log, so from a peer
+	is.Equal(fresh.State().Chain, ahead.State().Chain)
+
+	d.stop(fresh)
+	writeSnapshots(t, ahead)
+	_, err := d.log.Append(t.Context(), control.SnapshotsStream, []byte("damaged"))
+	is.NoErr(err)
+	alone := newDeployment(t, d.log).start(6)[0]
+	waitReady(t, alone)
+	waitOffset(t, ahead.State().Offset-1, alone)
+	is.Equal(alone.State().Catalog.Revision(), ahead.State().Catalog.Revision())
+}
+
+// Guards against a member that does not answer delaying the others of its push tree, and
+// against every member reading every record from the log.
+func TestSlowMemberAndReadsOfTheLog(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, newLog())
+	var ids []int
+	for i := range 40 {
+		ids = append(ids, i/3*9+i%3) // all in one data centre
+	}
+	nodes := d.start(ids...)
+	waitReady(t, nodes...)
+	writer := newDeployment(t, d.log).start(3)[0] // outside, so that no member reads back its own records
+	waitReady(t, writer)
+	eventually(t, "members without reads of their own", func() bool { return quiet(nodes) >= len(nodes)-1 })
+	d.silence(nodes[7].self.ID)
+	others := append(append([]*node{}, nodes[:7]...), nodes[8:]...)
+	var before int64
+	for _, n := range others {
+		before += n.log.reads.Load()
+	}
+	for i := range 20 {
+		publish(t, writer, addNote(fmt.Sprint("n", i), fmt.Sprint("s", i)))
+	}
+	waitOffset(t, 19, others...)
+	for _, n := range others {
+		is.Equal(n.State().Chain, writer.State().Chain)
+	}
+	waitOffset(t, 19, nodes[7]) // reads the log itself, since no push reaches it
+	t.Logf("reads of the log by 39 members for 20 records: %d", readsOf(others)-before)
+}
+
+func readsOf(nodes []*node) (sum int64) {
+	for _, n := range nodes {
+		sum += n.log.reads.Load()
+	}
+	return sum
+}
+
+// quiet counts the instances that do not read the log for a while.
+func quiet(nodes []*node) (count int) {
+	before := make([]int64, len(nodes))
+	for i, n := range nodes {
+		before[i] = n.log.reads.Load()
+	}
+	time.Sleep(150 * time.Millisecond)
+	for i, n := range nodes {
+		if n.log.reads.Load() == before[i] {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a feed that needs peers.
+func TestAlone(t *testing.T) {
+	is := is.New(t)
+	log := newLog()
+	f := feed.New(machine.Instance{ID: "a"}, log, feed.Options{PollWait: 20 * time.Millisecond})
+	n := &node{Follower: f}
+	n.run()
+	defer func() { n.stop(); n.wg.Wait() }()
+	waitReady(t, n)
+	is.True(publish(t, n, addNote("n", "desk")).Accepted)
+	_, err := log.Append(t.Context(), control.Stream, []byte("not JSON"))
+	is.NoErr(err)
+	waitOffset(t, 1, n)
+	is.Equal(len(n.State().Catalog.Services()), 1)
+}
