gateway: the owner of a key is found by its claim stream

Cause: the owner was looked up by service and key while the claim stream is chosen by service, call and key, so every instance would have used all 16 streams. Change: Options.Owner takes the claim key.

--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -58,7 +58,7 @@
 		// The forwarded request is an earlier attempt whose fate is unknown.
 		attempt = max(attempt, 1) + 1
 	}
-	ticket, kept, err := g.opts.Claims.Begin(ctx, claim.Key{Service: r.service.Name, Call: r.call.Name, ID: r.key}, r.body,
+	ticket, kept, err := g.opts.Claims.Begin(ctx, r.claimKey(), r.body,
 		claim.Terms{RetryWindow: r.call.RetryWindow(), Attempt: attempt, AskByKey: r.call.AskByKey})
 	if err == nil {
 		return ticket, kept, nil
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cicadasill/cicadasill/claim"
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/health"
 	"github.com/cicadasill/cicadasill/limit"
@@ -91,9 +92,9 @@
 	Engine  Engine
 	Plain   Plain
 	Claims  Claims
-	// Owner returns the instance that owns the claim stream of a service's key; nil means
+	// Owner returns the instance that owns the claim stream of a key; nil means
 	// that every instance claims for itself.
-	Owner func(service, key string) machine.Instance
+	Owner func(key claim.Key) machine.Instance
 	// Forward sends a request to a peer. An error with a method NotRun() bool that returns
 	// true proves that the peer did not handle it.
 	Forward func(ctx context.Context, to machine.Instance, req *http.Request) (*http.Response, error)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -11,6 +11,8 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/cicadasill/cicadasill/claim"
 )
 
 // Results of a forwarding in metrics.
@@ -31,7 +33,7 @@
 	if g.opts.Owner == nil || g.opts.Forward == nil || r.forwarded {
 		return false
 	}
-	owner := g.opts.Owner(r.service.Name, r.key)
+	owner := g.opts.Owner(r.claimKey())
 	if owner.Ref() == g.opts.Self.Ref() || owner.ID == "" {
 		return false
 	}
@@ -109,3 +111,8 @@
 	var e interface{ NotRun() bool }
 	return errors.As(err, &e) && e.NotRun()
 }
+
+// claimKey returns the key under which the request is claimed.
+func (r *request) claimKey() claim.Key {
+	return claim.Key{Service: r.service.Name, Call: r.call.Name, ID: r.key}
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	claims "github.com/cicadasill/cicadasill/claim"
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/gateway"
 	"github.com/cicadasill/cicadasill/health"
@@ -100,7 +101,7 @@
 			found, ok := d.services[s]
 			return found, ok
 		},
-		Owner: func(string, string) machine.Instance {
+		Owner: func(claims.Key) machine.Instance {
 			if o := d.instances[d.owner]; o != nil {
 				return o.self
 			}
