--- /dev/null
+++ b/cli/root.go
@@ -0,0 +1,156 @@
+// Package cli is the operators' command line.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cicadasill/cicadasill/jsonc"
+	"github.com/cicadasill/cicadasill/operator"
+	"github.com/cicadasill/cicadasill/settings"
+)
+
+// Exit codes of the command.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1
+	ExitUsage       = 2
+	ExitInvalid     = 3
+	ExitRefused     = 4
+	ExitUnreachable = 5
+	ExitBroken      = 6
+	ExitNotInForce  = 7
+)
+
+const defaultAdminAddr = "127.0.0.1:8082"
+
+// adminEnv names the environment variable that sets the default of --admin.
+const adminEnv = "CICADASILL_ADMIN"
+
+// app holds what all commands share.
+type app struct {
+	out    io.Writer
+	errOut io.Writer
+	admin  string
+	json   bool
+}
+
+// UsageError reports wrong arguments.
+type UsageError struct{ Err error }
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UsageError) Unwrap() error { return e.Err }
+
+// NotInForceError reports that a note is not in force on every live instance.
+type NotInForceError struct {
+	ID      string
+	Missing []string
+}
+
+// Error implements error.
+func (e *NotInForceError) Error() string {
+	return fmt.Sprintf("note %s is not in force on %d instances: %v", e.ID, len(e.Missing), e.Missing)
+}
+
+// Main runs the command with args and returns its exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	a := &app{out: out, errOut: errOut}
+	root := a.root()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(errOut, "cicadasill: %v\n", err)
+	return exitCode(err)
+}
+
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "cicadasill",
+		Short: "Operate a cicadasill deployment",
+		Long: `cicadasill checks settings and release notes, publishes notes, shows what is in force
+on which instances, and runs a demonstration deployment on this machine.
+
+Exit codes: 0 success, 1 failure, 2 wrong arguments, 3 invalid settings or note,
+4 refused (for example a conflicting note), 5 instance unreachable,
+6 the demonstration broke a promise, 7 note not in force everywhere.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	admin := os.Getenv(adminEnv)
+	if admin == "" {
+		admin = defaultAdminAddr
+	}
+	root.PersistentFlags().StringVar(&a.admin, "admin", admin, "admin address, host:port, of any instance (or "+adminEnv+")")
+	root.PersistentFlags().BoolVar(&a.json, "json", false, "print JSON instead of a table")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
+	root.AddCommand(
+		a.settingsCommand(), a.noteCommand(), a.serviceCommand(), a.samplerCommand(),
+		a.instanceCommand(), a.statusCommand(), a.drainCommand(), a.demoCommand(), a.platformCommand(),
+	)
+	return root
+}
+
+func (a *app) client() *operator.Client { return operator.NewClient(a.admin) }
+
+// exactArgs is cobra.ExactArgs with a typed error.
+func exactArgs(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(n)(cmd, args); err != nil {
+			return &UsageError{Err: err}
+		}
+		return nil
+	}
+}
+
+func exitCode(err error) int {
+	var (
+		usage       *UsageError
+		invalid     *jsonc.Errors
+		unreadable  *settings.ReadError
+		unreachable *operator.UnreachableError
+		response    *operator.ResponseError
+		broken      *BrokenPromiseError
+		notInForce  *NotInForceError
+	)
+	switch {
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &invalid), errors.As(err, &unreadable):
+		return ExitInvalid
+	case errors.As(err, &unreachable):
+		return ExitUnreachable
+	case errors.As(err, &broken):
+		return ExitBroken
+	case errors.As(err, &notInForce):
+		return ExitNotInForce
+	case errors.As(err, &response):
+		return responseExitCode(response)
+	default:
+		return ExitFailure
+	}
+}
+
+func responseExitCode(e *operator.ResponseError) int {
+	switch {
+	case e.Detail.Verdict != nil:
+		return ExitRefused
+	case len(e.Detail.Fields) > 0:
+		return ExitInvalid
+	case e.Status >= 500:
+		return ExitUnreachable
+	default:
+		return ExitRefused
+	}
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,166 @@
+// Package daemon runs an entry instance as a process: settings, logs, traces and signals
+// around package entry.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/sourcegraph/conc"
+	"github.com/spf13/cobra"
+	"go.opentelemetry.io/otel"
+
+	"github.com/cicadasill/cicadasill/entry"
+	"github.com/cicadasill/cicadasill/jsonc"
+	"github.com/cicadasill/cicadasill/settings"
+	"github.com/cicadasill/cicadasill/telemetry"
+)
+
+// Exit codes of the process.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 3
+)
+
+// Main runs the daemon with command-line arguments and returns its exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	logger, err := telemetry.NewLogger(errOut, settings.DefaultLogLevel, "")
+	if err != nil {
+		logger = telemetry.Discard()
+	}
+	command := newCommand()
+	command.SetArgs(args)
+	command.SetOut(out)
+	command.SetErr(errOut)
+	err = command.ExecuteContext(ctx)
+	return report(logger, err)
+}
+
+func newCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "cicadasilld",
+		Short: "Run one entry instance",
+		Long: `Run one entry instance until SIGTERM or SIGINT, which start the planned stop: readiness
+falls, requests in flight are finished, then the process ends. A second signal ends it at once.
+
+Exit codes: 0 planned stop completed, 1 failure, 3 settings cannot be read or are wrong.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.Load(path)
+			if err != nil {
+				return err
+			}
+			return Run(cmd.Context(), s, cmd.ErrOrStderr())
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "", "path of the settings file, JSON with comments")
+	// The flag exists, so this cannot fail.
+	_ = command.MarkFlagRequired("settings")
+	return command
+}
+
+// report writes one line for each mistake and returns the exit code.
+func report(logger *log.Logger, err error) int {
+	var (
+		mistakes   *jsonc.Errors
+		unreadable *settings.ReadError
+	)
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &mistakes):
+		for _, m := range mistakes.Mistakes {
+			logger.Error("wrong setting", "file", m.File, "line", m.Line, "field", m.Field, "problem", m.Message)
+		}
+		return ExitSettings
+	case errors.As(err, &unreadable):
+		logger.Error("settings not readable", "err", err)
+		return ExitSettings
+	default:
+		logger.Error("process ended", "err", err)
+		return ExitFailure
+	}
+}
+
+// Run runs the instance that s describes until ctx ends or a signal asks for the planned stop.
+func Run(ctx context.Context, s *settings.Settings, logTo io.Writer) error {
+	logger, err := telemetry.NewLogger(logTo, s.Telemetry.LogLevel, s.Instance.ID)
+	if err != nil {
+		return err
+	}
+	provider, flush, err := telemetry.NewTracerProvider(telemetry.TraceOptions{
+		Exporter: s.Telemetry.Traces.Exporter, Path: s.Telemetry.Traces.Path,
+		SampleRatio: s.Telemetry.Traces.SampleRatio,
+		Instance:    s.Instance.ID, DataCentre: s.Instance.DataCentre,
+	})
+	if err != nil {
+		return err
+	}
+	otel.SetTracerProvider(provider)
+	otel.SetTextMapPropagator(telemetry.Propagator())
+	config := entry.ConfigOf(s, logger)
+	config.Registry = newRegistry()
+	instance, err := entry.New(config)
+	if err != nil {
+		return err
+	}
+	runErr := runUntilSignal(ctx, instance, logger)
+	if err := flush(context.WithoutCancel(ctx)); err != nil {
+		logger.Warn("spans not flushed", "err", err)
+	}
+	return runErr
+}
+
+func newRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
+}
+
+// runUntilSignal runs the instance. The first signal starts the planned stop, the second ends
+// the instance at once.
+func runUntilSignal(ctx context.Context, instance *entry.Instance, logger *log.Logger) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	var group conc.WaitGroup
+	group.Go(func() {
+		select {
+		case <-ctx.Done():
+			return
+		case sig := <-signals:
+			logger.Info("planned stop", "signal", sig.String())
+		}
+		group.Go(func() {
+			if err := instance.Stop(ctx); err != nil && ctx.Err() == nil {
+				logger.Error("planned stop incomplete", "err", err)
+			}
+		})
+		select {
+		case <-ctx.Done():
+		case sig := <-signals:
+			logger.Warn("ending at once", "signal", sig.String())
+			cancel()
+		}
+	})
+	err := instance.Run(ctx)
+	cancel()
+	group.Wait()
+	return err
+}
--- /dev/null
+++ b/entry/admin.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/pprof"
+	"sort"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/jsonc"
+	"github.com/cicadasill/cicadasill/operator"
+	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/release"
+)
+
+// maxNoteBytes bounds a release note.
+const maxNoteBytes = 4 << 20
+
+// adminHandler serves operators, metrics, health and readiness.
+func (i *Instance) adminHandler() http.Handler {
+	router := httprouter.New()
+	router.GET("/healthz", i.serveHealth)
+	router.GET("/readyz", i.serveReadiness)
+	router.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(i.gatherer, promhttp.HandlerOpts{}))
+	router.GET("/v1/status", i.serveStatus)
+	router.GET("/v1/instances", i.serveInstances)
+	router.GET("/v1/services", i.serveServices)
+	router.GET("/v1/services/:service", i.serveService)
+	router.GET("/v1/services/:service/backends", i.serveBackends)
+	router.POST("/v1/note-checks", i.serveNoteCheck)
+	router.POST("/v1/notes", i.servePublish)
+	router.GET("/v1/notes", i.serveNotes)
+	router.GET("/v1/notes/:id", i.serveNote)
+	router.GET("/v1/notes/:id/in-force", i.serveInForce)
+	router.POST("/v1/drain", i.serveDrain)
+	if i.config.Pprof {
+		registerPprof(router)
+	}
+	return router
+}
+
+func registerPprof(router *httprouter.Router) {
+	router.HandlerFunc(http.MethodGet, "/debug/pprof/", pprof.Index)
+	router.HandlerFunc(http.MethodGet, "/debug/pprof/profile", pprof.Profile)
+	router.HandlerFunc(http.MethodGet, "/debug/pprof/trace", pprof.Trace)
+	router.HandlerFunc(http.MethodGet, "/debug/pprof/symbol", pprof.Symbol)
+	for _, profile := range []string{"allocs", "block", "goroutine", "heap", "mutex", "threadcreate"} {
+		router.Handler(http.MethodGet, "/debug/pprof/"+profile, pprof.Handler(profile))
+	}
+}
+
+func (i *Instance) serveHealth(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(w, http.StatusOK, map[string]bool{"healthy": true})
+}
+
+func (i *Instance) serveReadiness(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	readiness := i.readiness()
+	status := http.StatusOK
+	if !readiness.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, readiness)
+}
+
+func (i *Instance) serveStatus(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(w, http.StatusOK, statusView(i.status()))
+}
+
+func (i *Instance) serveInstances(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	writeJSON(w, http.StatusOK, i.allStatus(r.Context()))
+}
+
+func (i *Instance) serveServices(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	services := []contract.Service{}
+	for _, s := range i.feed.State().Catalog.Services() {
+		services = append(services, *s)
+	}
+	writeJSON(w, http.StatusOK, services)
+}
+
+func (i *Instance) serveService(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+	name := params.ByName("service")
+	service, ok := i.feed.State().Catalog.Service(name)
+	if !ok {
+		writeUnknownService(w, name)
+		return
+	}
+	writeJSON(w, http.StatusOK, service)
+}
+
+func (i *Instance) serveBackends(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+	name := params.ByName("service")
+	service, ok := i.feed.State().Catalog.Service(name)
+	if !ok {
+		writeUnknownService(w, name)
+		return
+	}
+	views := make([]operator.Backend, 0, len(service.Backends))
+	for _, b := range service.Backends {
+		report := i.loadReport(b.ID)
+		views = append(views, operator.Backend{
+			ID: b.ID, Kind: string(b.Kind), Addr: b.Addr, Zone: b.Zone.String(),
+			Ready: i.health.Ready(b.ID), Version: report.Version,
+			Running: report.Running, Queued: report.Queued, TokensPerS: report.TokensPerS,
+		})
+	}
+	writeJSON(w, http.StatusOK, views)
+}
+
+func (i *Instance) serveNoteCheck(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	note, ok := readNote(w, r)
+	if !ok {
+		return
+	}
+	writeJSON(w, http.StatusOK, note)
+}
+
+func (i *Instance) servePublish(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	note, ok := readNote(w, r)
+	if !ok {
+		return
+	}
+	verdict, err := i.feed.PublishNote(r.Context(), note)
+	if err != nil {
+		writeError(w, http.StatusServiceUnavailable, operator.ErrorDetail{
+			Code:    string(platform.CodeOf(err)),
+			Message: fmt.Sprintf("the note may not have been published, repeat it with the same id: %v", err),
+		})
+		return
+	}
+	if !verdict.Accepted {
+		writeError(w, http.StatusConflict, operator.ErrorDetail{
+			Code: string(verdict.Code), Message: verdict.Message, Verdict: &verdict,
+		})
+		return
+	}
+	i.log.Info("note accepted", "note", note.ID, "author", note.Author, "revision", verdict.Revision)
+	writeJSON(w, http.StatusOK, verdict)
+}
+
+func (i *Instance) serveNotes(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	records := []operator.NoteRecord{}
+	for id, verdict := range i.feed.State().Catalog.Verdicts() {
+		records = append(records, operator.NoteRecord{ID: id, Verdict: verdict})
+	}
+	sort.Slice(records, func(a, b int) bool { return records[a].ID < records[b].ID })
+	writeJSON(w, http.StatusOK, records)
+}
+
+func (i *Instance) serveNote(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+	id := params.ByName("id")
+	verdict, ok := i.feed.State().Catalog.Verdict(id)
+	if !ok {
+		writeUnknownNote(w, id)
+		return
+	}
+	writeJSON(w, http.StatusOK, operator.NoteRecord{ID: id, Verdict: verdict})
+}
+
+func (i *Instance) serveInForce(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	id := params.ByName("id")
+	verdict, ok := i.feed.State().Catalog.Verdict(id)
+	if !ok {
+		writeUnknownNote(w, id)
+		return
+	}
+	answer := operator.InForce{ID: id, Verdict: verdict, Everywhere: verdict.Accepted}
+	for _, status := range i.allStatus(r.Context()) {
+		inForce := verdict.Accepted && status.Unreachable == "" && status.CatalogRevision >= verdict.Revision
+		answer.Everywhere = answer.Everywhere && inForce
+		answer.Instances = append(answer.Instances, operator.InForceAt{
+			ID: status.ID, InForce: inForce, CatalogRevision: status.CatalogRevision, Unreachable: status.Unreachable,
+		})
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (i *Instance) serveDrain(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	i.requestStop()
+	writeJSON(w, http.StatusAccepted, map[string]bool{"draining": true})
+}
+
+// readNote reads and checks the note in the request body. It answers the request when the note is wrong.
+func readNote(w http.ResponseWriter, r *http.Request) (*release.Note, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxNoteBytes))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, operator.ErrorDetail{
+			Code: "body_too_large", Message: fmt.Sprintf("a note is at most %d bytes", maxNoteBytes),
+		})
+		return nil, false
+	}
+	note, err := release.ParseNote("note", data)
+	var mistakes *jsonc.Errors
+	switch {
+	case err == nil:
+		return note, true
+	case errors.As(err, &mistakes):
+		writeError(w, http.StatusUnprocessableEntity, operator.ErrorDetail{
+			Code: "invalid_note", Message: err.Error(), Fields: mistakes.Mistakes,
+		})
+	default:
+		writeError(w, http.StatusUnprocessableEntity, operator.ErrorDetail{Code: "invalid_note", Message: err.Error()})
+	}
+	return nil, false
+}
+
+func writeUnknownService(w http.ResponseWriter, name string) {
+	writeError(w, http.StatusNotFound, operator.ErrorDetail{
+		Code: "unknown_service", Message: fmt.Sprintf("no service %q is in force", name),
+	})
+}
+
+func writeUnknownNote(w http.ResponseWriter, id string) {
+	writeError(w, http.StatusNotFound, operator.ErrorDetail{
+		Code: "unknown_note", Message: fmt.Sprintf("no recent note has the id %q", id),
+	})
+}
+
+func writeError(w http.ResponseWriter, status int, detail operator.ErrorDetail) {
+	writeJSON(w, status, operator.ErrorBody{Error: detail})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the client has gone; there is nobody to tell.
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/entry/build.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/cicadasill/cicadasill/claim"
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/feed"
+	"github.com/cicadasill/cicadasill/gateway"
+	"github.com/cicadasill/cicadasill/health"
+	"github.com/cicadasill/cicadasill/lease"
+	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/membership"
+	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/rollout"
+	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/weights"
+)
+
+// maxHeaderBytes bounds the header of a request.
+const maxHeaderBytes = 32 << 10
+
+func (i *Instance) listen() error {
+	listeners := []struct {
+		addr string
+		to   *net.Listener
+	}{
+		{i.config.Self.HTTPAddr, &i.httpListener},
+		{i.config.Self.PeerAddr, &i.peerListener},
+		{i.config.AdminAddr, &i.adminListener},
+	}
+	for n, l := range listeners {
+		listener, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			for _, open := range listeners[:n] {
+				_ = (*open.to).Close()
+			}
+			return &Error{Code: ListenFailed, Addr: l.addr, Err: err}
+		}
+		*l.to = listener
+	}
+	return nil
+}
+
+// build connects the parts. Handlers are registered on the node before it serves.
+func (i *Instance) build() {
+	i.buildClients()
+	i.buildControl()
+	i.buildRouting()
+	i.buildCallers()
+	i.buildTrainers()
+	i.buildServers()
+}
+
+func (i *Instance) buildClients() {
+	opts := httpplatform.Options{DialContext: i.config.DialContext, Logger: i.log}
+	i.clients = clients{
+		log:    httpplatform.NewLog(i.config.LogAddr, opts),
+		list:   httpplatform.NewInstanceList(i.config.ListAddr, opts),
+		engine: httpplatform.NewEngine(opts),
+		plain:  httpplatform.NewPlainService(opts),
+	}
+}
+
+func (i *Instance) buildControl() {
+	i.node = link.NewNode(i.self, link.Options{
+		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext,
+	})
+	i.members = membership.New(i.self, i.node, i.clients.list, membership.Options{
+		Registerer: i.config.Registry, Logger: i.log,
+	})
+	i.feed = feed.New(i.self, i.clients.log, feed.Options{
+		Peers: i.node, View: i.members, Logger: i.log, Registerer: i.config.Registry,
+	})
+	i.node.Handle(feed.PushMethod, i.feed.HandlePush)
+	i.node.Handle(feed.PullMethod, i.feed.HandlePull)
+	i.node.Handle(statusMethod, i.handleStatus)
+	i.members.SetPiggyback(i.feed.Piggyback, i.feed.ReceivePiggyback)
+	i.leases = lease.NewManager(i.self, i.feed, lease.Options{
+		SuccessorWait: i.successorWait, Live: i.members.Live,
+		Logger: i.log, Registerer: i.config.Registry,
+	})
+	i.claims = claim.NewClaims(i.self, i.clients.log, i.members, i.node, claim.Options{
+		Logger: i.log, Registerer: i.config.Registry,
+	})
+}
+
+// successorWait returns how long a new holder of duty must wait before its first order: the
+// longest order life where the engines ignore fencing numbers.
+func (i *Instance) successorWait(duty string) time.Duration {
+	service, orders := strings.CutPrefix(duty, lease.OrdersPrefix)
+	if !orders {
+		return 0
+	}
+	if s, ok := i.feed.State().Catalog.Service(service); ok && s.ChecksFencing {
+		return 0
+	}
+	return lease.LongestOrderLife
+}
+
+func (i *Instance) buildRouting() {
+	i.router = routing.New(routing.Options{
+		Zone: i.self.Zone, Policy: i.config.Policy, PricePerMB: i.config.CrossRegionPerMB,
+		Registerer: i.config.Registry,
+	})
+	i.health = health.New(health.Options{
+		Engine: i.clients.engine, Plain: i.clients.plain, List: i.clients.list,
+		PeersLeaving: i.members.LeavingBackends, ReportLeaving: i.members.ReportLeaving,
+		CacheEvents: i.router.Hints().Events,
+		Registerer:  i.config.Registry, Logger: i.log,
+	})
+	i.router.SetTracker(i.health)
+}
+
+func (i *Instance) buildCallers() {
+	i.gateway = gateway.New(gateway.Options{
+		Self:    i.self,
+		Service: directory{i.feed}.Service,
+		Router:  i.router, Tracker: i.health,
+		Engine: i.clients.engine, Plain: i.clients.plain,
+		Claims:  gateway.ClaimsOf(i.claims),
+		Owner:   i.ownerOfClaim,
+		Forward: forwarder(i.node, link.CauseForward),
+		MaxBody: i.config.MaxBodyBytes,
+		Logger:  i.log, Registerer: i.config.Registry,
+	})
+}
+
+// ownerOfClaim returns the instance to which rendezvous hashing assigns the claim stream of key.
+func (i *Instance) ownerOfClaim(key claim.Key) machine.Instance {
+	return membership.Owner(claim.Owner(key), i.members.Live())
+}
+
+func (i *Instance) buildTrainers() {
+	dir := directory{i.feed}
+	picker := rolloutPicker{router: i.router, unfit: i.unfit}
+	i.rollouts = rollout.New(rollout.Options{
+		Directory: dir, Picker: picker, Engine: i.clients.engine, View: i.members,
+		Owner: membership.Owner, Forward: forwarder(i.node, link.CauseRollout),
+		Scorer: &rollout.PlainScorer{Directory: dir, Picker: picker, Plain: i.clients.plain},
+		Load:   i.loadReport,
+		Logger: i.log, Registerer: i.config.Registry,
+	})
+	i.weights = weights.New(weights.Options{
+		Directory: dir, Announcer: i.feed, Campaign: campaigner(i.leases), Engine: i.clients.engine,
+		Unfit: i.unfit.set, Logger: i.log, Registerer: i.config.Registry,
+	})
+}
+
+func (i *Instance) buildServers() {
+	router := httprouter.New()
+	i.gateway.Register(router)
+	i.rollouts.Register(router)
+	i.weights.Register(router)
+	handler := i.countInFlight(router)
+	i.node.HandleHTTP(handler)
+	i.httpServer = &http.Server{
+		Handler: handler, ReadHeaderTimeout: i.config.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	i.adminServer = &http.Server{
+		Handler: i.adminHandler(), ReadHeaderTimeout: i.config.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// countInFlight counts requests, so that a planned stop knows when the last one has ended.
+func (i *Instance) countInFlight(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		i.inFlight.Add(1)
+		defer i.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func backendsOf(services []*contract.Service) []machine.Backend {
+	var out []machine.Backend
+	for _, s := range services {
+		out = append(out, s.Backends...)
+	}
+	return out
+}
--- /dev/null
+++ b/entry/errors.go
@@ -0,0 +1,39 @@
+package entry
+
+import "fmt"
+
+// Code says why an instance could not start or had to end.
+type Code string
+
+// Failures of an instance.
+const (
+	// ListenFailed: one of the addresses cannot be listened on.
+	ListenFailed Code = "listen_failed"
+	// ServeFailed: a listener failed while it served.
+	ServeFailed Code = "serve_failed"
+	// Superseded: a newer run of the same instance exists.
+	Superseded Code = "superseded"
+	// DrainIncomplete: requests were still in flight when the time for the planned stop ended.
+	DrainIncomplete Code = "drain_incomplete"
+)
+
+// Error is the failure of an instance.
+type Error struct {
+	Code Code
+	Addr string
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Addr != "" {
+		return fmt.Sprintf("%s: %s: %v", e.Code, e.Addr, e.Err)
+	}
+	if e.Err != nil {
+		return fmt.Sprintf("%s: %v", e.Code, e.Err)
+	}
+	return string(e.Code)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadasill/cicadasill/entry/wire"
+	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/operator"
+	"github.com/cicadasill/cicadasill/platform"
+)
+
+const (
+	// statusMethod is the peer method that returns an instance's status.
+	statusMethod = "entry.status"
+	// statusTimeout bounds a question to one peer, so that an unreachable peer does not hold up the list.
+	statusTimeout = 2 * time.Second
+	// statusConcurrency bounds the peers asked at once.
+	statusConcurrency = 32
+	causeStatus       = link.Cause("status")
+)
+
+func (i *Instance) status() *wire.Status {
+	state := i.feed.State()
+	readiness := i.readiness()
+	status := &wire.Status{
+		Id:            i.self.ID,
+		Incarnation:   i.self.Incarnation,
+		Region:        i.self.Zone.Region,
+		DataCentre:    i.self.Zone.DataCentre,
+		HttpAddr:      i.self.HTTPAddr,
+		AdminAddr:     i.AdminAddr(),
+		Ready:         readiness.Ready,
+		Draining:      i.draining.Load(),
+		WaitingFor:    readiness.WaitingFor,
+		LogReachable:  i.feed.LogReachable(),
+		StartedUnixMs: i.started.UnixMilli(),
+		InFlight:      i.inFlight.Load(),
+	}
+	if state != nil {
+		status.ControlOffset = state.Offset
+		status.ControlChain = state.Chain
+		status.CatalogRevision = state.Catalog.Revision()
+	}
+	for _, peer := range i.members.Live() {
+		status.LivePeers = append(status.LivePeers, peer.ID)
+	}
+	return status
+}
+
+func (i *Instance) readiness() operator.Readiness {
+	if i.draining.Load() {
+		return operator.Readiness{WaitingFor: "drain to finish"}
+	}
+	select {
+	case <-i.feed.Ready():
+		return operator.Readiness{Ready: true}
+	default:
+		return operator.Readiness{WaitingFor: i.feed.WaitingFor()}
+	}
+}
+
+// handleStatus answers the status question of a peer.
+func (i *Instance) handleStatus(context.Context, []byte) ([]byte, error) {
+	return proto.Marshal(i.status())
+}
+
+// allStatus asks every live instance for its status. An instance that does not answer is
+// listed with the error.
+func (i *Instance) allStatus(ctx context.Context) []operator.Status {
+	mapper := iter.Mapper[machine.Instance, operator.Status]{MaxGoroutines: statusConcurrency}
+	return mapper.Map(i.members.Live(), func(peer *machine.Instance) operator.Status {
+		return i.peerStatus(ctx, *peer)
+	})
+}
+
+func (i *Instance) peerStatus(ctx context.Context, peer machine.Instance) operator.Status {
+	if peer.Ref() == i.self.Ref() {
+		return statusView(i.status())
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var status wire.Status
+	payload, err := i.node.Call(ctx, peer, causeStatus, statusMethod, nil)
+	if err == nil {
+		err = proto.Unmarshal(payload, &status)
+	}
+	if err != nil {
+		return operator.Status{
+			ID: peer.ID, Incarnation: peer.Incarnation,
+			Region: peer.Zone.Region, DataCentre: peer.Zone.DataCentre,
+			HTTPAddr: peer.HTTPAddr, Unreachable: err.Error(),
+		}
+	}
+	return statusView(&status)
+}
+
+func statusView(s *wire.Status) operator.Status {
+	return operator.Status{
+		ID:              s.GetId(),
+		Incarnation:     s.GetIncarnation(),
+		Region:          s.GetRegion(),
+		DataCentre:      s.GetDataCentre(),
+		HTTPAddr:        s.GetHttpAddr(),
+		AdminAddr:       s.GetAdminAddr(),
+		Ready:           s.GetReady(),
+		Draining:        s.GetDraining(),
+		WaitingFor:      s.GetWaitingFor(),
+		ControlOffset:   s.GetControlOffset(),
+		ControlChain:    fmt.Sprintf("%016x", s.GetControlChain()),
+		CatalogRevision: s.GetCatalogRevision(),
+		LogReachable:    s.GetLogReachable(),
+		StartedUnixMs:   s.GetStartedUnixMs(),
+		InFlight:        s.GetInFlight(),
+		LivePeers:       s.GetLivePeers(),
+	}
+}
+
+// loadReport returns the last load report of a back end, corrected by this instance's own
+// requests; it is empty when none is known.
+func (i *Instance) loadReport(backendID string) platform.LoadReport {
+	report, _ := i.health.Report(backendID)
+	return report
+}
