Instance list: conditional requests

Cause: in the demo with 33 listed machines every instance fetched 9.7 KB/s of unchanged list, against a budget of 2 KB/s for the whole control plane.

--- a/standin/list/list.go
+++ b/standin/list/list.go
@@ -3,6 +3,7 @@
 package list
 
 import (
+	"encoding/json"
 	"net/http"
 	"sort"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standin"
 	"github.com/cicadasill/cicadasill/standin/serve"
 )
 
@@ -48,14 +50,28 @@
 	}
 	s := &Server{opts: opts, visible: map[string]platform.Listed{}}
 	r := httprouter.New()
-	r.GET("/v1/instances", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		serve.JSON(w, http.StatusOK, s.Visible())
-	})
+	r.GET("/v1/instances", s.handle)
 	var err error
 	s.Server, err = serve.Start(opts.Addr, r)
 	return s, err
 }
 
+// handle answers with an ETag, and with 304 Not Modified to whoever has the list already.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	visible := s.Visible()
+	data, err := json.Marshal(visible)
+	if err != nil {
+		serve.Abort()
+	}
+	etag := `"` + standin.BodyHash(data) + `"`
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	serve.JSON(w, http.StatusOK, visible)
+}
+
 // Set adds or changes an entry; the change is visible after the lag.
 func (s *Server) Set(entry platform.Listed) { s.add(change{entry: entry}) }
 
--- a/standin/plain/plain_test.go
+++ b/standin/plain/plain_test.go
@@ -85,6 +85,13 @@
 	got, err := c.List(ctx)
 	is.NoErr(err)
 	is.Equal(got[0].State, platform.Live)
+	again, err := c.List(ctx) // answered with 304
+	is.NoErr(err)
+	is.Equal(again, got)
+	s.SetNow(platform.Listed{ID: "b", State: platform.Live})
+	got, err = c.List(ctx)
+	is.NoErr(err)
+	is.Equal(len(got), 2)
 	quick, err := list.Start(list.Options{Lag: -1})
 	is.NoErr(err)
 	defer quick.Close()
