--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -168,22 +168,21 @@
 }
 
 // Guards against an append that arrives after its claim was given up and released, and then
-// holds the key.
+// holds the key although its claimer is gone.
 func TestLateAppendOfAbandonedClaimDoesNotBlockTheKey(t *testing.T) {
-	c, all := newCluster(t, seed, 2, claim.Options{ClaimTimeout: 5 * time.Millisecond})
-	c.log.set(func() { c.log.late = 1 })
+	c, all := newCluster(t, seed, 2, claim.Options{ClaimTimeout: 20 * time.Millisecond})
+	gate := make(chan struct{})
+	c.log.set(func() { c.log.late, c.log.gate = 1, gate })
 	_, err := begin(t, all[0], first)
 	if err == nil || err.Outcome != claim.NotRun {
 		t.Fatalf("seed %d: got %v", seed, err)
 	}
 	c.log.set(func() { c.log.late = 0 })
+	c.log.await(1) // the release
+	all[0].kill()
+	close(gate)
 	c.log.latecomers.Wait()
-	for {
-		d, err := begin(t, all[1], again)
-		if err == nil && d.Kind == claim.Run {
-			return
-		}
-	}
+	mustRun(t, all[1], again)
 }
 
 // Guards against an answer kept without bound, and a dropped answer taken for a request that did not run.
--- a/claim/fakes_test.go
+++ b/claim/fakes_test.go
@@ -31,7 +31,8 @@
 	// effect comes only after the answer was lost.
 	lost, late, limited float64
 	latecomers          sync.WaitGroup
-	first               int64 // first retained offset of every stream
+	gate                chan struct{} // when set, late appends wait for it
+	first               int64         // first retained offset of every stream
 	shift               time.Duration
 }
 
@@ -51,7 +52,7 @@
 	l.mu.Lock()
 	l.appends++
 	dice, latency, outage := l.rng.Float64(), l.latency, l.outage
-	lost, late, limited := l.lost, l.late, l.limited
+	lost, late, limited, gate := l.lost, l.late, l.limited, l.gate
 	l.mu.Unlock()
 	if latency > 0 {
 		time.Sleep(latency)
@@ -63,7 +64,11 @@
 		return 0, fail(platform.RateLimited)
 	case dice < limited+late:
 		l.latecomers.Go(func() {
-			time.Sleep(15 * time.Millisecond)
+			if gate != nil {
+				<-gate
+			} else {
+				time.Sleep(15 * time.Millisecond)
+			}
 			l.add(stream, data)
 		})
 		return 0, fail(platform.OutcomeUnknown)
@@ -141,7 +146,9 @@
 }
 
 func newCluster(t testing.TB, seed uint64, n int, opts claim.Options) (*cluster, []*instance) {
-	opts.AppendsPerSecond = 1e6
+	if opts.AppendsPerSecond == 0 {
+		opts.AppendsPerSecond = 1e6
+	}
 	if opts.EndDelay == 0 {
 		opts.EndDelay = time.Millisecond
 	}
