--- a/routing/router.go
+++ b/routing/router.go
@@ -42,6 +42,9 @@
 // cache events go to the router's hints. It must be called before the first Pick.
 func (t *Table) SetTracker(tracker *health.Tracker) { t.opts.Tracker = tracker }
 
+// Ready reports whether the back end may be chosen.
+func (t *Table) Ready(id string) bool { return t.opts.Tracker.Ready(id) }
+
 // Pick chooses a back end and takes a slot of its concurrency limit. The returned Pick's
 // Done must be called once. The error is a *NoBackend.
 func (t *Table) Pick(req Request) (Pick, error) {
