link: one watcher per node, retired sessions close after a grace, tests of faults

Cause: a session closed for idleness 2 ms after its go-away cut an exchange that the peer had just opened (TestSimultaneousDialsAndIdleCloseLoseNothing: unknown, session shutdown). A watcher per session costs one wake-up per session and interval. Change: a retired session closes only after the keepalive timeout, until then late streams are reset, which proves that they were not served; one watcher per node; idle timeout of 5 min instead of 30 s.

--- /dev/null
+++ b/link/faults_test.go
@@ -0,0 +1,222 @@
+package link_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/link"
+)
+
+// muteable is a network whose open connections can go silent for good while new ones work.
+type muteable struct {
+	mu    sync.Mutex
+	open  []*muteConn
+	dials atomic.Int64
+}
+
+type muteConn struct {
+	net.Conn
+	mute atomic.Bool
+}
+
+func (m *muteable) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	m.dials.Add(1)
+	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	mc := &muteConn{Conn: c}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open = append(m.open, mc)
+	return mc, nil
+}
+
+func (m *muteable) silence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.open {
+		c.mute.Store(true)
+	}
+}
+
+func (c *muteConn) Write(p []byte) (int, error) {
+	if c.mute.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *muteConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.mute.Load() {
+			return n, err
+		}
+	}
+}
+
+func quick(m *muteable) link.Options {
+	return link.Options{DialContext: m.DialContext, KeepaliveInterval: 30 * time.Millisecond,
+		KeepaliveTimeout: 150 * time.Millisecond, FreshFor: 40 * time.Millisecond}
+}
+
+// Guards against exchanges that hang on, or are lost to, a connection that went silent.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	net := &muteable{}
+	entered := make(chan struct{})
+	release := make(chan struct{})
+	a := start(t, "a", 1, anyPort(), quick(net), nil)
+	b := start(t, "b", 1, anyPort(), link.Options{DrainTimeout: time.Millisecond}, func(n *link.Node) {
+		echo(n)
+		n.Handle("slow", func(context.Context, []byte) ([]byte, error) {
+			entered <- struct{}{}
+			<-release
+			return nil, nil
+		})
+		n.HandleHTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+	})
+	defer close(release)
+	call := func(method string) link.Code {
+		_, err := a.Call(t.Context(), b.self, link.CauseForward, method, nil)
+		if err == nil {
+			return ""
+		}
+		return link.CodeOf(err)
+	}
+
+	done := make(chan link.Code)
+	go func() { done <- call("slow") }()
+	<-entered
+	net.silence()
+	is.Equal(<-done, link.Unknown)        // it had been handed over; the keepalive ended the wait
+	is.Equal(call("echo"), link.Code("")) // a new connection works at once
+
+	req, err := http.NewRequest(http.MethodGet, "/", nil)
+	is.NoErr(err)
+	resp, err := a.Forward(t.Context(), b.self, link.CauseForward, req)
+	is.NoErr(err)
+	net.silence()
+	_, err = io.ReadAll(resp.Body) // a stream without a deadline ends too
+	is.Equal(link.CodeOf(err), link.Unknown)
+	is.NoErr(resp.Body.Close())
+
+	is.Equal(call("echo"), link.Code(""))
+	time.Sleep(50 * time.Millisecond) // longer than FreshFor
+	net.silence()
+	is.Equal(call("echo"), link.Code("")) // the idle session is checked first and nothing is lost
+}
+
+// Guards against a session that is used again although a call on it timed out without a byte.
+func TestTimedOutSessionIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	net := &muteable{}
+	opts := quick(net)
+	opts.KeepaliveInterval, opts.KeepaliveTimeout = time.Minute, time.Second
+	a := start(t, "a", 1, anyPort(), opts, nil)
+	b := start(t, "b", 1, anyPort(), link.Options{}, echo)
+	_, err := a.Call(t.Context(), b.self, link.CauseProbe, "echo", nil)
+	is.NoErr(err)
+	net.silence()
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
+	defer cancel()
+	_, err = a.Call(ctx, b.self, link.CauseProbe, "echo", nil)
+	is.Equal(link.CodeOf(err), link.Unknown)
+	_, err = a.Call(t.Context(), b.self, link.CauseProbe, "echo", nil)
+	is.NoErr(err)
+	is.Equal(net.dials.Load(), int64(2))
+}
+
+// Guards against exchanges lost to simultaneous dials, to closing of the spare session, and to
+// idle sessions that close while they are about to be used.
+func TestSimultaneousDialsAndIdleCloseLoseNothing(t *testing.T) {
+	opts := link.Options{KeepaliveInterval: 2 * time.Millisecond, IdleTimeout: time.Millisecond, FreshFor: time.Hour}
+	a := start(t, "a", 1, anyPort(), opts, echo)
+	b := start(t, "b", 1, anyPort(), opts, echo)
+	var wg sync.WaitGroup
+	for _, p := range [][2]*peer{{a, b}, {b, a}} {
+		for w := range 4 {
+			wg.Go(func() {
+				for n := range 60 {
+					want := fmt.Sprint(p[0].self.ID, w, n)
+					got, err := p[0].Call(t.Context(), p[1].self, link.CauseForward, "echo", []byte(want))
+					if err != nil || string(got) != want {
+						t.Errorf("%s: %q %v", want, got, err)
+					}
+					time.Sleep(time.Duration(n%5) * time.Millisecond)
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
+
+// Guards against a planned stop that cuts exchanges in flight, and against a peer that takes a
+// refusal of a stopping node for an exchange that may have run.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	entered := make(chan struct{})
+	release := make(chan struct{})
+	a := start(t, "a", 1, anyPort(), link.Options{}, nil)
+	b := start(t, "b", 1, anyPort(), link.Options{}, func(n *link.Node) {
+		echo(n)
+		n.Handle("slow", func(context.Context, []byte) ([]byte, error) {
+			close(entered)
+			<-release
+			return []byte("whole"), nil
+		})
+	})
+	got := make(chan string)
+	go func() {
+		p, err := a.Call(t.Context(), b.self, link.CauseForward, "slow", nil)
+		got <- fmt.Sprint(string(p), err)
+	}()
+	<-entered
+	go b.stop()
+	for { // until the stop has begun
+		if _, err := a.Call(t.Context(), b.self, link.CauseForward, "echo", nil); err != nil {
+			is.Equal(link.CodeOf(err), link.NotSent)
+			break
+		}
+	}
+	close(release)
+	is.Equal(<-got, "whole<nil>")
+}
+
+// Guards against unbounded work: exchanges above the limit are refused as not run.
+func TestBusy(t *testing.T) {
+	is := is.New(t)
+	entered := make(chan struct{})
+	a := start(t, "a", 1, anyPort(), link.Options{}, nil)
+	b := start(t, "b", 1, anyPort(), link.Options{MaxServed: 1}, func(n *link.Node) {
+		n.Handle("hang", func(ctx context.Context, _ []byte) ([]byte, error) {
+			close(entered)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() {
+		_, err := a.Call(ctx, b.self, link.CauseForward, "hang", nil)
+		done <- err
+	}()
+	<-entered
+	_, err := a.Call(t.Context(), b.self, link.CauseForward, "hang", nil)
+	is.Equal(link.CodeOf(err), link.Busy)
+	cancel()
+	is.Equal(link.CodeOf(<-done), link.Unknown)
+}
--- a/link/node.go
+++ b/link/node.go
@@ -37,10 +37,11 @@
 	cancel context.CancelFunc
 	wg     conc.WaitGroup
 
-	draining atomic.Bool
-	mu       sync.Mutex
-	closed   bool
-	peers    map[string]*peer
+	draining  atomic.Bool
+	watchOnce sync.Once
+	mu        sync.Mutex
+	closed    bool
+	peers     map[string]*peer
 }
 
 // NewNode returns a node for self. It opens connections on demand and accepts them in Serve.
@@ -109,6 +110,7 @@
 	p := n.peerLocked(s.peer.ID)
 	p.sessions = append(p.sessions, s)
 	n.wg.Go(s.run)
+	n.watchOnce.Do(func() { n.wg.Go(n.watch) })
 	return true
 }
 
--- a/link/options.go
+++ b/link/options.go
@@ -21,9 +21,9 @@
 	DefaultKeepaliveTimeout  = 1200 * time.Millisecond
 	// DefaultFreshFor is how long a session counts as working after its last received byte.
 	DefaultFreshFor = time.Second
-	// DefaultIdleTimeout closes unused sessions, so that the number of open connections follows
-	// the traffic and not the number of nodes.
-	DefaultIdleTimeout  = 30 * time.Second
+	// DefaultIdleTimeout is longer than a pass of probes over 330 members (165 s), since a
+	// connection per probe costs more bytes than the probe.
+	DefaultIdleTimeout  = 5 * time.Minute
 	DefaultDrainTimeout = 10 * time.Second
 	DefaultBackoffMin   = 50 * time.Millisecond
 	DefaultBackoffMax   = time.Second
--- a/link/session.go
+++ b/link/session.go
@@ -28,12 +28,14 @@
 	lastUsed atomic.Int64 // unix nanoseconds of the last end of an exchange
 	suspect  atomic.Bool  // an exchange timed out without any byte received
 	retired  atomic.Bool  // takes no new exchanges
-	kick     chan struct{}
+	pinging  atomic.Bool  // the watcher waits for a ping
+
+	retiredAt atomic.Int64 // unix nanoseconds
 }
 
 func newSession(n *Node, peer machine.Instance, dialled bool, m *meter, ys *yamux.Session) *session {
 	ctx, cancel := context.WithCancel(n.ctx)
-	s := &session{node: n, peer: peer, dialled: dialled, meter: m, ys: ys, ctx: ctx, cancel: cancel, kick: make(chan struct{}, 1)}
+	s := &session{node: n, peer: peer, dialled: dialled, meter: m, ys: ys, ctx: ctx, cancel: cancel}
 	s.lastUsed.Store(time.Now().UnixNano())
 	return s
 }
@@ -65,6 +67,7 @@
 // retire stops new exchanges in both directions and lets those in flight finish.
 func (s *session) retire() {
 	if s.retired.CompareAndSwap(false, true) {
+		s.retiredAt.Store(time.Now().UnixNano())
 		_ = s.ys.GoAway()
 	}
 }
@@ -72,7 +75,6 @@
 // run accepts streams until the connection ends.
 func (s *session) run() {
 	var wg conc.WaitGroup
-	wg.Go(s.watch)
 	for {
 		st, err := s.ys.AcceptStream()
 		if err != nil {
@@ -89,43 +91,16 @@
 	wg.Wait()
 }
 
-// watch closes the connection when it is silent while an exchange waits on it, or idle.
-func (s *session) watch() {
-	t := time.NewTicker(s.node.opts.KeepaliveInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-t.C:
-		case <-s.kick:
-		}
-		switch {
-		case s.suspect.Load():
-			if s.ping() {
-				s.suspect.Store(false)
-			}
-		case s.active.Load() > 0:
-			if s.meter.quiet() >= s.node.opts.KeepaliveInterval {
-				s.ping()
-			}
-		case s.retired.Load():
-			if s.ys.NumStreams() == 0 {
-				s.close()
-			}
-		case time.Since(time.Unix(0, s.lastUsed.Load())) > s.node.opts.IdleTimeout:
-			s.retire()
-		}
-	}
-}
-
 // ping reports whether the connection answers, and closes it when it does not.
 func (s *session) ping() bool {
 	start := time.Now().UnixNano()
 	if _, err := s.ys.Ping(); err == nil || s.meter.lastRead.Load() > start {
+		s.suspect.Store(false)
 		return true
 	}
-	s.node.log.Warn("closing silent connection", "peer", s.peer.Ref(), "quiet", s.meter.quiet())
+	if s.ctx.Err() == nil {
+		s.node.log.Warn("closing silent connection", "peer", s.peer.Ref(), "quiet", s.meter.quiet())
+	}
 	s.close()
 	return false
 }
@@ -145,10 +120,7 @@
 		return
 	}
 	s.suspect.Store(true)
-	select {
-	case s.kick <- struct{}{}:
-	default:
-	}
+	s.node.startPing(s)
 }
 
 // yamuxLogger passes yamux's lines to the node's logger.
