demo: a whole deployment in one process with faults and a truth report

Cause: the promises must be seen to hold in a whole deployment, judged by its callers, trainers and operators.

--- /dev/null
+++ b/demo/demo_test.go
@@ -0,0 +1,83 @@
+package demo_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/demo"
+)
+
+// seed returns the seed of the run and prints it.
+func seed(t *testing.T) uint64 {
+	t.Helper()
+	n, err := strconv.ParseUint(os.Getenv("CICADASILL_SEED"), 10, 64)
+	if err != nil {
+		n = 1
+	}
+	t.Logf("seed %d", n)
+	return n
+}
+
+func run(t *testing.T, o demo.Options) *demo.Report {
+	t.Helper()
+	o.Seed = seed(t)
+	r, err := demo.Run(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	if err := r.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	t.Log(text.String())
+	return r
+}
+
+// Guards against a deployment that breaks promises without any fault, and a report without its fields.
+func TestDeploymentsWithoutFaults(t *testing.T) {
+	for _, name := range demo.Deployments() {
+		is := is.New(t)
+		var out bytes.Buffer
+		r := run(t, demo.Options{Deployment: name, Duration: 6 * time.Second, Out: &out})
+		is.True(!r.Broken())
+		is.Equal(r.Requests.Answered, r.Requests.Sent)
+		is.True(r.Samples.Delivered > 0)
+		is.True(r.Weights.Versions > 0)
+		is.True(strings.Contains(out.String(), "seed")) // the seed is printed
+		data, err := json.Marshal(r)
+		is.NoErr(err)
+		for _, field := range []string{`"false_refusals":`, `"over_age":`, `"idle_floor_fraction":`, `"in_force_p99_s":`, `"on_all_samplers_p99_s":`, `"core_fraction_per_node":`, `"bytes_by_cause":`, `"broken":[]`} {
+			is.True(strings.Contains(string(data), field))
+		}
+	}
+}
+
+// Guards against promises broken while back ends, the log and an instance fail together.
+func TestDeploymentWithFaults(t *testing.T) {
+	is := is.New(t)
+	r := run(t, demo.Options{Duration: 10 * time.Second, Faults: []demo.Fault{
+		demo.EngineCrash, demo.PlainCrash, demo.PlainCrossed, demo.LogAnswerLost, demo.InstanceKill, demo.TrainerDies,
+	}})
+	is.Equal(r.BrokenPromises, []demo.Promise{})
+	is.Equal(len(r.Faults), 6)
+	is.Equal(r.Trainer.Deaths, int64(1))
+}
+
+// Guards against options that are accepted although they mean nothing.
+func TestWrongOptions(t *testing.T) {
+	is := is.New(t)
+	for _, o := range []demo.Options{{Deployment: "elsewhere"}, {Faults: []demo.Fault{"earthquake"}}, {Duration: time.Millisecond}} {
+		_, err := demo.Run(context.Background(), o)
+		var wrong *demo.OptionError
+		is.True(errors.As(err, &wrong))
+	}
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,173 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cicadasill/cicadasill/standin/callers"
+	"github.com/cicadasill/cicadasill/standin/trainer"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Deployment string     `json:"deployment"`
+	Seed       uint64     `json:"seed"`
+	DurationS  float64    `json:"duration_s"`
+	Faults     []Injected `json:"faults"`
+	Requests   Requests   `json:"requests"`
+	Samples    Samples    `json:"samples"`
+	Trainers   Trainers   `json:"trainers"`
+	Notes      Notes      `json:"notes"`
+	Weights    Weights    `json:"weights"`
+	Control    Control    `json:"control"`
+	Link       Link       `json:"link"`
+	// BrokenPromises lists the promises that the run saw broken.
+	BrokenPromises []Promise `json:"broken"`
+	// Groups are the outcomes of each group of callers; Trainer is the trainer's ledger.
+	Groups  map[string]callers.Counts `json:"groups"`
+	Trainer trainer.Ledger            `json:"trainer"`
+}
+
+// Injected is a fault that was injected, in seconds from the start of the load.
+type Injected struct {
+	Name   Fault   `json:"name"`
+	Target string  `json:"target,omitempty"`
+	FromS  float64 `json:"from_s"`
+	ToS    float64 `json:"to_s"`
+}
+
+// Promise is a broken promise.
+type Promise struct {
+	Promise string `json:"promise"`
+	What    string `json:"what"`
+}
+
+// Requests are the staff callers' requests.
+type Requests struct {
+	Sent          int64            `json:"sent"`
+	Answered      int64            `json:"answered"`
+	RefusedNotRun int64            `json:"refused_not_run"`
+	Unknown       int64            `json:"unknown"`
+	FalseRefusals int64            `json:"false_refusals"`
+	Doubled       int64            `json:"doubled"`
+	Lost          int64            `json:"lost"`
+	MixedUp       int64            `json:"mixed_up"`
+	Misattributed int64            `json:"misattributed"`
+	Skipped       int64            `json:"skipped"`
+	Interrupted   int64            `json:"interrupted_by_planned_stop"`
+	P50Ms         float64          `json:"p50_ms"`
+	P99Ms         float64          `json:"p99_ms"`
+	Reasons       map[string]int64 `json:"reasons"`
+}
+
+// Samples are the samples that the trainers received.
+type Samples struct {
+	Delivered     int64 `json:"delivered"`
+	Duplicate     int64 `json:"duplicate"`
+	Missing       int64 `json:"missing"`
+	OverAge       int64 `json:"over_age"`
+	Misattributed int64 `json:"misattributed"`
+	Steps         int64 `json:"steps"`
+}
+
+// Trainers are the trainers' idle time and staleness.
+type Trainers struct {
+	IdleFraction      float64 `json:"idle_fraction"`
+	IdleFloorFraction float64 `json:"idle_floor_fraction"`
+	StalenessP50      int64   `json:"staleness_p50"`
+	StalenessP99      int64   `json:"staleness_p99"`
+}
+
+// Notes are the operators' release notes.
+type Notes struct {
+	Published   int64            `json:"published"`
+	Accepted    int64            `json:"accepted"`
+	InForceP99S float64          `json:"in_force_p99_s"`
+	Reverted    int64            `json:"reverted"`
+	Pending     int64            `json:"pending"`
+	Refusals    map[string]int64 `json:"refusals"`
+}
+
+// Weights are the announced versions.
+type Weights struct {
+	Versions          int64   `json:"versions"`
+	OnAllSamplersP99S float64 `json:"on_all_samplers_p99_s"`
+	MaxSwapping       int     `json:"max_swapping"`
+}
+
+// Control is what the control plane costs, measured while the instances have no load.
+type Control struct {
+	CoreFractionPerNode float64 `json:"core_fraction_per_node"`
+	// BytesPerSPerNode is the sum of the bytes exchanged with peers, the log and the list.
+	BytesPerSPerNode float64 `json:"bytes_per_s_per_node"`
+	PeerBytesPerS    float64 `json:"peer_bytes_per_s_per_node"`
+	LogBytesPerS     float64 `json:"log_bytes_per_s_per_node"`
+	ListBytesPerS    float64 `json:"list_bytes_per_s_per_node"`
+	// BackendPollBytesPerS are the bytes of the back ends' health and load reports.
+	BackendPollBytesPerS float64 `json:"backend_poll_bytes_per_s_per_node"`
+}
+
+// Link is the traffic between regions.
+type Link struct {
+	BytesByCause map[string]int64 `json:"bytes_by_cause"`
+}
+
+// Broken reports whether the run saw a broken promise.
+func (r *Report) Broken() bool { return len(r.BrokenPromises) > 0 }
+
+// WriteText writes the report for people.
+func (r *Report) WriteText(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(name, format string, args ...any) { fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(format, args...)) }
+	row("deployment", "%s, seed %d, %.1f s", r.Deployment, r.Seed, r.DurationS)
+	for _, f := range r.Faults {
+		row("fault", "%s %s from %.1f s to %.1f s", f.Name, f.Target, f.FromS, f.ToS)
+	}
+	q := r.Requests
+	row("requests", "%d sent, %d answered, %d refused (not run), %d unknown, %d lost, %d skipped",
+		q.Sent, q.Answered, q.RefusedNotRun, q.Unknown, q.Lost, q.Skipped)
+	row("", "%d false refusals, %d doubled, %d mixed up; p50 %.1f ms, p99 %.1f ms",
+		q.FalseRefusals, q.Doubled, q.MixedUp, q.P50Ms, q.P99Ms)
+	if len(q.Reasons) > 0 {
+		row("reasons", "%s", listCounts(q.Reasons))
+	}
+	s := r.Samples
+	row("samples", "%d delivered in %d steps; %d duplicate, %d missing, %d over age, %d misattributed",
+		s.Delivered, s.Steps, s.Duplicate, s.Missing, s.OverAge, s.Misattributed)
+	row("trainers", "idle %.1f%% (floor %.1f%%), staleness p50 %d, p99 %d versions",
+		100*r.Trainers.IdleFraction, 100*r.Trainers.IdleFloorFraction, r.Trainers.StalenessP50, r.Trainers.StalenessP99)
+	row("notes", "%d published, %d accepted, in force everywhere p99 %.2f s, %d reverted, %d pending",
+		r.Notes.Published, r.Notes.Accepted, r.Notes.InForceP99S, r.Notes.Reverted, r.Notes.Pending)
+	row("weights", "%d versions, on all samplers p99 %.2f s, at most %d samplers swapped at once",
+		r.Weights.Versions, r.Weights.OnAllSamplersP99S, r.Weights.MaxSwapping)
+	k := r.Control
+	row("control", "per node without load: %.2f%% of a core, %.0f B/s (peers %.0f, log %.0f, list %.0f), and %.0f B/s to poll back ends",
+		100*k.CoreFractionPerNode, k.BytesPerSPerNode, k.PeerBytesPerS, k.LogBytesPerS, k.ListBytesPerS, k.BackendPollBytesPerS)
+	row("link", "%s", listCounts(r.Link.BytesByCause))
+	if len(r.BrokenPromises) == 0 {
+		row("promises", "none broken")
+	}
+	for _, b := range r.BrokenPromises {
+		row("BROKEN", "%s: %s", b.Promise, b.What)
+	}
+	return w.Flush()
+}
+
+func listCounts(m map[string]int64) string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s %d", name, m[name]))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, ", ")
+}
