--- a/rollout/enginesim/engine.go
+++ b/rollout/enginesim/engine.go
@@ -73,6 +73,8 @@
 	lateOrders []platform.Order
 	orders     []platform.Order
 	holdOrders chan struct{}
+	holdNext   int
+	delayed    []platform.Order
 	tokens     int64
 }
 
--- a/rollout/enginesim/order.go
+++ b/rollout/enginesim/order.go
@@ -44,18 +44,23 @@
 	e.loseSwaps = n
 }
 
-// HoldOrders keeps arriving orders from starting until the returned function is called, as a
-// connection with a long delay does.
-func (e *Engine) HoldOrders() (release func()) {
+// HoldOrders keeps the next n arriving orders from starting until the returned function is called, as a
+// connection with a long delay does. Orders whose sender gave up arrive then nevertheless.
+func (e *Engine) HoldOrders(n int) (release func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	hold := make(chan struct{})
-	e.holdOrders = hold
+	e.holdOrders, e.holdNext = hold, n
 	return func() {
 		e.mu.Lock()
-		e.holdOrders = nil
+		late := e.delayed
+		e.holdNext, e.delayed = 0, nil
 		e.mu.Unlock()
 		close(hold)
+		for _, o := range late {
+			// Nobody waits for the answer any more.
+			_ = e.execute(o)
+		}
 	}
 }
 
@@ -74,26 +79,42 @@
 }
 
 // Order implements platform.Engine.
-func (f *Fleet) Order(_ context.Context, addr string, o platform.Order) error {
+func (f *Fleet) Order(ctx context.Context, addr string, o platform.Order) error {
 	e := f.at(addr)
 	if e == nil {
 		return &platform.Error{Code: platform.NotSent, Op: "order", Err: errDown}
 	}
 	e.mu.Lock()
-	hold, down := e.holdOrders, e.down
+	var hold chan struct{}
+	if e.holdNext > 0 {
+		e.holdNext--
+		hold = e.holdOrders
+	}
+	down := e.down
 	e.mu.Unlock()
 	if down {
 		return &platform.Error{Code: platform.NotSent, Op: "order", Err: errDown}
 	}
 	if hold != nil {
-		<-hold
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.delayed = append(e.delayed, o)
+			return &platform.Error{Code: platform.OutcomeUnknown, Op: "order", Err: ctx.Err()}
+		}
 	}
+	return e.execute(o)
+}
+
+func (e *Engine) execute(o platform.Order) error {
 	if err := e.accept(o); err != nil {
 		return err
 	}
-	f.countSwap(1)
+	e.fleet.countSwap(1)
 	err := e.carryOut(o)
-	f.countSwap(-1)
+	e.fleet.countSwap(-1)
 	if err == nil && e.loses() {
 		return &platform.Error{Code: platform.OutcomeUnknown, Op: "order"}
 	}
--- a/weights/driver.go
+++ b/weights/driver.go
@@ -11,6 +11,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/platform"
 )
 
 // sampler is what the lease holder knows of one sampler.
@@ -25,10 +26,14 @@
 	nextTry                 time.Time
 	swappedAt               time.Time
 	failedSource            string
-	// swapping is set while an order is in flight; source is where it loads from.
-	swapping bool
-	source   string
-	serving  int
+	// swapping is set while an order to load ordered from source is in flight; abandon ends the wait for
+	// its answer.
+	swapping  bool
+	source    string
+	ordered   int64
+	orderedAt time.Time
+	abandon   context.CancelFunc
+	serving   int
 }
 
 func (s *sampler) holds(version int64) bool {
@@ -90,13 +95,26 @@
 			dr.d.opts.Unfit(id, true)
 		}
 		rep, ok := reports[id]
-		if !ok || s.swapping || time.Since(s.swappedAt) < reportLag {
+		if s.swapping {
+			dr.checkOrder(s, rep, ok)
+			continue
+		}
+		if !ok || time.Since(s.swappedAt) < reportLag {
 			continue
 		}
 		s.reported, s.version, s.held = true, rep.Version, rep.Held
 	}
 }
 
+// checkOrder ends the wait for an answer that will not come: the sampler runs the version already, or
+// it gives no load report although the order must have been started by now. Called with mu held.
+func (dr *driver) checkOrder(s *sampler, rep platform.LoadReport, ok bool) {
+	age := time.Since(s.orderedAt)
+	if (ok && rep.Version == s.ordered && age > reportLag) || (!ok && age > dr.d.opts.OrderLife) {
+		s.abandon()
+	}
+}
+
 // sync follows the contract's list of samplers.
 func (dr *driver) sync(svc *contract.Service) {
 	dr.mu.Lock()
@@ -129,6 +147,9 @@
 	if target == 0 {
 		return 0
 	}
+	if !dr.lease.Valid(dr.d.opts.LeaseMargin) {
+		return dr.d.opts.LeaseMargin // renewed by then, or lost
+	}
 	now := time.Now()
 	limit := swapLimit(svc)
 	var retry time.Duration
--- a/weights/options.go
+++ b/weights/options.go
@@ -55,7 +55,7 @@
 	// DefaultOrderLife is the time within which an engine must have started an order.
 	DefaultOrderLife = 3 * time.Second
 	// DefaultOrderTimeout bounds the wait for an order's answer, which covers the transfer.
-	DefaultOrderTimeout = 60 * time.Second
+	DefaultOrderTimeout = 30 * time.Second
 	// DefaultLeaseMargin is the validity that must be left of the lease when an order is sent.
 	DefaultLeaseMargin = 500 * time.Millisecond
 	// DefaultSweepPeriod is how often all samplers' versions are compared with the newest.
--- a/weights/order.go
+++ b/weights/order.go
@@ -16,29 +16,31 @@
 
 // start gives an order to s in a goroutine of its own. Called with mu held.
 func (dr *driver) start(ctx context.Context, s *sampler, version int64, source string) {
-	s.swapping, s.source = true, source
+	s.swapping, s.source, s.ordered, s.orderedAt = true, source, version, time.Now()
 	dr.swapping++
 	dr.orders++
 	if src := dr.byAddr(source); src != nil && src != s {
 		src.serving++
 	}
 	id := fmt.Sprintf("%s/%d/%s/%d/%d", dr.service, version, s.backend.ID, dr.lease.Fence(), dr.orders)
+	octx, cancel := context.WithTimeout(ctx, dr.d.opts.OrderTimeout)
+	s.abandon = cancel
+	backend := s.backend
 	dr.wg.Go(func() {
-		err := dr.order(ctx, s.backend, platform.Order{
+		defer cancel()
+		err := dr.order(ctx, octx, backend, platform.Order{
 			ID: id, Kind: platform.LoadVersion, Version: version, Source: source, Fence: dr.lease.Fence(),
 		})
 		dr.finish(s, version, err)
 	})
 }
 
-// order sends one order. When its answer is lost, load reports decide.
-func (dr *driver) order(ctx context.Context, b machine.Backend, o platform.Order) error {
-	ctx, span := otel.Tracer(tracerName).Start(ctx, "weights.order")
+// order sends one order, whose answer is awaited until octx ends. Without an answer, load reports decide.
+func (dr *driver) order(ctx, octx context.Context, b machine.Backend, o platform.Order) error {
+	octx, span := otel.Tracer(tracerName).Start(octx, "weights.order")
 	defer span.End()
 	span.SetAttributes(attribute.String("sampler", b.ID), attribute.Int64("version", o.Version), attribute.String("source", o.Source))
 	opts := dr.d.opts
-	octx, cancel := context.WithTimeout(ctx, opts.OrderTimeout)
-	defer cancel()
 	if err := dr.mayOrder(o.Version); err != nil {
 		return err
 	}
--- a/weights/source.go
+++ b/weights/source.go
@@ -21,7 +21,7 @@
 	if best != nil {
 		return best.backend.Addr, time.Time{}
 	}
-	if held || dr.fetching(s.backend.Zone.Region) {
+	if held || dr.fetching(s.backend.Zone.Region, version) {
 		return "", time.Time{}
 	}
 	r := dr.region(s.backend.Zone.Region)
@@ -49,10 +49,10 @@
 	return best, holders > 0
 }
 
-// fetching reports whether a sampler of region loads from outside the region.
-func (dr *driver) fetching(region string) bool {
+// fetching reports whether a sampler of region loads version from outside the region.
+func (dr *driver) fetching(region string, version int64) bool {
 	for _, o := range dr.samplers {
-		if o.backend.Zone.Region == region && o.swapping && (o.source == StoreSource || dr.isForeign(o, o.source)) {
+		if o.backend.Zone.Region == region && o.swapping && o.ordered == version && (o.source == StoreSource || dr.isForeign(o, o.source)) {
 			return true
 		}
 	}
