Rollout: cancelled attempts say nothing about an engine, steps opened away from their owner are served

An attempt that rollout itself ended counted as a success at the picker; it is now reported as cancelled. A step opened locally because its owner was unreachable sent the trainer in a circle once the owner answered step_not_open; the instance that has the step now serves it (TestForwardingLoopAndUnreachableOwner). The successor's wait is left to package lease, which does it.

--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -238,14 +238,15 @@
 	st.enqueue(s)
 }
 
-// reportable is the error that counts against the engine: none when the attempt was ended here.
+// reportable is the error that the picker learns. An attempt that was ended here says nothing about
+// the engine, which context.Canceled states.
 func reportable(a *attempt, err error) error {
-	if errors.Is(err, context.Canceled) && !a.silent.Load() {
-		return nil
-	}
 	var ae *attemptError
 	if errors.As(err, &ae) && (ae.Code == attemptSuperseded || ae.Code == attemptStaleCache) {
-		return nil
+		return context.Canceled
+	}
+	if errors.Is(err, context.Canceled) && !a.silent.Load() {
+		return context.Canceled
 	}
 	return err
 }
--- a/rollout/compare/picker.go
+++ b/rollout/compare/picker.go
@@ -61,7 +61,7 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.used[id]--
-		if err != nil {
+		if err != nil && !errors.Is(err, context.Canceled) {
 			p.failed[id] = time.Now()
 		}
 	}
--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -131,7 +131,7 @@
 	}
 	if blocked {
 		st.mu.Unlock()
-		pick.Done(0, 0, nil)
+		pick.Done(0, 0, context.Canceled)
 		st.srv.slots.release(st.key.service, st.key.trainer)
 		return
 	}
@@ -146,7 +146,7 @@
 		if move {
 			a.replaces = replaces
 		}
-		if pick.Version != 0 && pick.Version == replaces.version {
+		if v := st.srv.versionOf(pick); v != 0 && v == replaces.version {
 			a.kvFrom, a.kvRequest = replaces.pick.Backend.Addr, replaces.id
 		}
 	case s.saved != nil:
--- a/rollout/exactlyonce_test.go
+++ b/rollout/exactlyonce_test.go
@@ -117,6 +117,10 @@
 	b.Cut(b.via, owner, true)
 	b.begin(is, 2, groups(2, 2, 20))
 	b.whole(is, 4)
+	b.begin(is, 3, groups(2, 2, 20))
+	b.Cut(b.via, owner, false) // opened here, and the owner does not know it
+	b.whole(is, 4)
+	is.Equal(b.trainer.Ledger().Reopened, 0)
 }
 
 // Guards against a step of a trainer that never comes back holding memory for ever.
--- a/rollout/forward.go
+++ b/rollout/forward.go
@@ -40,10 +40,20 @@
 		return r.Context().Err() != nil
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(reasonHeader) == string(CodeStepNotOpen) && s.isOpen(key) {
+		// The step was opened here while its owner could not be reached, or with a body too large to
+		// forward; sending the trainer to open it at the owner again would not end.
+		return false
+	}
 	s.relay(w, resp)
 	return true
 }
 
+func (s *Server) isOpen(key stepKey) bool {
+	_, refusal := s.lookup(key)
+	return refusal == nil
+}
+
 // relay copies the owner's response once it is whole, so that a cut response is never taken for one.
 func (s *Server) relay(w http.ResponseWriter, resp *http.Response) {
 	data, err := io.ReadAll(resp.Body)
--- a/rollout/server.go
+++ b/rollout/server.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// versionOf returns the version that the picked engine reported last, 0 if unknown.
+func (s *Server) versionOf(pick Pick) int64 {
+	if pick.Version != 0 || s.opts.Load == nil {
+		return pick.Version
+	}
+	return s.opts.Load(pick.Backend.ID).Version
+}
+
 func (s *Server) isTrainer(key stepKey) bool {
 	svc, ok := s.opts.Directory.Service(key.service)
 	if !ok || svc.Rollout == nil {
--- a/weights/distributor.go
+++ b/weights/distributor.go
@@ -101,12 +101,6 @@
 func (d *Distributor) distribute(ctx context.Context, service string, held Held) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if svc, ok := d.opts.Directory.Service(service); ok && !svc.ChecksFencing {
-		// Engines that ignore fencing numbers may still start orders of the previous holder.
-		if !sleep(ctx, d.opts.OrderLife) {
-			return
-		}
-	}
 	dr := newDriver(d, service, held)
 	defer dr.wg.Wait()
 	ticker := time.NewTicker(d.opts.SweepPeriod)
--- a/weights/handlers.go
+++ b/weights/handlers.go
@@ -108,6 +108,9 @@
 }
 
 func (d *Distributor) known(service string, version int64) bool {
+	if d.opts.Directory.Withdrawn(service, version) {
+		return true // a repeated withdrawal
+	}
 	for _, a := range d.opts.Directory.Announced(service) {
 		if a.Version == version {
 			return true
--- a/weights/helpers_test.go
+++ b/weights/helpers_test.go
@@ -23,7 +23,10 @@
 	"github.com/cicadasill/cicadasill/zone"
 )
 
-const testTimeout = 20 * time.Second
+const (
+	testTimeout   = 20 * time.Second
+	testOrderLife = 100 * time.Millisecond
+)
 
 // TestMain guards against goroutines that outlive Run.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -171,6 +174,9 @@
 		Campaign: func(ctx context.Context, _ string) (weights.Held, error) {
 			select {
 			case h := <-leases:
+				if h.fence > 1 && !b.svc.ChecksFencing {
+					time.Sleep(testOrderLife) // the successor's wait, as package lease does it
+				}
 				return h, nil
 			case <-ctx.Done():
 				return nil, ctx.Err()
@@ -181,7 +187,7 @@
 			defer b.mu.Unlock()
 			b.unfit[id] = unfit
 		},
-		OrderLife: 100 * time.Millisecond, ReportPeriod: 5 * time.Millisecond, SweepPeriod: 20 * time.Millisecond,
+		OrderLife: testOrderLife, ReportPeriod: 5 * time.Millisecond, SweepPeriod: 20 * time.Millisecond,
 		RetryPause: 5 * time.Millisecond, MaxRetryPause: 40 * time.Millisecond,
 	})
 	b.wg.Go(func() { _ = d.Run(b.ctx) })
--- a/weights/options.go
+++ b/weights/options.go
@@ -47,7 +47,8 @@
 	Release(ctx context.Context) error
 }
 
-// CampaignFunc blocks until the lease of duty is acquired.
+// CampaignFunc blocks until the lease of duty is acquired. Where engines ignore fencing numbers it
+// also waits until no order of the previous holder can start any more, OrderLife after the takeover.
 type CampaignFunc func(ctx context.Context, duty string) (Held, error)
 
 // Defaults of Options.
