--- a/claim/begin.go
+++ b/claim/begin.go
@@ -86,6 +86,7 @@
 		return Decision{}, unknown(InFlight, nil)
 	}
 	if c.downLocked() {
+		s.wake() // to find out whether the log has returned
 		defer c.mu.Unlock()
 		return c.withoutLogLocked(req, LogUnavailable)
 	}
--- a/claim/options.go
+++ b/claim/options.go
@@ -33,8 +33,8 @@
 	// releasedFor is how long a released claim's id is remembered, so that a delayed append of
 	// the claim has no effect.
 	releasedFor = 10 * time.Minute
-	maxBatch    = 256 // claims and ends in one record, each
-	readPage    = 256 // records in one read
+	maxBatch    = 256  // claims and ends in one record, each
+	readPage    = 1000 // records in one read
 	readWait    = 200 * time.Millisecond
 	askBackoff  = 50 * time.Millisecond
 	logBackoff  = 100 * time.Millisecond
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -139,7 +139,10 @@
 	s.begin()
 	s.meter.bind(st.StreamID(), s.node.account.counter(s.peer.Zone, Cause(req.Cause)))
 	x := &exchange{s: s, st: st, r: bufio.NewReader(st), start: time.Now()}
-	x.stop = context.AfterFunc(ctx, func() { _ = st.SetDeadline(past) })
+	x.stop = context.AfterFunc(ctx, func() {
+		_ = st.SetDeadline(past)
+		_ = st.Close() // the handler's context ends even if the response body is closed late
+	})
 	if _, err = st.Write(msg); err == nil {
 		err = receive(x)
 	}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -171,6 +171,7 @@
 				eventually(b, "all joined", i.sees(n))
 			}
 			const seconds = 20
+			time.Sleep(seconds * time.Second) // until the statements about the joins are spread
 			before := sent(all)
 			for range b.N {
 				time.Sleep(seconds * time.Second)
