capacity: measured slopes of the control plane

Cause: the cost per node at 330 nodes was unknown. Change: package capacity and the command 'cicadasill capacity' start clusters of several sizes in one process and print cost tables with linear fits.

--- /dev/null
+++ b/capacity/boot.go
@@ -0,0 +1,121 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/control"
+	"github.com/cicadasill/cicadasill/entry"
+	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standin/list"
+	"github.com/cicadasill/cicadasill/standin/logserver"
+)
+
+const (
+	fillAppendRate   = 1e6 // the stand-in does not bound the rate while the stream is filled
+	fillConcurrency  = 32
+	menuSize         = 50 // services that the filling notes change in turn
+	snapshotTimeout  = 60 * time.Second
+	snapshotPoll     = 20 * time.Millisecond
+	measuredRestarts = 5
+)
+
+// measureBoot measures how long an instance takes to be ready when the control stream has
+// the given number of records, without a snapshot and then with one.
+func measureBoot(ctx context.Context, records int) ([]Boot, error) {
+	c := &cluster{traffic: newTraffic()}
+	defer c.close()
+	var err error
+	if c.log, err = logserver.Start(logserver.Options{AppendsPerS: fillAppendRate}); err != nil {
+		return nil, err
+	}
+	if c.list, err = list.Start(list.Options{}); err != nil {
+		return nil, err
+	}
+	if err := c.fill(ctx, records); err != nil {
+		return nil, err
+	}
+	without, err := c.timeBoot(ctx, "entry-001")
+	if err != nil {
+		return nil, err
+	}
+	boots := []Boot{{Records: records, ReadyS: without}}
+	if !c.awaitSnapshot(ctx) {
+		return boots, nil
+	}
+	times := make([]float64, 0, measuredRestarts)
+	for n := range measuredRestarts {
+		ready, err := c.timeBoot(ctx, fmt.Sprintf("entry-%03d", n+2))
+		if err != nil {
+			return boots, err
+		}
+		times = append(times, ready)
+	}
+	return append(boots, Boot{Records: records, Snapshot: true, ReadyS: median(times)}), nil
+}
+
+// fill appends notes to the control stream. Their bases are too low for most of them to be
+// accepted, which costs the fold the same work.
+func (c *cluster) fill(ctx context.Context, records int) error {
+	client := httpplatform.NewLog(c.log.Addr(), httpplatform.Options{})
+	defer client.Close()
+	tasks := pool.New().WithContext(ctx).WithMaxGoroutines(fillConcurrency).WithFirstError()
+	for n := range records {
+		tasks.Go(func(ctx context.Context) error {
+			note := &release.Note{
+				ID: fmt.Sprintf("fill-%d", n), Author: "capacity", Base: int64(n),
+				Added: []contract.Service{plainContract(fmt.Sprintf("service-%d", n%menuSize), nil)},
+			}
+			data, err := control.Record{Kind: control.KindNote, Note: note}.Encode()
+			if err != nil {
+				return err
+			}
+			_, err = client.Append(ctx, control.Stream, data)
+			return err
+		})
+	}
+	return tasks.Wait()
+}
+
+// timeBoot starts an instance and returns the seconds until it is ready.
+func (c *cluster) timeBoot(ctx context.Context, id string) (float64, error) {
+	instance, err := c.newInstance(id, zones(1)[0])
+	if err != nil {
+		return 0, err
+	}
+	c.instances = append(c.instances, instance)
+	start := time.Now()
+	c.run(ctx, instance)
+	if err := awaitReady(ctx, instance); err != nil {
+		return 0, err
+	}
+	return time.Since(start).Seconds(), nil
+}
+
+func awaitReady(ctx context.Context, instance *entry.Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	select {
+	case <-instance.Ready():
+		return nil
+	case <-ctx.Done():
+		return &Error{Code: NotReady, Err: ctx.Err()}
+	}
+}
+
+// awaitSnapshot reports whether a snapshot was written in time.
+func (c *cluster) awaitSnapshot(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	for c.log.Streams()[control.SnapshotsStream] == 0 {
+		if sleep(ctx, snapshotPoll) != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -127,3 +127,15 @@
 	report, _ := i.health.Report(backendID)
 	return report
 }
+
+// CatalogRevision returns the catalog revision that this instance has applied.
+func (i *Instance) CatalogRevision() int64 { return i.feed.State().Catalog.Revision() }
+
+// LiveInstances returns the live instances as this instance sees them, itself included.
+func (i *Instance) LiveInstances() []machine.Instance { return i.members.Live() }
+
+// Ready returns a channel that is closed when the instance has a state to serve from.
+func (i *Instance) Ready() <-chan struct{} { return i.feed.Ready() }
+
+// LinkBytes returns the instance's traffic with its peers by zone pair and cause.
+func (i *Instance) LinkBytes() []link.LinkBytes { return i.node.Bytes() }
