--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -14,11 +14,13 @@
 // longFactor marks a sample as long when its prediction is this many times the service's mean.
 const longFactor = 2.0
 
-// dispatch starts pending samples until slots or engines are exhausted.
+// dispatch starts pending samples until slots or engines are exhausted. A trainer's next step waits
+// until none of its earlier steps has a sample to start.
 func (st *step) dispatch(ctx context.Context) {
+	defer st.srv.wakeNext(st)
 	for ctx.Err() == nil {
 		svc, ok := st.service()
-		if !ok || svc.Rollout == nil {
+		if !ok || svc.Rollout == nil || st.srv.earlierPending(st) {
 			return
 		}
 		s := st.next()
--- a/rollout/handlers.go
+++ b/rollout/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -71,6 +72,11 @@
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeError(w, refuse(CodeStepTooLarge, "body above %d bytes", tooLarge.Limit))
+		return
+	}
 	if err != nil {
 		writeError(w, refuse(CodeBadRequest, "body: %v", err))
 		return
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -161,9 +161,7 @@
 
 // second starts another attempt for a's sample on a faster engine: a move or a hedge.
 func (st *step) second(ctx context.Context, svc *contract.Service, a *attempt, move bool) {
-	if !st.srv.slots.tryAcquire(svc, st.key.trainer) {
-		return
-	}
+	st.srv.slots.force(st.key.service, st.key.trainer)
 	st.mu.Lock()
 	hard := max(0, st.expectedVersion(svc)-svc.Rollout.MaxVersionLag)
 	st.mu.Unlock()
--- a/rollout/server.go
+++ b/rollout/server.go
@@ -180,6 +180,40 @@
 	return st
 }
 
+// siblings returns the open steps of st's trainer.
+func (s *Server) siblings(st *step) []*step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*step
+	for k, o := range s.steps {
+		if o != st && k.owner() == st.key.owner() {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func (s *Server) earlierPending(st *step) bool {
+	for _, o := range s.siblings(st) {
+		if o.key.step < st.key.step && o.hasPending() {
+			return true
+		}
+	}
+	return false
+}
+
+// wakeNext lets later steps of the trainer start samples once st has none left to start.
+func (s *Server) wakeNext(st *step) {
+	if st.hasPending() {
+		return
+	}
+	for _, o := range s.siblings(st) {
+		if o.key.step > st.key.step {
+			o.signal()
+		}
+	}
+}
+
 // lookup returns an open step.
 func (s *Server) lookup(key stepKey) (*step, *Error) {
 	s.mu.Lock()
--- a/rollout/slots.go
+++ b/rollout/slots.go
@@ -53,6 +53,19 @@
 	return true
 }
 
+// force takes a slot above all bounds. Moves and hedges use it: they are bounded themselves, and the
+// tail of a step must not wait for the samples of the next one.
+func (s *slots) force(service, trainer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	used := s.used[service]
+	if used == nil {
+		used = make(map[string]int)
+		s.used[service] = used
+	}
+	used[trainer]++
+}
+
 func (s *slots) share(svc *contract.Service, trainer string, capacity int) int {
 	sum, own := 0.0, 0.0
 	for _, t := range svc.Trainers {
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -202,6 +202,13 @@
 	return owner == nil || owner(st.key.owner(), live).Ref() == self.Ref()
 }
 
+// hasPending reports whether samples wait for an engine.
+func (st *step) hasPending() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return len(st.pending) > 0
+}
+
 // touch notes a request of the trainer.
 func (st *step) touch() {
 	st.mu.Lock()
--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -14,7 +14,8 @@
 
 // Limits on one request.
 const (
-	maxBodyBytes      = 64 << 20
+	// maxBodyBytes is below the largest message between instances, so that every body can be forwarded.
+	maxBodyBytes      = 15 << 20
 	maxSamplesPerStep = 1 << 16
 	maxTokensPerTake  = 1 << 20
 	maxTakeWait       = 60 * time.Second
