standin/serve: ports outside the range of outgoing connections

Cause: 2 of 12 demo runs failed to start with 'address already in use': the free port found had meanwhile been taken by an outgoing connection; a restarted engine can fail the same way. Change: stand-ins and demo instances listen on ports from 15000 to 31999. A trainer's step no longer depends on the number of requests before it; callers keep a refusal that the log's outage causes instead of repeating it.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standin/serve"
 )
 
 // Times of the entry instances' life cycle.
@@ -88,7 +89,7 @@
 		var addrs [3]string
 		for k := range addrs {
 			var err error
-			if addrs[k], err = freeAddr(); err != nil {
+			if addrs[k], err = serve.FreeAddr(); err != nil {
 				return nil, &StartError{What: m.id, Err: err}
 			}
 		}
--- a/demo/network.go
+++ b/demo/network.go
@@ -200,17 +200,6 @@
 	return c.Conn.Close()
 }
 
-// freeAddr returns a free loopback address. The port is released, so another process may take
-// it before it is used; the demonstration then fails to start.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // crossRegionBytes sums what engines sent to engines of other regions, by kind.
 func crossRegionBytes(engines []*engine.Server, regionOf func(z string) string) map[string]int64 {
 	out := map[string]int64{}
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -29,7 +29,9 @@
 	// retryPause is the longest pause before a retry; it is drawn at random.
 	retryPause = 200 * time.Millisecond
 	maxLatency = 5 * time.Minute
-	maxRecords = 1_000_000
+	// reasonLogUnavailable is the reason of a refusal during a log outage.
+	reasonLogUnavailable = "log_unavailable"
+	maxRecords           = 1_000_000
 )
 
 // Kind is the kind of a call.
@@ -237,13 +239,19 @@
 		tried[addr] = true
 		got := c.attempt(addr, r, attempt)
 		last = c.combine(last, got, attempt == 1)
-		if got.outcome == answered || got.outcome == mixedUp {
+		if got.outcome == answered || got.outcome == mixedUp || c.settled(got) {
 			break
 		}
 	}
 	c.finish(r, last, due)
 }
 
+// settled reports whether a refusal is kept as the result. While the log is away a repeated
+// attempt can only learn less: the system cannot tell what an earlier attempt did.
+func (c *Callers) settled(got outcomeOf) bool {
+	return c.opts.NonIdempotent && got.outcome == notRun && got.reason == reasonLogUnavailable
+}
+
 // combine is what a caller knows after an attempt that followed others. A refusal under a key
 // speaks of all attempts so far; without a key it speaks of its own attempt only.
 func (c *Callers) combine(last, got outcomeOf, first bool) outcomeOf {
--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -40,9 +40,6 @@
 
 // Start serves handler at addr; an empty addr means a free loopback port.
 func Start(addr string, handler http.Handler) (*Server, error) {
-	if addr == "" {
-		addr = "127.0.0.1:0"
-	}
 	s := &Server{addr: addr, conns: map[*conn]struct{}{}}
 	s.handler = s.echo(handler)
 	return s, s.Restart()
@@ -62,7 +59,7 @@
 	if s.hs != nil {
 		return nil
 	}
-	ln, err := net.Listen("tcp", s.addr)
+	ln, err := listen(s.addr)
 	if err != nil {
 		return &StartError{Addr: s.addr, Err: err}
 	}
--- a/standin/trainer/step.go
+++ b/standin/trainer/step.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 
@@ -73,14 +74,16 @@
 
 func (t *Trainer) newStep(n int64) *step {
 	s := &step{number: n, open: openBody{Version: t.Version()}, pick: map[string]bool{}}
+	// A generator of its own makes the step independent of the number of requests before it.
+	rng := rand.New(rand.NewPCG(t.opts.Seed, uint64(n)<<8))
 	for g := range t.opts.Groups {
-		length := t.opts.MaxTokens/2 + t.rng.IntN(t.opts.MaxTokens)
-		if t.rng.Float64() < t.opts.LongFraction {
+		length := t.opts.MaxTokens/2 + rng.IntN(t.opts.MaxTokens)
+		if rng.Float64() < t.opts.LongFraction {
 			length = t.opts.MaxTokens * t.opts.LongFactor
 		}
 		id := fmt.Sprintf("%s-%d-%d", t.opts.Name, n, g)
 		s.open.Groups = append(s.open.Groups, group{
-			ID: id, Prompt: "record " + id, Samples: t.opts.Samples, MaxTokens: length, Seed: t.rng.Int64N(1 << 40),
+			ID: id, Prompt: "record " + id, Samples: t.opts.Samples, MaxTokens: length, Seed: rng.Int64N(1 << 40),
 		})
 		for range t.opts.Samples {
 			s.groups = append(s.groups, g)
