--- a/rollout/compare/bench_test.go
+++ b/rollout/compare/bench_test.go
@@ -11,10 +11,14 @@
 
 // BenchmarkSteps prints the step times of docs/design/rollouts.md.
 func BenchmarkSteps(b *testing.B) {
-	for range b.N {
-		if err := compare.CompareSteps(os.Stdout, seeds); err != nil {
-			b.Fatal(err)
-		}
+	for name, random := range map[string]float64{"predictable": 0, "half-random": 0.5} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				if err := compare.CompareSteps(os.Stdout, seeds, random); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
 	}
 }
 
--- a/rollout/compare/table.go
+++ b/rollout/compare/table.go
@@ -48,9 +48,14 @@
 	return out
 }
 
-// CompareSteps writes the step times of every mechanism on the same seeds.
-func CompareSteps(out io.Writer, seeds []uint64) error {
-	return compareAll(out, seeds, 0, Mechanisms())
+// CompareSteps writes the step times of every mechanism on the same seeds. The part random of the
+// long samples cannot be predicted.
+func CompareSteps(out io.Writer, seeds []uint64, random float64) error {
+	results, err := runAll(seeds, func(w *Workload) { w.LongRandom = random }, Mechanisms())
+	if err != nil {
+		return err
+	}
+	return writeTable(out, seeds, results)
 }
 
 // CompareFaults writes the idle time with an engine crash and a swap in each step.
@@ -59,12 +64,16 @@
 	for i := range variants {
 		variants[i].Faults, variants[i].Ahead = true, 1
 	}
-	return compareAll(out, seeds, time.Second, variants)
+	results, err := runAll(seeds, func(w *Workload) { w.Train = time.Second }, variants)
+	if err != nil {
+		return err
+	}
+	return writeTable(out, seeds, results)
 }
 
 // CompareWeights writes the trade-off between idle time and staleness as a table and a plot.
 func CompareWeights(out, plot io.Writer, seeds []uint64) error {
-	results, err := runAll(seeds, 1500*time.Millisecond, Weights())
+	results, err := runAll(seeds, func(w *Workload) { w.Train = 1500 * time.Millisecond }, Weights())
 	if err != nil {
 		return err
 	}
@@ -74,21 +83,13 @@
 	return writePlot(plot, results)
 }
 
-func compareAll(out io.Writer, seeds []uint64, train time.Duration, variants []Variant) error {
-	results, err := runAll(seeds, train, variants)
-	if err != nil {
-		return err
-	}
-	return writeTable(out, seeds, results)
-}
-
-func runAll(seeds []uint64, train time.Duration, variants []Variant) ([]Result, error) {
+func runAll(seeds []uint64, adjust func(*Workload), variants []Variant) ([]Result, error) {
 	var results []Result
 	for _, v := range variants {
 		sum := Result{Name: v.Name, Wasted: make(map[string]float64)}
 		for _, seed := range seeds {
 			w := Today(seed)
-			w.Train = train
+			adjust(&w)
 			ctx, cancel := context.WithTimeout(context.Background(), runTimeout)
 			r, err := w.Run(ctx, v, stepsPerRun)
 			cancel()
--- a/rollout/compare/workload.go
+++ b/rollout/compare/workload.go
@@ -23,11 +23,12 @@
 	TokenRate, SlowFactor float64
 	Groups, PerGroup      int
 	Median                int
-	// LongFraction of the samples have LongTimes the median length; half of them form whole groups
-	// of the same prompts in every step, the other half are drawn anew in each step.
-	LongFraction float64
-	LongTimes    int
-	Train        time.Duration
+	// LongFraction of the samples have LongTimes the median length. The part LongRandom of them are
+	// drawn anew in each step, which no prediction finds; the others form whole groups of the same
+	// prompts in every step.
+	LongFraction, LongRandom float64
+	LongTimes                int
+	Train                    time.Duration
 }
 
 // Today is the workload of the tables: 9 engines, 512 samples, 5% of them ten times the median.
@@ -39,6 +40,8 @@
 }
 
 const (
+	// chunk is the period of engines' events. A sequence ends up to one period late.
+	chunk       = 2 * time.Millisecond
 	serviceName = "fry-lm"
 	trainerName = "main"
 )
@@ -58,7 +61,7 @@
 	for i := range w.Engines {
 		e := f.Add(enginesim.Options{
 			ID: fmt.Sprintf("s%d", i), TokenRate: w.TokenRate, Slots: w.Slots, Version: 1,
-			Zone: zone.Zone{Region: "north", DataCentre: "north-0"}, SwapTime: 30 * time.Millisecond, LoadTime: 20 * time.Millisecond,
+			Zone: zone.Zone{Region: "north", DataCentre: "north-0"}, Chunk: chunk, SwapTime: 30 * time.Millisecond, LoadTime: 20 * time.Millisecond,
 		})
 		if i == 0 {
 			e.SetSlow(w.SlowFactor)
@@ -72,7 +75,7 @@
 	rng := rand.New(rand.NewPCG(w.Seed, uint64(seed)))
 	jitter := 0.8 + 0.4*rng.Float64()
 	n := float64(w.Median) * jitter
-	if w.longGroup(prompt) || rng.Float64() < w.LongFraction/2 {
+	if w.longGroup(prompt) || rng.Float64() < w.LongFraction*w.LongRandom {
 		n *= float64(w.LongTimes)
 	}
 	return int(n)
@@ -85,7 +88,7 @@
 		return false
 	}
 	// Long groups are spread over the step by a stride that is coprime to the number of groups.
-	return float64(g*37%w.Groups) < w.LongFraction/2*float64(w.Groups)
+	return float64(g*37%w.Groups) < w.LongFraction*(1-w.LongRandom)*float64(w.Groups)
 }
 
 // step returns the body of one step. The prompts are those of every step, the seeds are new.
