--- a/rollout/compare/deployment.go
+++ b/rollout/compare/deployment.go
@@ -38,11 +38,10 @@
 
 // Deployment is a set of rollout servers whose requests are forwarded in memory.
 type Deployment struct {
+	*Control
 	cfg Config
 
 	mu        sync.Mutex
-	service   contract.Service
-	newest    int64
 	instances []*instance
 	cut       map[[2]int]bool
 }
@@ -61,7 +60,7 @@
 // New starts a deployment.
 func New(cfg Config) *Deployment {
 	cfg.Service.Backends = cfg.Fleet.Backends(cfg.Service.Name)
-	d := &Deployment{cfg: cfg, service: cfg.Service, cut: make(map[[2]int]bool)}
+	d := &Deployment{Control: NewControl(cfg.Service), cfg: cfg, cut: make(map[[2]int]bool)}
 	for i := range cfg.Instances {
 		d.instances = append(d.instances, &instance{d: d, index: i})
 		d.Start(i)
@@ -131,37 +130,12 @@
 
 // OwnerOf returns the index of the instance that owns trainer's steps in the true view.
 func (d *Deployment) OwnerOf(trainer string) int {
-	owner := Owner(d.service.Name+"/"+trainer, d.instances[0].Live())
+	owner := Owner(d.cfg.Service.Name+"/"+trainer, d.instances[0].Live())
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.IndexFunc(d.instances, func(in *instance) bool { return in.self.ID == owner.ID })
 }
 
-// Announce makes version the newest announced one.
-func (d *Deployment) Announce(version int64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.newest = version
-}
-
-// Service implements rollout.Directory.
-func (d *Deployment) Service(name string) (*contract.Service, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if name != d.service.Name {
-		return nil, false
-	}
-	svc := d.service
-	return &svc, true
-}
-
-// NewestVersion implements rollout.Directory.
-func (d *Deployment) NewestVersion(string) int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.newest
-}
-
 // Self implements rollout.View.
 func (in *instance) Self() machine.Instance {
 	in.d.mu.Lock()
--- a/rollout/enginesim/engine.go
+++ b/rollout/enginesim/engine.go
@@ -91,6 +91,37 @@
 	swapping  int
 	maxSwap   int
 	starts    []platform.GenerateRequest
+	hooks     map[Stage]func(e *Engine)
+}
+
+// Stage is a point of an engine's work at which a hook can run.
+type Stage string
+
+// Stages.
+const (
+	Dispatch Stage = "dispatch" // a generation request arrives
+	Load     Stage = "load"     // weights are about to be fetched
+	Activate Stage = "activate" // fetched weights are about to be activated
+)
+
+// On runs hook once, at the next time that any engine reaches stage.
+func (f *Fleet) On(stage Stage, hook func(e *Engine)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hooks == nil {
+		f.hooks = make(map[Stage]func(*Engine))
+	}
+	f.hooks[stage] = hook
+}
+
+func (f *Fleet) reach(stage Stage, e *Engine) {
+	f.mu.Lock()
+	hook := f.hooks[stage]
+	delete(f.hooks, stage)
+	f.mu.Unlock()
+	if hook != nil {
+		hook(e)
+	}
 }
 
 var _ platform.Engine = (*Fleet)(nil)
@@ -170,6 +201,7 @@
 	if e == nil {
 		return nil, &platform.Error{Code: platform.NotSent, Op: "generate", Err: errDown}
 	}
+	f.reach(Dispatch, e)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
@@ -225,6 +257,16 @@
 	e.kv = make(map[string]int64)
 }
 
+// Reset cuts all open streams; the engine itself goes on.
+func (e *Engine) Reset() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.down {
+		close(e.life)
+		e.life = make(chan struct{})
+	}
+}
+
 // Restart starts a crashed engine with the given version.
 func (e *Engine) Restart(version int64) {
 	e.mu.Lock()
@@ -283,6 +325,13 @@
 	return e.version
 }
 
+// Down reports whether the engine crashed and was not restarted.
+func (e *Engine) Down() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
 // Tokens returns the number of tokens generated here.
 func (e *Engine) Tokens() int64 {
 	e.mu.Lock()
--- a/rollout/enginesim/order.go
+++ b/rollout/enginesim/order.go
@@ -90,11 +90,15 @@
 		e.holdNext--
 		hold = e.holdOrders
 	}
-	down := e.down
+	down, silent := e.down, e.silent
 	e.mu.Unlock()
 	if down {
 		return &platform.Error{Code: platform.NotSent, Op: "order", Err: errDown}
 	}
+	if silent {
+		<-ctx.Done()
+		return &platform.Error{Code: platform.OutcomeUnknown, Op: "order", Err: ctx.Err()}
+	}
 	if hold != nil {
 		select {
 		case <-hold:
@@ -153,6 +157,7 @@
 	held, life := slices.Contains(e.held, o.Version), e.life
 	e.mu.Unlock()
 	if !held {
+		e.fleet.reach(Load, e)
 		if err := e.fleet.fetch(e, o); err != nil {
 			return err
 		}
@@ -160,6 +165,7 @@
 			return err
 		}
 	}
+	e.fleet.reach(Activate, e)
 	e.mu.Lock()
 	if e.failSwaps != 0 {
 		e.failSwaps--
--- a/rollout/helpers_test.go
+++ b/rollout/helpers_test.go
@@ -30,6 +30,7 @@
 	trainer *compare.Trainer
 	reg     *prometheus.Registry
 	ctx     context.Context
+	cancel  context.CancelFunc
 	via     int // the instance that the trainer calls
 }
 
@@ -61,7 +62,7 @@
 	t.Cleanup(b.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	t.Cleanup(cancel)
-	b.ctx = ctx
+	b.ctx, b.cancel = ctx, cancel
 	b.trainer = &compare.Trainer{
 		Service: svc.Name, Name: "main", Version: 1, MaxLag: svc.Rollout.MaxVersionLag,
 		Do: func(r *http.Request) (*http.Response, error) { return b.Do(b.via, r) },
--- a/rollout/scorer_test.go
+++ b/rollout/scorer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/platform"
@@ -31,3 +32,31 @@
 	defer f.mu.Unlock()
 	return f.failures
 }
+
+// hookScorer runs a hook once before it scores, and may lose one answer.
+type hookScorer struct {
+	mu   sync.Mutex
+	hook func()
+	lose atomic.Bool
+}
+
+func (h *hookScorer) set(hook func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hook = hook
+}
+
+// Score implements rollout.Scorer.
+func (h *hookScorer) Score(context.Context, *contract.Service, rollout.ScoreRequest) (float64, error) {
+	h.mu.Lock()
+	hook := h.hook
+	h.hook = nil
+	h.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	if h.lose.CompareAndSwap(true, false) {
+		return 0, &platform.Error{Code: platform.OutcomeUnknown, Op: "score"}
+	}
+	return 1, nil
+}
--- a/weights/helpers_test.go
+++ b/weights/helpers_test.go
@@ -18,6 +18,7 @@
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/rollout/compare"
 	"github.com/cicadasill/cicadasill/rollout/enginesim"
 	"github.com/cicadasill/cicadasill/weights"
 	"github.com/cicadasill/cicadasill/zone"
@@ -31,117 +32,16 @@
 // TestMain guards against goroutines that outlive Run.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// versions is a control state in memory: directory and announcer.
-type versions struct {
-	mu        sync.Mutex
-	svc       contract.Service
-	announced []weights.Announced
-	changed   chan struct{}
-	logErr    error
-}
-
-func (v *versions) Services() []*contract.Service {
-	svc, _ := v.Service(v.svc.Name)
-	return []*contract.Service{svc}
-}
-
-func (v *versions) Service(name string) (*contract.Service, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	svc := v.svc
-	return &svc, name == svc.Name
-}
-
-func (v *versions) Newest(string) int64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var newest int64
-	for _, a := range v.announced {
-		if !a.Withdrawn {
-			newest = max(newest, a.Version)
-		}
-	}
-	return newest
-}
-
-func (v *versions) Withdrawn(_ string, version int64) bool {
-	return slices.Contains(v.Announced(""), weights.Announced{Version: version, Trainer: "main", Withdrawn: true})
-}
-
-func (v *versions) Announced(string) []weights.Announced {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return slices.Clone(v.announced)
-}
-
-func (v *versions) Changed() <-chan struct{} {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.changed
-}
-
-func (v *versions) AnnounceVersion(_ context.Context, _ string, version int64, trainer string) error {
-	return v.change(func() {
-		if !slices.ContainsFunc(v.announced, func(a weights.Announced) bool { return a.Version == version }) {
-			v.announced = append(v.announced, weights.Announced{Version: version, Trainer: trainer})
-		}
-	})
-}
-
-func (v *versions) WithdrawVersion(_ context.Context, _ string, version int64) error {
-	return v.change(func() {
-		for i := range v.announced {
-			if v.announced[i].Version == version {
-				v.announced[i].Withdrawn = true
-			}
-		}
-	})
-}
-
-func (v *versions) change(f func()) error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.logErr != nil {
-		return v.logErr
-	}
-	f()
-	close(v.changed)
-	v.changed = make(chan struct{})
-	return nil
-}
-
-// held is a lease that the test controls.
-type held struct {
-	fence  int64
-	mu     sync.Mutex
-	lapsed bool
-	lost   chan struct{}
-}
-
-func (h *held) Fence() int64                  { return h.fence }
-func (h *held) Lost() <-chan struct{}         { return h.lost }
-func (h *held) Release(context.Context) error { return nil }
-func (h *held) Valid(time.Duration) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return !h.lapsed
-}
-
-// lapse ends the lease without a notice to its holder.
-func (h *held) lapse() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.lapsed = true
-}
-
 // bed is nine samplers in two regions and a control state.
 type bed struct {
-	*versions
-	fleet *enginesim.Fleet
-	ctx   context.Context
-	wg    conc.WaitGroup
-	mu    sync.Mutex
-	unfit map[string]bool
+	*compare.Control
+	backends []machine.Backend
+	fleet    *enginesim.Fleet
+	ctx      context.Context
+	checks   bool
+	wg       conc.WaitGroup
+	mu       sync.Mutex
+	unfit    map[string]bool
 }
 
 func newBed(t *testing.T, checksFencing bool) *bed {
@@ -154,11 +54,12 @@
 		b.fleet.Add(enginesim.Options{ID: fmt.Sprintf("s%d", i), Zone: z, Version: 1,
 			LoadTime: 10 * time.Millisecond, SwapTime: 5 * time.Millisecond, ChecksFencing: checksFencing})
 	}
-	b.versions = &versions{changed: make(chan struct{}), svc: contract.Service{
+	b.backends, b.checks = b.fleet.Backends("fry-lm"), checksFencing
+	b.Control = compare.NewControl(contract.Service{
 		Name: "fry-lm", Kind: machine.Sampler, Trainers: []contract.Trainer{{Name: "main", Share: 1}},
-		Backends: b.fleet.Backends("fry-lm"), ChecksFencing: checksFencing,
+		Backends: b.backends, ChecksFencing: checksFencing,
 		Rollout: &contract.RolloutTerms{MaxSwappingFraction: 0.34},
-	}}
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	b.ctx = ctx
 	t.Cleanup(func() { cancel(); b.wg.Wait() })
@@ -166,22 +67,14 @@
 }
 
 // start runs a distributor that holds lease, as one instance after another may.
-func (b *bed) start(lease *held) *weights.Distributor {
-	leases := make(chan *held, 1)
-	leases <- lease
+func (b *bed) start(lease *compare.Lease) *weights.Distributor {
+	wait := time.Duration(0)
+	if lease.Fence() > 1 && !b.checks {
+		wait = testOrderLife // the successor's wait, as package lease does it
+	}
 	d := weights.New(weights.Options{
 		Directory: b, Announcer: b, Engine: b.fleet,
-		Campaign: func(ctx context.Context, _ string) (weights.Held, error) {
-			select {
-			case h := <-leases:
-				if h.fence > 1 && !b.svc.ChecksFencing {
-					time.Sleep(testOrderLife) // the successor's wait, as package lease does it
-				}
-				return h, nil
-			case <-ctx.Done():
-				return nil, ctx.Err()
-			}
-		},
+		Campaign: compare.Campaign(lease, wait),
 		Unfit: func(id string, unfit bool) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -194,8 +87,6 @@
 	return d
 }
 
-func lease(fence int64) *held { return &held{fence: fence, lost: make(chan struct{})} }
-
 // request calls the version paths and returns status and body.
 func request(d *weights.Distributor, method, path, body string) (int, string) {
 	r := httprouter.New()
@@ -222,7 +113,7 @@
 
 // all reports whether every sampler but those named runs version.
 func (b *bed) all(version int64, except ...string) bool {
-	for _, s := range b.svc.Backends {
+	for _, s := range b.backends {
 		if !slices.Contains(except, s.ID) && b.fleet.Engine(s.ID).Version() != version {
 			return false
 		}
@@ -233,7 +124,7 @@
 // orders counts the started orders for version.
 func (b *bed) orders(version int64) int {
 	n := 0
-	for _, s := range b.svc.Backends {
+	for _, s := range b.backends {
 		for _, o := range b.fleet.Engine(s.ID).Orders() {
 			if o.Version == version && o.Kind == platform.LoadVersion {
 				n++
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/rollout/compare"
 )
 
 // Guards against a version that crosses the link between regions more than once per region, and
@@ -14,7 +15,7 @@
 func TestOneStoreTransferPerRegionAndStaggering(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, true)
-	d := b.start(lease(7))
+	d := b.start(compare.NewLease(7))
 	status, _ := request(d, "POST", "fry-lm/versions", `{"version":2,"trainer":"main"}`)
 	is.Equal(status, 200)
 	b.until(is, func() bool { return b.all(2) })
@@ -34,7 +35,7 @@
 func TestAnnouncementRefusals(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, true)
-	d := b.start(lease(1))
+	d := b.start(compare.NewLease(1))
 	for _, c := range []struct {
 		method, path, body, code string
 		status                   int
@@ -49,11 +50,11 @@
 		is.Equal(status, c.status)
 		is.True(strings.Contains(body, c.code))
 	}
-	b.logErr = &platform.Error{Code: platform.Unavailable, Op: "append"}
+	b.SetLog(&platform.Error{Code: platform.Unavailable, Op: "append"})
 	status, body := request(d, "POST", "fry-lm/versions", `{"version":2,"trainer":"main"}`)
 	is.Equal(status, 503)
 	is.True(strings.Contains(body, "log_unavailable"))
-	b.logErr = &platform.Error{Code: platform.OutcomeUnknown, Op: "append"}
+	b.SetLog(&platform.Error{Code: platform.OutcomeUnknown, Op: "append"})
 	_, body = request(d, "POST", "fry-lm/versions", `{"version":2,"trainer":"main"}`)
 	is.True(strings.Contains(body, "outcome_unknown"))
 }
@@ -62,7 +63,7 @@
 func TestWithdrawnVersion(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, true)
-	d := b.start(lease(1))
+	d := b.start(compare.NewLease(1))
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 	b.until(is, func() bool { return b.all(2) })
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 3, "main"))
@@ -85,7 +86,7 @@
 	is := is.New(t)
 	b := newBed(t, true)
 	release := b.fleet.Engine("s0").HoldOrders(1)
-	b.start(lease(1))
+	b.start(compare.NewLease(1))
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 	b.until(is, func() bool { return b.orders(2) >= 1 }) // s6 loads in the south, s0 hangs in the north
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 3, "main"))
@@ -105,7 +106,7 @@
 	is := is.New(t)
 	b := newBed(t, true)
 	b.fleet.Engine("s4").FailSwaps(-1)
-	b.start(lease(1))
+	b.start(compare.NewLease(1))
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 	b.until(is, func() bool { return b.all(2, "s4") && b.isUnfit("s4") })
 	is.True(len(b.fleet.Engine("s4").Orders()) >= 3)
@@ -118,11 +119,11 @@
 	is := is.New(t)
 	b := newBed(t, true)
 	b.fleet.SetStore(true, 0)
-	b.start(lease(1))
+	b.start(compare.NewLease(1))
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 	b.until(is, func() bool { return b.orders(2) >= 12 })
 	is.True(b.all(1))
-	for _, s := range b.svc.Backends {
+	for _, s := range b.backends {
 		is.True(!b.isUnfit(s.ID))
 	}
 	b.fleet.SetStore(false, 0)
@@ -133,10 +134,10 @@
 func TestLostOrderAnswer(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, true)
-	for _, s := range b.svc.Backends {
+	for _, s := range b.backends {
 		b.fleet.Engine(s.ID).LoseAnswers(1)
 	}
-	b.start(lease(1))
+	b.start(compare.NewLease(1))
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 	b.until(is, func() bool { return b.all(2) })
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 3, "main"))
@@ -152,14 +153,14 @@
 		is := is.New(t)
 		b := newBed(t, checks)
 		release := b.fleet.Engine("s0").HoldOrders(1)
-		old := lease(1)
+		old := compare.NewLease(1)
 		b.start(old)
 		is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 		b.until(is, func() bool { return b.orders(2) >= 1 }) // the order to s0 is on its way
-		old.lapse()
+		old.Lapse()
 		is.NoErr(b.WithdrawVersion(b.ctx, "fry-lm", 2))
 		is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 3, "main"))
-		b.start(lease(2))
+		b.start(compare.NewLease(2))
 		b.until(is, func() bool { return b.all(3) })
 		release()
 		b.until(is, func() bool { return len(b.fleet.Engine("s0").Refused()) == 1 })
@@ -174,15 +175,15 @@
 func TestNoOrderAfterLapse(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, true)
-	old := lease(1)
+	old := compare.NewLease(1)
 	b.start(old)
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 	b.until(is, func() bool { return b.all(2) })
-	old.lapse()
+	old.Lapse()
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 3, "main"))
-	b.start(lease(2))
+	b.start(compare.NewLease(2))
 	b.until(is, func() bool { return b.all(3) })
-	for _, s := range b.svc.Backends {
+	for _, s := range b.backends {
 		for _, o := range b.fleet.Engine(s.ID).Orders() {
 			is.True(o.Version == 2 || o.Fence == 2)
 		}
@@ -193,7 +194,7 @@
 func TestRestartedSamplerIsMoved(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, true)
-	b.start(lease(1))
+	b.start(compare.NewLease(1))
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 	b.until(is, func() bool { return b.all(2) })
 	b.fleet.Engine("s7").Crash()
