--- a/routing/compare/doc.go
+++ b/routing/compare/doc.go
@@ -42,7 +42,9 @@
 	CacheEntries int
 	ReportPeriod time.Duration
 	ReportLag    time.Duration
-	Seed         uint64
+	// Price is the price of a megabyte between regions; 0 means the default.
+	Price time.Duration
+	Seed  uint64
 }
 
 // Today is the size of today's deployments: 9 instances and 9 samplers in two regions.
@@ -56,7 +58,10 @@
 
 // scaled divides the durations by Scale.
 func (c Config) scaled() Config {
-	for _, d := range []*time.Duration{&c.TokenTime, &c.PrefillTime, &c.ReportPeriod, &c.ReportLag} {
+	if c.Price == 0 {
+		c.Price = routing.DefaultPricePerMB
+	}
+	for _, d := range []*time.Duration{&c.TokenTime, &c.PrefillTime, &c.ReportPeriod, &c.ReportLag, &c.Price} {
 		*d /= time.Duration(c.Scale)
 	}
 	return c
--- a/routing/router.go
+++ b/routing/router.go
@@ -185,11 +185,8 @@
 // byCost compares two random candidates and the holders of the prefix.
 func (c *chooser) byCost() *health.Backend {
 	var candidates [2 + holdersPerPrefix]*health.Backend
-	n := 0
-	for range 2 {
-		candidates[n] = c.draw()
-		n++
-	}
+	candidates[0], candidates[1] = c.drawNear(), c.draw()
+	n := 2
 	for i := range c.holderCount {
 		if b, ok := c.table.opts.Tracker.Backend(c.holders[i].Backend); ok && b.Service == c.req.Service.Name && c.eligible(b) {
 			candidates[n] = b
@@ -199,6 +196,18 @@
 	return c.least(candidates[:n], c.cost)
 }
 
+// drawNear returns a random eligible back end, of the own region if a few draws find one.
+// Two draws from anywhere would compare two far back ends in a part of the choices.
+func (c *chooser) drawNear() *health.Backend {
+	for range drawAttempts {
+		b := c.all[c.table.opts.IntN(len(c.all))]
+		if b.Zone.Region == c.table.opts.Zone.Region && c.eligible(b) {
+			return b
+		}
+	}
+	return c.draw()
+}
+
 // draw returns a random eligible back end, or nil if there is none.
 func (c *chooser) draw() *health.Backend {
 	intN := c.table.opts.IntN
