rollout: tests that fail without early stop and without the oldest KV version

Early stop is now judged by the tokens generated, and the resumed sample meets engines of a newer version. The order of a trainer's steps has a test.

--- a/rollout/attribution_test.go
+++ b/rollout/attribution_test.go
@@ -16,12 +16,16 @@
 	b := newBed(t, service(), nil)
 	for _, id := range []string{"s0", "s1", "s2"} {
 		e := b.fleet.Engine(id)
-		e.At(20, func() { e.SetVersion(2) })
+		e.At(20, func() {
+			for _, id := range []string{"s0", "s1", "s2"} {
+				b.fleet.Engine(id).SetVersion(2)
+			}
+		})
 	}
 	for _, id := range []string{"s0", "s1", "s2"} {
 		e := b.fleet.Engine(id)
 		e.At(60, func() {
-			if id == "s0" || len(b.fleet.Starts()) == 1 {
+			if len(b.fleet.Starts()) == 1 {
 				e.Crash()
 			}
 		})
@@ -94,6 +98,11 @@
 	is.Equal(len(b.fleet.Starts()[1].ResumeTokens), 0) // from the first token
 	b.whole(is, 1)
 	is.Equal(b.trainer.Samples()[0].Attempt, 2)
+	generated := int64(0)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		generated += b.fleet.Engine(id).Tokens()
+	}
+	is.True(generated < 800) // the first start was not run to its end
 }
 
 // Guards against idle_weight 0 that keeps samples of an old version although a newer is loaded.
--- a/rollout/exactlyonce_test.go
+++ b/rollout/exactlyonce_test.go
@@ -144,3 +144,16 @@
 	b.whole(is, 4)
 	is.Equal(len(b.fleet.Starts()), before+4)
 }
+
+// Guards against the samples of a trainer's next step that take engines from the step it waits for.
+func TestEarlierStepFirst(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) { o.SlotsPerSampler = 1 })
+	is.NoErr(b.trainer.Open(b.ctx, 1, groups(4, 2, 40)))
+	is.NoErr(b.trainer.Open(b.ctx, 2, groups(1, 2, 399)))
+	b.trainer.Begin(1, groups(4, 2, 40))
+	b.whole(is, 8)
+	for _, r := range b.fleet.Starts()[:7] { // the eighth may start together with the next step's first
+		is.Equal(r.MaxTokens, 40)
+	}
+}
