--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -24,6 +24,7 @@
 	stopTimeout    = 20 * time.Second
 	// replaceAfter is the time after which the platform replaces an instance that died.
 	replaceAfter = 2 * time.Second
+	placeTrials  = 5
 )
 
 // memberState is the state of an entry instance as the platform's operator knows it.
@@ -66,6 +67,9 @@
 	members []*member
 	wg      conc.WaitGroup
 	log     *log.Logger
+
+	balancer     conc.WaitGroup
+	stopBalancer context.CancelFunc
 }
 
 // StartError reports that the deployment did not come up.
@@ -80,27 +84,37 @@
 // Unwrap returns the cause.
 func (e *StartError) Unwrap() error { return e.Err }
 
-func newCluster(opts Options, d deployment, st *stands, n *network) (*cluster, error) {
+func newCluster(opts Options, d deployment, st *stands, n *network) *cluster {
 	c := &cluster{opts: opts, d: d, st: st, net: n, client: &node{name: "clients", kind: clientNode, zone: d.zones[0]}, log: opts.Logger}
 	c.api = newAPI(n.dialer(c.client))
 	for i := range len(d.zones) * instancesPerDataCentre {
 		z := zoneOf(d, i)
-		m := &member{id: fmt.Sprintf("%s-entry-%d", z.DataCentre, i%instancesPerDataCentre+1), state: stopped}
-		var addrs [3]string
-		for k := range addrs {
-			var err error
-			if addrs[k], err = serve.FreeAddr(); err != nil {
-				return nil, &StartError{What: m.id, Err: err}
-			}
+		id := fmt.Sprintf("%s-entry-%d", z.DataCentre, i%instancesPerDataCentre+1)
+		c.members = append(c.members, &member{id: id, self: machine.Instance{ID: id, Zone: z}, state: stopped})
+	}
+	return c
+}
+
+// place gives the member free addresses and starts its first instance there. It tries again
+// with others when another process took one of them.
+func (c *cluster) place(ctx context.Context, m *member) error {
+	var last error
+	for range placeTrials {
+		addrs, err := serve.FreeAddrs(3)
+		if err != nil {
+			return &StartError{What: m.id, Err: err}
+		}
+		m.mu.Lock()
+		m.self.HTTPAddr, m.self.PeerAddr, m.admin = addrs[0], addrs[1], addrs[2]
+		m.mu.Unlock()
+		if last = c.start(ctx, m); last == nil {
+			c.st.list.SetNow(platform.Listed{
+				ID: m.id, Kind: "entry", PeerAddr: m.self.PeerAddr, HTTPAddr: m.self.HTTPAddr, Zone: m.self.Zone, State: platform.Live,
+			})
+			return nil
 		}
-		m.self = machine.Instance{ID: m.id, HTTPAddr: addrs[0], PeerAddr: addrs[1], Zone: z}
-		m.admin = addrs[2]
-		c.members = append(c.members, m)
-		st.list.SetNow(platform.Listed{
-			ID: m.id, Kind: "entry", PeerAddr: m.self.PeerAddr, HTTPAddr: m.self.HTTPAddr, Zone: z, State: platform.Live,
-		})
 	}
-	return c, nil
+	return last
 }
 
 // start starts a new instance at the member's addresses.
@@ -167,10 +181,13 @@
 // boot starts all instances and waits until the balancer finds them ready.
 func (c *cluster) boot(ctx context.Context) error {
 	for _, m := range c.members {
-		if err := c.start(ctx, m); err != nil {
+		if err := c.place(ctx, m); err != nil {
 			return err
 		}
 	}
+	balancing, stop := context.WithCancel(context.WithoutCancel(ctx))
+	c.stopBalancer = stop
+	c.balancer.Go(func() { c.balance(balancing) })
 	ctx, cancel := context.WithTimeout(ctx, bootTimeout)
 	defer cancel()
 	ready := func() bool {
@@ -277,8 +294,12 @@
 	}
 }
 
-// stop stops all instances.
+// stop stops the balancer and all instances.
 func (c *cluster) stop(ctx context.Context) {
+	if c.stopBalancer != nil {
+		c.stopBalancer()
+		c.balancer.Wait()
+	}
 	var wg conc.WaitGroup
 	for _, m := range c.members {
 		if m.is(running) {
--- a/demo/factory.go
+++ b/demo/factory.go
@@ -2,8 +2,8 @@
 
 import "github.com/cicadasill/cicadasill/entry"
 
-// newEntry builds an instance of package entry.
-func newEntry(c InstanceConfig) (Instance, error) {
+// NewEntry builds an instance of package entry.
+func NewEntry(c InstanceConfig) (Instance, error) {
 	return entry.New(entry.Config{
 		Self: c.Self, AdminAddr: c.AdminAddr, LogAddr: c.LogAddr, ListAddr: c.ListAddr,
 		DialContext: c.DialContext, Logger: c.Logger, Registry: c.Registry, BalancerDelay: c.BalancerDelay,
--- a/demo/options.go
+++ b/demo/options.go
@@ -118,7 +118,7 @@
 		o.Logger = log.New(io.Discard)
 	}
 	if o.NewInstance == nil {
-		o.NewInstance = newEntry
+		o.NewInstance = NewEntry
 	}
 	if slices.Contains(o.Faults, "all") {
 		o.Faults = Faults()
--- a/demo/run.go
+++ b/demo/run.go
@@ -31,6 +31,7 @@
 	groups    []*callers.Callers
 	names     []string
 	began     time.Time
+	loaded    time.Duration // length of the load, with the wait for its last outcomes
 	control   Control
 }
 
@@ -50,21 +51,12 @@
 	}
 	defer r.st.close()
 	baseline := cpuFraction(ctx, idleBaseline)
-	if r.cluster, err = newCluster(opts, r.d, r.st, r.net); err != nil {
-		return nil, err
-	}
+	r.cluster = newCluster(opts, r.d, r.st, r.net)
 	return r.withCluster(ctx, baseline)
 }
 
 func (r *run) withCluster(ctx context.Context, baseline float64) (*Report, error) {
-	balancing, stopBalancing := context.WithCancel(ctx)
-	var balancer conc.WaitGroup
-	balancer.Go(func() { r.cluster.balance(balancing) })
-	defer func() {
-		stopBalancing()
-		balancer.Wait()
-		r.cluster.stop(context.WithoutCancel(ctx))
-	}()
+	defer r.cluster.stop(context.WithoutCancel(ctx))
 	if err := r.cluster.boot(ctx); err != nil {
 		return nil, err
 	}
@@ -82,6 +74,7 @@
 	}
 	r.control = r.measureIdle(ctx, baseline)
 	r.load(ctx)
+	r.loaded = time.Since(r.began)
 	pauseFor(ctx, settleTime)
 	return r.report(), nil
 }
@@ -115,7 +108,7 @@
 		Name: r.d.trainer, Service: r.d.trained, Pick: r.cluster.pick, Groups: trainerGroups, Samples: trainerSamples,
 		MaxTokens: trainerTokens, Think: trainerThink, MaxVersionLag: r.d.maxLag, StartVersion: startVersion,
 		Announce: true, Announced: r.weights.announced, Floor: capacity.Floor, DialContext: r.net.dialer(r.cluster.client),
-		Seed: r.opts.Seed,
+		Seed: r.opts.Seed, Interrupted: r.cluster.interrupted,
 	}
 }
 
@@ -143,7 +136,7 @@
 
 func (r *run) report() *Report {
 	out := &Report{
-		Deployment: r.d.name, Seed: r.opts.Seed, DurationS: round(time.Since(r.began).Seconds()),
+		Deployment: r.d.name, Seed: r.opts.Seed, DurationS: round(r.loaded.Seconds()),
 		Weights: r.weights.result(), Control: r.control, Link: r.linkBytes(), Groups: map[string]callers.Counts{},
 		BrokenPromises: []Promise{},
 	}
--- a/standin/serve/addr.go
+++ b/standin/serve/addr.go
@@ -31,12 +31,17 @@
 	return nil, last
 }
 
-// FreeAddr returns a free loopback address for a server that starts later.
-func FreeAddr() (string, error) {
-	ln, err := listen("")
-	if err != nil {
-		return "", &StartError{Addr: "a free port", Err: err}
+// FreeAddrs returns n different free loopback addresses for servers that start later. Another
+// process may take one before that; whoever starts the servers then asks again.
+func FreeAddrs(n int) ([]string, error) {
+	out := make([]string, 0, n)
+	for range n {
+		ln, err := listen("")
+		if err != nil {
+			return nil, &StartError{Addr: "a free port", Err: err}
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return out, nil
 }
--- a/standin/trainer/request.go
+++ b/standin/trainer/request.go
@@ -47,8 +47,10 @@
 }
 
 func (t *Trainer) send(ctx context.Context, addr, method, path string, body, out any) (code string, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, t.opts.Wait+requestMargin)
+	life := ctx
+	ctx, cancel := context.WithTimeout(life, t.opts.Wait+requestMargin)
 	defer cancel()
+	began := time.Now()
 	var data []byte
 	if body != nil {
 		data, _ = json.Marshal(body)
@@ -59,12 +61,14 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := t.client.Do(req)
-	if err != nil {
-		return "no_answer", false
+	if err == nil {
+		data, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		_ = resp.Body.Close()
 	}
-	defer resp.Body.Close()
-	data, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
+		if life.Err() == nil {
+			t.opts.Interrupted(addr, began, err)
+		}
 		return "no_answer", false
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
--- a/standin/trainer/trainer.go
+++ b/standin/trainer/trainer.go
@@ -54,7 +54,9 @@
 	// Announced is called once an announcement was accepted, with the time of its first attempt.
 	Announced func(version int64, at time.Time)
 	// Floor returns the shortest time in which the engines can generate sequences of these lengths.
-	Floor       func(lengths []int) time.Duration
+	Floor func(lengths []int) time.Duration
+	// Interrupted is told of each request whose connection failed without a whole answer.
+	Interrupted func(addr string, began time.Time, err error)
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
 	Seed        uint64
 }
@@ -107,6 +109,9 @@
 	if opts.Announced == nil {
 		opts.Announced = func(int64, time.Time) {}
 	}
+	if opts.Interrupted == nil {
+		opts.Interrupted = func(string, time.Time, error) {}
+	}
 	if opts.Floor == nil {
 		opts.Floor = func([]int) time.Duration { return 0 }
 	}
