--- a/weights/helpers_test.go
+++ b/weights/helpers_test.go
@@ -44,15 +44,19 @@
 	unfit    map[string]bool
 }
 
-func newBed(t *testing.T, checksFencing bool) *bed {
+func newBed(t testing.TB, checksFencing bool) *bed {
+	return newSizedBed(t, checksFencing, 9, 10*time.Millisecond, 5*time.Millisecond)
+}
+
+func newSizedBed(t testing.TB, checksFencing bool, samplers int, load, swap time.Duration) *bed {
 	b := &bed{fleet: enginesim.NewFleet(), unfit: make(map[string]bool)}
-	for i := range 9 {
+	for i := range samplers {
 		z := zone.Zone{Region: "north", DataCentre: fmt.Sprintf("north-%d", i%2)}
-		if i >= 6 {
+		if 3*i >= 2*samplers {
 			z = zone.Zone{Region: "south", DataCentre: "south-0"}
 		}
 		b.fleet.Add(enginesim.Options{ID: fmt.Sprintf("s%d", i), Zone: z, Version: 1,
-			LoadTime: 10 * time.Millisecond, SwapTime: 5 * time.Millisecond, ChecksFencing: checksFencing})
+			LoadTime: load, SwapTime: swap, ChecksFencing: checksFencing})
 	}
 	b.backends, b.checks = b.fleet.Backends("fry-lm"), checksFencing
 	b.Control = compare.NewControl(contract.Service{
