claim: batches are made after the wait for the append rate, leaving claimers are asked, share by owners

Cause: a batch was made before the wait for the token bucket, so claims that arrived meanwhile waited for the next one. A claimer in a planned stop counted as lost although it still finished its run.

--- a/claim/ask.go
+++ b/claim/ask.go
@@ -19,7 +19,10 @@
 	for {
 		inst, live := c.view.Lookup(h.id.ref)
 		if !live {
-			return c.afterDeath(ctx, s, h, req)
+			var known bool
+			if inst, known = c.lastKnown(h.id.ref); !known {
+				return c.afterDeath(ctx, s, h, req)
+			}
 		}
 		answer, err := c.ask(ctx, inst, h, req)
 		switch {
@@ -30,7 +33,7 @@
 			continue
 		case err == nil:
 			return c.conclude(ctx, s, h, req, answer)
-		case link.CodeOf(err) == link.WrongPeer:
+		case link.CodeOf(err) == link.WrongPeer || !live:
 			return c.afterDeath(ctx, s, h, req)
 		}
 		if !sleep(ctx, jitter(askBackoff)) {
@@ -39,6 +42,18 @@
 	}
 }
 
+// lastKnown finds a claimer that has left or counts as dead. It may still finish its run, so it is
+// asked once before its outcome is called unknown.
+func (c *Claims) lastKnown(ref machine.Ref) (machine.Instance, bool) {
+	v, ok := c.view.(interface {
+		LastKnown(ref machine.Ref) (machine.Instance, bool)
+	})
+	if !ok {
+		return machine.Instance{}, false
+	}
+	return v.LastKnown(ref)
+}
+
 // conflict refuses a different body, unless the claim that holds the key has been released.
 func (c *Claims) conflict(ctx context.Context, s *stream, h holder, req *request) (Decision, error) {
 	if err := c.refresh(ctx, s, req); err != nil {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -167,6 +167,23 @@
 	}
 }
 
+// Guards against an outcome called unknown although the claimer, in a planned stop, still finishes.
+func TestLeavingClaimerIsAsked(t *testing.T) {
+	is := is.New(t)
+	c, all := newCluster(t, seed, 2, claim.Options{})
+	ticket := mustRun(t, all[0], first)
+	c.mu.Lock()
+	delete(c.live, "i0")
+	c.mu.Unlock()
+	got := make(chan claim.Decision)
+	go func() {
+		d, _ := all[1].Begin(t.Context(), key, body, again)
+		got <- d
+	}()
+	ticket.Finish(answer)
+	is.Equal((<-got).Answer, answer)
+}
+
 // Guards against an append that arrives after its claim was given up and released, and then
 // holds the key although its claimer is gone.
 func TestLateAppendOfAbandonedClaimDoesNotBlockTheKey(t *testing.T) {
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -46,6 +46,7 @@
 	kept      []*run // runs with a kept answer, oldest first
 	keptBytes int64
 	downSince time.Time // zero while the log works
+	ratedView []machine.Instance
 }
 
 // NewClaims returns the claims of self. It registers its handler on node, so it is called
@@ -77,15 +78,6 @@
 	c.cancel()
 }
 
-// setRate shares the append rate among the live instances.
-func (c *Claims) setRate() {
-	limit := c.opts.AppendsPerSecond / float64(max(1, len(c.view.Live())))
-	if rate.Limit(limit) != c.limiter.Limit() {
-		c.limiter.SetLimit(rate.Limit(limit))
-		c.limiter.SetBurst(max(1, int(limit/10)))
-	}
-}
-
 // noteLog records whether an operation on the log worked. A rate limit is no outage.
 func (c *Claims) noteLog(err error) {
 	c.mu.Lock()
--- a/claim/fakes_test.go
+++ b/claim/fakes_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -120,6 +122,7 @@
 	for _, i := range v.c.live {
 		out = append(out, i)
 	}
+	slices.SortFunc(out, func(a, b machine.Instance) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -130,6 +133,13 @@
 	return i, ok && i.Ref() == ref
 }
 
+func (v view) LastKnown(ref machine.Ref) (machine.Instance, bool) {
+	v.c.mu.Lock()
+	defer v.c.mu.Unlock()
+	i, ok := v.c.known[ref]
+	return i, ok
+}
+
 // cluster is a number of claim instances that share a log.
 type cluster struct {
 	t    testing.TB
@@ -137,7 +147,9 @@
 	opts claim.Options
 	mu   sync.Mutex
 	live map[string]machine.Instance
-	runs uint64
+	// known holds every run that was ever live.
+	known map[machine.Ref]machine.Instance
+	runs  uint64
 }
 
 type instance struct {
@@ -152,7 +164,7 @@
 	if opts.EndDelay == 0 {
 		opts.EndDelay = time.Millisecond
 	}
-	c := &cluster{t: t, log: newLog(seed), opts: opts, live: map[string]machine.Instance{}}
+	c := &cluster{t: t, log: newLog(seed), opts: opts, live: map[string]machine.Instance{}, known: map[machine.Ref]machine.Instance{}}
 	var out []*instance
 	for i := range n {
 		out = append(out, c.start(fmt.Sprint("i", i)))
@@ -169,6 +181,7 @@
 	c.runs++
 	self := machine.Instance{ID: id, Incarnation: c.runs, PeerAddr: ln.Addr().String()}
 	c.live[id] = self
+	c.known[self.Ref()] = self
 	c.mu.Unlock()
 	node := link.NewNode(self, link.Options{DrainTimeout: time.Millisecond, FreshFor: time.Hour})
 	opts := c.opts
--- a/claim/options.go
+++ b/claim/options.go
@@ -49,7 +49,10 @@
 	Registerer prometheus.Registerer
 	Logger     *log.Logger
 
+	// AppendsPerSecond is what all instances together append to the claim streams.
 	AppendsPerSecond float64
+	// Share is how the instances share it; empty means EvenShare.
+	Share Share
 	// ClaimTimeout bounds the time from Begin to the verdict of the log.
 	ClaimTimeout time.Duration
 	// LogTimeout bounds one append or read.
--- a/claim/stream.go
+++ b/claim/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cicadasill/cicadasill/platform"
@@ -110,20 +111,42 @@
 			return jitter(logBackoff)
 		}
 	}
-	for {
-		b, runs := s.nextBatch()
-		if b == nil && s.c.isDown() {
-			if err := s.readToEnd(s.c.ctx); err != nil {
-				return jitter(outageProbe)
-			}
+	for s.hasWork() {
+		// The batch is made after the wait, so that it holds what arrived meanwhile.
+		s.c.setRate()
+		if err := s.c.limiter.Wait(s.c.ctx); err != nil {
+			return idle
 		}
+		b, runs := s.nextBatch()
 		if b == nil {
-			return s.nextDue()
+			break
 		}
 		if err := s.commit(b, runs); err != nil {
 			return jitter(logBackoff)
 		}
 	}
+	if s.c.isDown() {
+		if err := s.readToEnd(s.c.ctx); err != nil {
+			return jitter(outageProbe)
+		}
+	}
+	return s.nextDue()
+}
+
+func (s *stream) hasWork() bool {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	return s.trimLocked() > 0 || s.endsAreDueLocked()
+}
+
+// trimLocked drops the claims that were decided or given up and returns the number of the others.
+func (s *stream) trimLocked() int {
+	s.pending = slices.DeleteFunc(s.pending, func(r *run) bool { return r.state != statePending })
+	return len(s.pending)
+}
+
+func (s *stream) endsAreDueLocked() bool {
+	return !s.endsDue.IsZero() && (s.c.closed || !time.Now().Before(s.endsDue))
 }
 
 func (s *stream) isLoaded() bool {
@@ -145,15 +168,7 @@
 func (s *stream) nextBatch() (*batch, []*run) {
 	s.c.mu.Lock()
 	defer s.c.mu.Unlock()
-	live := s.pending[:0]
-	for _, r := range s.pending {
-		if r.state == statePending {
-			live = append(live, r)
-		}
-	}
-	s.pending = live
-	due := !s.endsDue.IsZero() && (s.c.closed || !time.Now().Before(s.endsDue))
-	if len(s.pending) == 0 && !due {
+	if s.trimLocked() == 0 && !s.endsAreDueLocked() {
 		return nil, nil
 	}
 	b := &batch{Kind: recordKind, ID: s.c.self.ID, Incarnation: s.c.self.Incarnation}
@@ -169,10 +184,6 @@
 // commit appends a batch and draws the verdicts. After an error everything whose append is not
 // confirmed stays queued; appending a claim or an end twice has no further effect.
 func (s *stream) commit(b *batch, runs []*run) error {
-	s.c.setRate()
-	if err := s.c.limiter.Wait(s.c.ctx); err != nil {
-		return err
-	}
 	s.markSent(runs)
 	data, err := json.Marshal(b)
 	if err != nil {
--- a/claim/types.go
+++ b/claim/types.go
@@ -59,7 +59,7 @@
 // Owner returns the claim stream of key: claims-00 to claims-15.
 func Owner(key Key) (stream string) { return key.hash().stream() }
 
-func (h hash) stream() string { return fmt.Sprintf("claims-%02d", int(h[0])%Streams) }
+func (h hash) stream() string { return streamName(int(h[0]) % Streams) }
 
 // Terms are what the caller and the contract state about a request.
 type Terms struct {
--- a/link/faults_test.go
+++ b/link/faults_test.go
@@ -4,76 +4,26 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/link/faultnet"
 )
 
-// muteable is a network whose open connections can go silent for good while new ones work.
-type muteable struct {
-	mu    sync.Mutex
-	open  []*muteConn
-	dials atomic.Int64
-}
-
-type muteConn struct {
-	net.Conn
-	mute atomic.Bool
-}
-
-func (m *muteable) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	m.dials.Add(1)
-	c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	mc := &muteConn{Conn: c}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.open = append(m.open, mc)
-	return mc, nil
-}
-
-func (m *muteable) silence() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, c := range m.open {
-		c.mute.Store(true)
-	}
-}
-
-func (c *muteConn) Write(p []byte) (int, error) {
-	if c.mute.Load() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-func (c *muteConn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if err != nil || !c.mute.Load() {
-			return n, err
-		}
-	}
-}
-
-func quick(m *muteable) link.Options {
-	return link.Options{DialContext: m.DialContext, KeepaliveInterval: 30 * time.Millisecond,
+func quick(net *faultnet.Network) link.Options {
+	return link.Options{DialContext: net.Dialer("a"), KeepaliveInterval: 30 * time.Millisecond,
 		KeepaliveTimeout: 150 * time.Millisecond, FreshFor: 40 * time.Millisecond}
 }
 
 // Guards against exchanges that hang on, or are lost to, a connection that went silent.
 func TestSilentConnection(t *testing.T) {
 	is := is.New(t)
-	net := &muteable{}
+	net := faultnet.New()
 	entered := make(chan struct{})
 	release := make(chan struct{})
 	a := start(t, "a", 1, anyPort(), quick(net), nil)
@@ -101,7 +51,7 @@
 	done := make(chan link.Code)
 	go func() { done <- call("slow") }()
 	<-entered
-	net.silence()
+	net.Silence()
 	is.Equal(<-done, link.Unknown)        // it had been handed over; the keepalive ended the wait
 	is.Equal(call("echo"), link.Code("")) // a new connection works at once
 
@@ -109,35 +59,35 @@
 	is.NoErr(err)
 	resp, err := a.Forward(t.Context(), b.self, link.CauseForward, req)
 	is.NoErr(err)
-	net.silence()
+	net.Silence()
 	_, err = io.ReadAll(resp.Body) // a stream without a deadline ends too
 	is.Equal(link.CodeOf(err), link.Unknown)
 	is.NoErr(resp.Body.Close())
 
 	is.Equal(call("echo"), link.Code(""))
 	time.Sleep(50 * time.Millisecond) // longer than FreshFor
-	net.silence()
+	net.Silence()
 	is.Equal(call("echo"), link.Code("")) // the idle session is checked first and nothing is lost
 }
 
 // Guards against a session that is used again although a call on it timed out without a byte.
 func TestTimedOutSessionIsNotUsedAgain(t *testing.T) {
 	is := is.New(t)
-	net := &muteable{}
+	net := faultnet.New()
 	opts := quick(net)
 	opts.KeepaliveInterval, opts.KeepaliveTimeout = time.Minute, time.Second
 	a := start(t, "a", 1, anyPort(), opts, nil)
 	b := start(t, "b", 1, anyPort(), link.Options{}, echo)
 	_, err := a.Call(t.Context(), b.self, link.CauseProbe, "echo", nil)
 	is.NoErr(err)
-	net.silence()
+	net.Silence()
 	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
 	defer cancel()
 	_, err = a.Call(ctx, b.self, link.CauseProbe, "echo", nil)
 	is.Equal(link.CodeOf(err), link.Unknown)
 	_, err = a.Call(t.Context(), b.self, link.CauseProbe, "echo", nil)
 	is.NoErr(err)
-	is.Equal(net.dials.Load(), int64(2))
+	is.Equal(net.Dials(), int64(2))
 }
 
 // Guards against exchanges lost to simultaneous dials, to closing of the spare session, and to
--- a/membership/fabric_test.go
+++ b/membership/fabric_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"testing"
@@ -13,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/link/faultnet"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/membership"
 	"github.com/cicadasill/cicadasill/platform"
@@ -23,21 +23,15 @@
 
 const testSeed = 7
 
-var errCut = errors.New("cut by the test")
-
-// fabric connects the members of a test and can cut pairs of them. A connection that carries
-// anything while its pair is cut stays silent for good.
+// fabric connects the members of a test and is their instance list.
 type fabric struct {
+	*faultnet.Network
 	mu   sync.Mutex
 	list []platform.Listed
 	fail bool
-	ids  map[string]string // address to id
-	cut  func(a, b string) bool
 }
 
-func newFabric() *fabric {
-	return &fabric{ids: map[string]string{}, cut: func(string, string) bool { return false }}
-}
+func newFabric() *fabric { return &fabric{Network: faultnet.New()} }
 
 func (f *fabric) List(context.Context) ([]platform.Listed, error) {
 	f.mu.Lock()
@@ -48,61 +42,6 @@
 	return append([]platform.Listed(nil), f.list...), nil
 }
 
-func (f *fabric) setCut(cut func(a, b string) bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cut = cut
-}
-
-func (f *fabric) isCut(a, b string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cut(a, b) || f.cut(b, a)
-}
-
-func (f *fabric) dialer(from string) link.DialFunc {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		f.mu.Lock()
-		to := f.ids[addr]
-		f.mu.Unlock()
-		if f.isCut(from, to) {
-			return nil, errCut
-		}
-		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-		return &cutConn{Conn: c, cut: func() bool { return f.isCut(from, to) }}, err
-	}
-}
-
-type cutConn struct {
-	net.Conn
-	cut    func() bool
-	mu     sync.Mutex
-	silent bool
-}
-
-func (c *cutConn) isSilent() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.silent = c.silent || c.cut()
-	return c.silent
-}
-
-func (c *cutConn) Write(p []byte) (int, error) {
-	if c.isSilent() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-func (c *cutConn) Read(p []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(p)
-		if err != nil || !c.isSilent() {
-			return n, err
-		}
-	}
-}
-
 type instance struct {
 	*membership.Members
 	node *link.Node
@@ -127,11 +66,11 @@
 		t.Fatal(err)
 	}
 	self := machine.Instance{ID: id, Incarnation: incarnation, PeerAddr: ln.Addr().String(), Zone: zone.Zone{Region: "r", DataCentre: "d"}}
+	f.Name(self.PeerAddr, id)
 	f.mu.Lock()
-	f.ids[self.PeerAddr] = id
 	f.list = append(f.list, platform.Listed{ID: id, Kind: "entry", PeerAddr: self.PeerAddr, Zone: self.Zone, State: platform.Live})
 	f.mu.Unlock()
-	node := link.NewNode(self, link.Options{DialContext: f.dialer(id), DrainTimeout: time.Millisecond})
+	node := link.NewNode(self, link.Options{DialContext: f.Dialer(id), DrainTimeout: time.Millisecond})
 	opts.Registerer = prometheus.NewRegistry()
 	i := &instance{node: node, reg: opts.Registerer.(*prometheus.Registry), Members: membership.New(self, node, f, opts)}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/membership/members.go
+++ b/membership/members.go
@@ -95,6 +95,19 @@
 	return e.inst, true
 }
 
+// LastKnown returns the instance of ref even if it has left or counts as dead, as long as no newer
+// run of its id is known. It may still answer: a leaving instance finishes its requests, and a
+// dead one may only be cut off from others.
+func (m *Members) LastKnown(ref machine.Ref) (machine.Instance, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.table[ref.ID]
+	if e == nil || e.inst.Incarnation != ref.Incarnation {
+		return machine.Instance{}, false
+	}
+	return e.inst, true
+}
+
 // Changed returns a channel that is closed at the next change of the view.
 func (m *Members) Changed() <-chan struct{} {
 	m.mu.Lock()
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -44,9 +44,9 @@
 	opts := fast()
 	opts.Suspicion = time.Minute
 	a, b, c := three(t, f, opts)
-	f.setCut(func(_, y string) bool { return y == "c" })
+	f.Cut(func(_, y string) bool { return y == "c" })
 	eventually(t, "a suspects c", func() bool { return a.count("member_transitions_total", "SUSPECT") > 0 })
-	f.setCut(func(string, string) bool { return false })
+	f.Heal()
 	eventually(t, "c refutes", func() bool { return c.count("member_refutations_total", "") > 0 })
 	_, ok := a.Lookup(c.Self().Ref())
 	is.True(ok)
@@ -83,7 +83,7 @@
 	is := is.New(t)
 	f := newFabric()
 	a, b, c := three(t, f, fast())
-	f.setCut(func(x, y string) bool { return x == "a" && y == "b" })
+	f.Cut(func(x, y string) bool { return x == "a" && y == "b" })
 	eventually(t, "indirect probes", func() bool { return a.count("member_probes_total", "indirect") >= 5 })
 	for _, i := range []*instance{a, b, c} {
 		is.Equal(i.count("member_transitions_total", "DEAD"), 0.0)
@@ -97,11 +97,11 @@
 	a, b, c := three(t, f, fast())
 	d := f.start(t, "d", 1, "", fast())
 	eventually(t, "a sees 4", a.sees(4))
-	f.setCut(func(x, y string) bool { return (x == "a" || x == "b") && (y == "c" || y == "d") })
+	f.Cut(func(x, y string) bool { return (x == "a" || x == "b") && (y == "c" || y == "d") })
 	for _, i := range []*instance{a, b, c, d} {
 		eventually(t, i.Self().ID+" is on a side of 2", i.sees(2))
 	}
-	f.setCut(func(string, string) bool { return false })
+	f.Heal()
 	for _, i := range []*instance{a, b, c, d} {
 		eventually(t, i.Self().ID+" sees all again", i.sees(4))
 	}
@@ -177,6 +177,18 @@
 				time.Sleep(seconds * time.Second)
 			}
 			b.ReportMetric(float64(sent(all)-before)/float64(n*seconds*b.N), "B_sent/s/node")
+			start := time.Now()
+			all[0].ReportLeaving("fry-1")
+			for _, i := range all {
+				eventually(b, "all know", func() bool { return len(i.LeavingBackends()) == 1 })
+			}
+			b.ReportMetric(time.Since(start).Seconds(), "s_leaving_known")
+			start = time.Now()
+			all[0].stop()
+			for _, i := range all[1:] {
+				eventually(b, "all drop the dead", i.sees(n-1))
+			}
+			b.ReportMetric(time.Since(start).Seconds(), "s_death_known")
 		})
 	}
 }
