--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -19,6 +19,9 @@
 	staffPriority   = 10
 )
 
+// initialTokens is the room for tokens that a generation starts with.
+const initialTokens = 1024
+
 // generation is one sequence on its way from engines to the caller.
 type generation struct {
 	gateway *Gateway
@@ -64,7 +67,7 @@
 		return e
 	}
 	defer release()
-	gen := &generation{gateway: g, request: r}
+	gen := &generation{gateway: g, request: r, tokens: make([]int64, 0, min(r.generate.MaxTokens, initialTokens))}
 	if r.generate.Stream {
 		s := newStreamSink(w, r.deadline)
 		defer s.close()
