Rollout and weights: deadlines that fit pre-emption and training, unfit samplers end with the lease

A sample pre-empted for staff requests was taken for a silent engine after 2 s; the progress deadline is now 10 s, and the client's own deadline finds silent connections. Steps opened ahead of a training step of 17 minutes expired after 10; they now live an hour. A holder that lost its lease kept samplers out of its own routing for ever.

--- a/rollout/compare/control.go
+++ b/rollout/compare/control.go
@@ -157,6 +157,12 @@
 	return !l.lapsed
 }
 
+// Lose ends the lease and tells its holder.
+func (l *Lease) Lose() {
+	l.Lapse()
+	close(l.lost)
+}
+
 // Lapse ends the lease without a notice to its holder, as for a paused process.
 func (l *Lease) Lapse() {
 	l.mu.Lock()
--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -89,7 +89,7 @@
 	group, noPrefix := s.group, s.noPrefix
 	st.mu.Unlock()
 	if st.isLong(group) && !st.srv.opts.NoMoves {
-		exclude = append(exclude, st.srv.speeds.slow(st.key.service, moveRatio, st.srv.now())...)
+		exclude = append(exclude, st.srv.speeds.of(st.key.service, st.srv.now()).slow(moveRatio)...)
 	}
 	hard := max(0, expected-svc.Rollout.MaxVersionLag)
 	soft := max(hard, expected-softLag(svc.Rollout))
--- a/rollout/exactlyonce_test.go
+++ b/rollout/exactlyonce_test.go
@@ -140,7 +140,7 @@
 	is.NoErr(b.trainer.Ack(b.ctx))
 	before := len(b.fleet.Starts())
 	is.NoErr(b.trainer.Reopen(b.ctx))
-	b.trainer.Begin(2, groups(1, 4, 10))
+	b.trainer.Begin(2, groups(1, 4, 400)) // takes several times the open grace
 	b.whole(is, 4)
 	is.Equal(len(b.fleet.Starts()), before+4)
 }
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -102,14 +102,14 @@
 	if st.srv.opts.NoMoves {
 		return nil
 	}
-	now := st.srv.now()
+	speeds := st.srv.speeds.of(st.key.service, st.srv.now())
 	var out []candidate
 	for _, s := range st.samples {
 		if len(s.live) != 1 || s.moves >= maxMoves || s.live[0].lastEvent.IsZero() {
 			continue
 		}
 		a := s.live[0]
-		own, best := st.srv.speeds.rate(st.key.service, a.pick.Backend.ID, now)
+		own, best := speeds.engine[a.pick.Backend.ID], speeds.best
 		if own == 0 || own >= moveRatio*best {
 			continue
 		}
@@ -165,7 +165,7 @@
 	st.mu.Lock()
 	hard := max(0, st.expectedVersion(svc)-svc.Rollout.MaxVersionLag)
 	st.mu.Unlock()
-	exclude := append(st.srv.speeds.slow(st.key.service, moveRatio, st.srv.now()), a.pick.Backend.ID)
+	exclude := append(st.srv.speeds.of(st.key.service, st.srv.now()).slow(moveRatio), a.pick.Backend.ID)
 	g := a.s.group
 	pick, err := st.srv.opts.Picker.Pick(ctx, PickRequest{
 		Service: svc, PrefixID: g.PrefixID, Prompt: g.Prompt, MaxTokens: g.MaxTokens, MinVersion: hard, Exclude: exclude,
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -67,16 +67,18 @@
 	// DefaultSlotsPerSampler is the number of samples in flight for each sampler of a service.
 	DefaultSlotsPerSampler = 32
 	// DefaultFirstTokenTimeout bounds the wait for an engine's first event, which includes its queue.
-	DefaultFirstTokenTimeout = 15 * time.Second
-	// DefaultProgressTimeout bounds the silence between two events of a stream.
-	DefaultProgressTimeout = 2 * time.Second
+	DefaultFirstTokenTimeout = 30 * time.Second
+	// DefaultProgressTimeout bounds the time between two events of a stream. Engines pre-empt samples
+	// for staff requests, so it is far above the client's deadline for a silent connection.
+	DefaultProgressTimeout = 10 * time.Second
 	// DefaultMonitorPeriod is how often running samples are examined for age and slowness.
 	DefaultMonitorPeriod = 100 * time.Millisecond
 	// DefaultOpenGrace delays generation after an open. A trainer that reopens a step takes within
 	// this time, and its bitmap then spares the samples that it already has.
 	DefaultOpenGrace = 200 * time.Millisecond
-	// DefaultStepExpiry is how long a step is kept without any request of its trainer.
-	DefaultStepExpiry = 10 * time.Minute
+	// DefaultStepExpiry is how long a step is kept without any request of its trainer. New weights come
+	// every 17 minutes, and a trainer sends nothing while it trains.
+	DefaultStepExpiry = time.Hour
 	// DefaultOwnershipGrace is how long a step is kept after its ownership moved elsewhere.
 	DefaultOwnershipGrace = 15 * time.Second
 	// DefaultForwardMargin is added to a take's wait as the deadline of forwarding it.
--- a/rollout/predict.go
+++ b/rollout/predict.go
@@ -120,30 +120,31 @@
 	e.rate += speedWeight * (rate - e.rate)
 }
 
-// rate returns the speed of engine and the best speed among the service's engines, 0 if unknown.
-func (s *speeds) rate(service, engine string, now time.Time) (own, best float64) {
+// rates are the speeds of a service's engines that are known, and the best of them.
+type rates struct {
+	engine map[string]float64
+	best   float64
+}
+
+// of returns the speeds of the service's engines.
+func (s *speeds) of(service string, now time.Time) rates {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	out := rates{engine: make(map[string]float64)}
 	for id, e := range s.engine {
-		if e.service != service || now.Sub(e.seen) > speedLife {
-			continue
-		}
-		if id == engine {
-			own = e.rate
+		if e.service == service && e.rate > 0 && now.Sub(e.seen) <= speedLife {
+			out.engine[id] = e.rate
+			out.best = max(out.best, e.rate)
 		}
-		best = max(best, e.rate)
 	}
-	return own, best
+	return out
 }
 
-// slow lists the service's engines whose speed is below ratio times the best.
-func (s *speeds) slow(service string, ratio float64, now time.Time) []string {
-	_, best := s.rate(service, "", now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// slow lists the engines whose speed is below ratio times the best.
+func (r rates) slow(ratio float64) []string {
 	var out []string
-	for id, e := range s.engine {
-		if e.service == service && e.rate > 0 && now.Sub(e.seen) <= speedLife && e.rate < ratio*best {
+	for id, rate := range r.engine {
+		if rate < ratio*r.best {
 			out = append(out, id)
 		}
 	}
--- a/weights/distributor.go
+++ b/weights/distributor.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dr := newDriver(d, service, held)
-	defer dr.wg.Wait()
+	defer dr.end()
 	ticker := time.NewTicker(d.opts.SweepPeriod)
 	defer ticker.Stop()
 	sweep := true
--- a/weights/driver.go
+++ b/weights/driver.go
@@ -18,6 +18,7 @@
 type sampler struct {
 	backend  machine.Backend
 	reported bool
+	leaving  bool
 	version  int64
 	held     []int64
 	// failures counts failed loads from samplers of the region in a row, storeFailures the others.
@@ -81,6 +82,19 @@
 	}
 }
 
+// end waits for the orders in flight. What this instance said of unfit samplers ends with its lease:
+// the next holder judges them anew.
+func (dr *driver) end() {
+	dr.wg.Wait()
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	for id, s := range dr.samplers {
+		if s.unfit {
+			dr.d.opts.Unfit(id, false)
+		}
+	}
+}
+
 // reportLag is how old a load report may be. A report from before a swap's end does not undo it.
 const reportLag = time.Second
 
@@ -102,7 +116,7 @@
 		if !ok || time.Since(s.swappedAt) < reportLag {
 			continue
 		}
-		s.reported, s.version, s.held = true, rep.Version, rep.Held
+		s.reported, s.version, s.held, s.leaving = true, rep.Version, rep.Held, rep.Leaving
 	}
 }
 
@@ -155,7 +169,7 @@
 	var retry time.Duration
 	behind := dr.behind(target)
 	for _, s := range behind {
-		if s.swapping {
+		if s.swapping || s.leaving {
 			continue
 		}
 		if dr.swapping >= limit {
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -106,10 +106,15 @@
 	is := is.New(t)
 	b := newBed(t, true)
 	b.fleet.Engine("s4").FailSwaps(-1)
-	b.start(compare.NewLease(1))
+	old := compare.NewLease(1)
+	b.start(old)
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
 	b.until(is, func() bool { return b.all(2, "s4") && b.isUnfit("s4") })
 	is.True(len(b.fleet.Engine("s4").Orders()) >= 3)
+	old.Lose()
+	b.until(is, func() bool { return !b.isUnfit("s4") }) // no instance keeps it out for a lost lease
+	b.start(compare.NewLease(2))
+	b.until(is, func() bool { return b.isUnfit("s4") })
 	b.fleet.Engine("s4").FailSwaps(0)
 	b.until(is, func() bool { return b.all(2) && !b.isUnfit("s4") })
 }
