claim: a long stream is read only as far back as its records matter

Cause: an instance that became a stream's owner read all retained records before its first verdict. Conclusion: a new owner decides at once; a test checks that a claim that still holds is found.

--- a/claim/begin.go
+++ b/claim/begin.go
@@ -97,7 +97,7 @@
 	s.pending = append(s.pending, r)
 	c.mu.Unlock()
 	s.wake()
-	return c.await(ctx, r, req)
+	return c.await(ctx, s, r, req)
 }
 
 // withoutLogLocked decides while the log takes no claims.
@@ -115,16 +115,8 @@
 
 // await waits for the verdict on an own claim. A claim that is given up is released as soon as
 // the log takes the release, and its request is never dispatched.
-func (c *Claims) await(ctx context.Context, r *run, req *request) (Decision, error) {
-	timer := time.NewTimer(c.opts.ClaimTimeout)
-	defer timer.Stop()
-	reason := ClaimTimeout
-	select {
-	case <-r.verdict:
-	case <-timer.C:
-	case <-ctx.Done():
-		reason = Cancelled
-	}
+func (c *Claims) await(ctx context.Context, s *stream, r *run, req *request) (Decision, error) {
+	reason := c.awaitVerdict(ctx, s, r, req)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch r.state {
@@ -146,6 +138,29 @@
 	return Decision{}, unclaimed(reason, req.terms, ctx.Err())
 }
 
+// awaitVerdict returns when the claim is decided, or why it is given up. Reading a long stream for
+// the first time takes longer than a claim and does not count.
+func (c *Claims) awaitVerdict(ctx context.Context, s *stream, r *run, req *request) Reason {
+	timer := time.NewTimer(c.opts.ClaimTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case <-r.verdict:
+			return ""
+		case <-ctx.Done():
+			return Cancelled
+		case <-timer.C:
+		}
+		c.mu.Lock()
+		loading := !s.loaded && c.downSince.IsZero() && time.Since(req.start) < slack/2
+		c.mu.Unlock()
+		if !loading {
+			return ClaimTimeout
+		}
+		timer.Reset(c.opts.ClaimTimeout)
+	}
+}
+
 // join waits for the run of the same key at this instance.
 func (c *Claims) join(ctx context.Context, r *run, req *request) (Decision, error) {
 	if r.body != req.body {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -239,6 +239,26 @@
 	mustRun(t, all[0], first).Finish(answer)
 }
 
+// Guards against a start that reads the whole retained history, and against a skip that misses a
+// claim which still holds its key.
+func TestBootSkipsOnlyWhatCannotMatter(t *testing.T) {
+	is := is.New(t)
+	c, all := newCluster(t, seed, 2, claim.Options{})
+	c.log.set(func() { c.log.shift = -time.Hour })
+	mustRun(t, all[0], first).Finish(answer)
+	c.log.await(2)
+	for range 5000 {
+		c.log.add(claim.Owner(key), []byte(`{}`))
+	}
+	c.log.set(func() { c.log.shift, c.log.read = 0, 0 })
+	mustRun(t, all[1], again).Finish(answer) // an hour later; this instance reads the whole stream
+	c.log.await(5004)
+	c.log.set(func() { c.log.read = 0 })
+	all[1].kill()
+	refused(t, c.start("i2"), again, claim.Unknown, claim.RanAnswerLost)
+	c.log.set(func() { is.True(c.log.read < 200) })
+}
+
 // Guards against a caller that waits for a claimer it cannot reach, and an untrue refusal to it.
 func TestUnreachableClaimerIsUnknown(t *testing.T) {
 	c, all := newCluster(t, seed, 2, claim.Options{})
--- a/claim/fakes_test.go
+++ b/claim/fakes_test.go
@@ -27,6 +27,7 @@
 	streams map[string][]platform.Record
 	rng     *rand.Rand
 	appends int
+	read    int // records
 	latency time.Duration
 	outage  bool
 	// lost and late are the shares of appends whose answer is lost after the effect, and whose
@@ -103,6 +104,7 @@
 	p := platform.Page{First: l.first, Next: l.first + int64(len(records))}
 	if at := int(from - l.first); at < len(records) {
 		p.Records = append(p.Records, records[at:min(at+limit, len(records))]...)
+		l.read += len(p.Records)
 	}
 	return p, nil
 }
--- a/claim/fold.go
+++ b/claim/fold.go
@@ -21,6 +21,7 @@
 	holders     map[hash]*holder
 	released    map[claimID]time.Time
 	swept       time.Time
+	longest     time.Duration // longest lifetime seen
 }
 
 func newFold() *fold {
@@ -81,6 +82,7 @@
 }
 
 func (f *fold) apply(b *batch, at time.Time) {
+	f.longest = max(f.longest, b.longest())
 	for _, e := range b.Ends {
 		h := f.holders[e.Key]
 		mine := h != nil && h.id == b.id(e.Seq)
--- a/claim/read.go
+++ b/claim/read.go
@@ -8,17 +8,6 @@
 	"github.com/cicadasill/cicadasill/platform"
 )
 
-// load reads the retained stream before any key in it is decided.
-func (s *stream) load() error {
-	if err := s.readToEnd(s.c.ctx); err != nil {
-		return err
-	}
-	s.c.mu.Lock()
-	defer s.c.mu.Unlock()
-	s.loaded = true
-	return nil
-}
-
 // readToEnd folds all records that the stream holds now.
 func (s *stream) readToEnd(ctx context.Context) error {
 	for {
--- a/claim/record.go
+++ b/claim/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/cicadasill/cicadasill/machine"
 )
@@ -22,6 +23,9 @@
 	Incarnation uint64        `json:"inc"`
 	Ends        []endRecord   `json:"ends,omitempty"`
 	Claims      []claimRecord `json:"claims,omitempty"`
+	// LongestMs is the longest lifetime in milliseconds that the writer has seen in the stream.
+	// It tells an instance that starts how far back it has to read.
+	LongestMs int64 `json:"lx,omitempty"`
 }
 
 type claimRecord struct {
@@ -40,6 +44,15 @@
 	Result string `json:"r"`
 }
 
+// longest returns the longest lifetime that the batch knows of.
+func (b *batch) longest() time.Duration {
+	ms := b.LongestMs
+	for _, c := range b.Claims {
+		ms = max(ms, c.LifetimeMs)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (b *batch) claimer() machine.Ref { return machine.Ref{ID: b.ID, Incarnation: b.Incarnation} }
 
 func (b *batch) id(seq uint64) claimID { return claimID{b.claimer(), seq} }
--- a/claim/stream.go
+++ b/claim/stream.go
@@ -178,6 +178,7 @@
 		b.Claims = append(b.Claims, claimRecord{Seq: r.seq, Key: r.key, Body: r.body,
 			LifetimeMs: r.lifetime.Milliseconds(), TimeMs: time.Now().UnixMilli()})
 	}
+	b.LongestMs = max(s.fold.longest, b.longest()).Milliseconds()
 	return b, runs
 }
 
