--- a/rollout/attribution_test.go
+++ b/rollout/attribution_test.go
@@ -126,6 +126,34 @@
 	}
 }
 
+// Guards against idle_weight 0 that hands over samples of an old version which were finished while
+// the trainer trained, and against a hold that never ends when no engine loads the new one.
+func TestIdleWeightZeroAtHandOver(t *testing.T) {
+	for _, loads := range []bool{true, false} {
+		is := is.New(t)
+		svc := service()
+		svc.Rollout.IdleWeight = 0
+		b := newBed(t, svc, func(o *rollout.Options) { o.SoftHold = 100 * time.Millisecond })
+		b.begin(is, 1, groups(1, 2, 20))
+		_, err := b.trainer.Take(b.ctx, testTimeout, 1, true)
+		is.NoErr(err)
+		b.trainer.Version = 2
+		_, err = b.trainer.Take(b.ctx, 0, 0, false) // the engines still run version 1
+		is.NoErr(err)
+		is.Equal(b.trainer.Count(), 0)
+		if loads {
+			for _, id := range []string{"s0", "s1", "s2"} {
+				b.fleet.Engine(id).SetVersion(2)
+			}
+			b.Announce(2)
+		}
+		b.whole(is, 2)
+		for _, lag := range b.trainer.Ledger().Staleness {
+			is.Equal(lag == 0, loads)
+		}
+	}
+}
+
 // Guards against a failing scorer that loses samples.
 func TestFailingScorerDelays(t *testing.T) {
 	is := is.New(t)
--- a/rollout/compare/deployment.go
+++ b/rollout/compare/deployment.go
@@ -16,6 +16,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/rollout"
 	"github.com/cicadasill/cicadasill/rollout/enginesim"
 )
@@ -74,6 +75,11 @@
 	in := d.instances[i]
 	opts := rollout.Options{
 		Directory: d, Engine: d.cfg.Fleet, View: in, Owner: Owner,
+		Load: func(id string) platform.LoadReport {
+			// An engine without a report has the zero one, which names no version.
+			report, _ := d.cfg.Fleet.Load(context.Background(), enginesim.Addr(id))
+			return report
+		},
 		Picker: &LeastLoaded{Fleet: d.cfg.Fleet, PerEngine: d.cfg.PerEngine},
 		Forward: func(ctx context.Context, to machine.Instance, req *http.Request) (*http.Response, error) {
 			return d.forward(ctx, i, to, req)
--- a/rollout/compare/table.go
+++ b/rollout/compare/table.go
@@ -41,7 +41,7 @@
 	var out []Variant
 	for _, weight := range []float64{0, 0.25, 0.5, 0.75, 1} {
 		out = append(out, Variant{
-			Name: fmt.Sprintf("idle_weight %.2f", weight), Ahead: 3,
+			Name: fmt.Sprintf("idle_weight %.2f", weight), Ahead: 4,
 			Terms: contract.RolloutTerms{MaxVersionLag: 4, IdleWeight: weight},
 		})
 	}
@@ -73,7 +73,9 @@
 
 // CompareWeights writes the trade-off between idle time and staleness as a table and a plot.
 func CompareWeights(out, plot io.Writer, seeds []uint64) error {
-	results, err := runAll(seeds, func(w *Workload) { w.Train = 1500 * time.Millisecond }, Weights())
+	// Half the samples of the other tables: training is the longer part, so steps opened ahead finish
+	// early and age.
+	results, err := runAll(seeds, func(w *Workload) { w.Train, w.Groups = 1500*time.Millisecond, 64 }, Weights())
 	if err != nil {
 		return err
 	}
--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -79,26 +79,28 @@
 	st.push(s)
 }
 
-// pick chooses an engine for s. It prefers versions within the soft bound and engines that are
-// neither slow nor the one that just failed, and gives up these preferences one by one; the age
-// bound itself is kept.
+// pick chooses an engine for s. It prefers engines that are neither slow nor the one that just failed,
+// and versions within the soft bound, for which it waits as long as engines may be loading them. The
+// age bound itself is kept.
 func (st *step) pick(ctx context.Context, svc *contract.Service, s *sample) (Pick, error) {
 	st.mu.Lock()
 	expected := st.expectedVersion(svc)
 	exclude := append([]string(nil), s.exclude...)
 	group, noPrefix := s.group, s.noPrefix
+	floors := []int64{max(0, expected-softLag(svc.Rollout))}
+	if hard := max(0, expected-svc.Rollout.MaxVersionLag); hard < floors[0] && !st.mayHold() {
+		floors = append(floors, hard)
+	}
 	st.mu.Unlock()
 	if st.isLong(group) && !st.srv.opts.NoMoves {
 		exclude = append(exclude, st.srv.speeds.of(st.key.service, st.srv.now()).slow(moveRatio)...)
 	}
-	hard := max(0, expected-svc.Rollout.MaxVersionLag)
-	soft := max(hard, expected-softLag(svc.Rollout))
 	req := PickRequest{Service: svc, PrefixID: group.PrefixID, Prompt: group.Prompt, MaxTokens: group.MaxTokens}
 	if noPrefix {
 		req.PrefixID = ""
 	}
 	var err error
-	for _, floor := range []int64{soft, hard} {
+	for _, floor := range floors {
 		for _, ex := range [][]string{exclude, nil} {
 			req.MinVersion, req.Exclude = floor, ex
 			var pick Pick
@@ -170,7 +172,7 @@
 	gauge.Dec()
 	a.pick.Done(time.Since(began), a.generated, reportable(a, err))
 	st.srv.slots.release(st.key.service, st.key.trainer)
-	st.signal()
+	st.srv.wakeService(st.key.service)
 	if p := st.finish(a, err); p != nil {
 		st.score(a.s, p)
 	}
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -38,6 +38,9 @@
 	}
 	st.mu.Lock()
 	st.reorder()
+	if st.holding && !st.mayHold() {
+		st.notify()
+	}
 	if !st.srv.opts.NoEarlyStop {
 		st.stopOld(svc)
 	}
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -85,6 +85,9 @@
 	DefaultForwardMargin = 2 * time.Second
 	// DefaultMaxHeldTokens bounds the tokens of all open steps in the worst case: 8 bytes each, 128 MB.
 	DefaultMaxHeldTokens = 16 << 20
+	// DefaultSoftHold bounds the wait for engines to load a newer version when the idle weight asks for
+	// fresher samples. Versions are on all samplers within 11 s.
+	DefaultSoftHold = 15 * time.Second
 	// DefaultHedgeBudget is the fraction of a step's samples that may be hedged.
 	DefaultHedgeBudget = 0.05
 	// DefaultRetryPause is the wait after a failed attempt to generate or score.
@@ -120,6 +123,7 @@
 	ForwardMargin     time.Duration
 	RetryPause        time.Duration
 	MaxRetryPause     time.Duration
+	SoftHold          time.Duration
 	MaxHeldTokens     int64
 	HedgeBudget       float64
 	// RolloutPriority is the engine priority of samples; staff calls use higher ones.
@@ -143,6 +147,7 @@
 	setDuration(&o.ForwardMargin, DefaultForwardMargin)
 	setDuration(&o.RetryPause, DefaultRetryPause)
 	setDuration(&o.MaxRetryPause, DefaultMaxRetryPause)
+	setDuration(&o.SoftHold, DefaultSoftHold)
 	if o.MaxHeldTokens == 0 {
 		o.MaxHeldTokens = DefaultMaxHeldTokens
 	}
--- a/rollout/server.go
+++ b/rollout/server.go
@@ -202,6 +202,15 @@
 	return false
 }
 
+// wakeService lets every step of a service try for a slot that became free.
+func (s *Server) wakeService(service string) {
+	for _, st := range s.openSteps() {
+		if st.key.service == service {
+			st.signal()
+		}
+	}
+}
+
 // wakeNext lets later steps of the trainer start samples once st has none left to start.
 func (s *Server) wakeNext(st *step) {
 	if st.hasPending() {
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -31,14 +31,18 @@
 	start  chan struct{} // closed by the first take
 	wg     conc.WaitGroup
 
-	mu       sync.Mutex
-	samples  []*sample
-	pending  pendingHeap
-	version  int64 // the trainer's version in its last request
-	lastSeen time.Time
-	started  bool
-	closed   bool
-	hedges   int
+	mu      sync.Mutex
+	samples []*sample
+	pending pendingHeap
+	version int64 // the trainer's version in its last request
+	// versionAt is when the trainer's version last changed; holding is set while finished samples wait
+	// for engines to load a newer version.
+	versionAt time.Time
+	holding   bool
+	lastSeen  time.Time
+	started   bool
+	closed    bool
+	hedges    int
 	// changed is closed and replaced when a sample finishes.
 	changed chan struct{}
 	// taking is closed when a newer take replaces the one that waits.
@@ -49,7 +53,7 @@
 	st := &step{
 		srv: srv, key: key, bodyHash: hash, reserved: reserved,
 		done: make(chan struct{}), wake: make(chan struct{}, 1), start: make(chan struct{}),
-		version: req.Version, lastSeen: srv.now(), changed: make(chan struct{}),
+		version: req.Version, versionAt: srv.now(), lastSeen: srv.now(), changed: make(chan struct{}),
 	}
 	for gi := range req.Groups {
 		g := &req.Groups[gi]
--- a/rollout/take.go
+++ b/rollout/take.go
@@ -43,7 +43,9 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.lastSeen = st.srv.now()
-	st.version = version
+	if version != st.version {
+		st.version, st.versionAt = version, st.lastSeen
+	}
 	if st.taking != nil {
 		close(st.taking)
 	}
@@ -83,6 +85,7 @@
 		return nil, nil, false
 	}
 	st.lastSeen = st.srv.now()
+	st.holding = false
 	resp := &TakeResponse{Samples: []Sample{}}
 	tokens := 0
 	for _, s := range st.samples {
@@ -106,13 +109,33 @@
 	if s.result == nil {
 		return false
 	}
-	if version-s.result.oldest() > svc.Rollout.MaxVersionLag {
+	lag := version - s.result.oldest()
+	if lag > svc.Rollout.MaxVersionLag {
 		st.restart(s, WasteTooOld)
 		return false
 	}
-	return true
+	return lag <= softLag(svc.Rollout) || !st.refresh(svc, s, version)
 }
 
+// refresh starts a sample again that is beyond the lag which the idle weight tolerates, or holds it
+// while engines are still loading the newer version. It happens once to a sample, and the hold ends:
+// the soft bound may cost time but not the sample.
+func (st *step) refresh(svc *contract.Service, s *sample, version int64) bool {
+	if s.softRestarts > 0 {
+		return false
+	}
+	if st.newestLoaded(svc) >= version-softLag(svc.Rollout) {
+		s.softRestarts++
+		st.restart(s, WasteRestart)
+		return true
+	}
+	st.holding = st.mayHold()
+	return st.holding
+}
+
+// mayHold reports whether engines may still be loading the trainer's version.
+func (st *step) mayHold() bool { return st.srv.now().Sub(st.versionAt) < st.srv.opts.SoftHold }
+
 func (st *step) countDelivery(s *sample, version int64) {
 	if s.delivered {
 		return // repeated after a lost answer
