--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -126,7 +126,7 @@
 	b.fleet.SetStore(true, 0)
 	b.start(compare.NewLease(1))
 	is.NoErr(b.AnnounceVersion(b.ctx, "fry-lm", 2, "main"))
-	b.until(is, func() bool { return b.orders(2) >= 12 })
+	b.until(is, func() bool { return b.orders(2) >= 36 }) // enough for three failures of each sampler
 	is.True(b.all(1))
 	for _, s := range b.backends {
 		is.True(!b.isUnfit(s.ID))
