claim: cut links and dropped answers in the property test

Cause: the property test had no cut between a claimer and those who ask it, and never dropped a kept answer. Change: a fault that cuts one instance off from the others over the links; a bound of 5 bytes for kept answers in half of the scripts.

--- a/claim/fakes_test.go
+++ b/claim/fakes_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cicadasill/cicadasill/claim"
 	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/link/faultnet"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
 )
@@ -146,6 +147,7 @@
 type cluster struct {
 	t    testing.TB
 	log  *fakeLog
+	net  *faultnet.Network
 	opts claim.Options
 	mu   sync.Mutex
 	live map[string]machine.Instance
@@ -166,7 +168,7 @@
 	if opts.EndDelay == 0 {
 		opts.EndDelay = time.Millisecond
 	}
-	c := &cluster{t: t, log: newLog(seed), opts: opts, live: map[string]machine.Instance{}, known: map[machine.Ref]machine.Instance{}}
+	c := &cluster{t: t, log: newLog(seed), net: faultnet.New(), opts: opts, live: map[string]machine.Instance{}, known: map[machine.Ref]machine.Instance{}}
 	var out []*instance
 	for i := range n {
 		out = append(out, c.start(fmt.Sprint("i", i)))
@@ -179,13 +181,14 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	c.net.Name(ln.Addr().String(), id)
 	c.mu.Lock()
 	c.runs++
 	self := machine.Instance{ID: id, Incarnation: c.runs, PeerAddr: ln.Addr().String()}
 	c.live[id] = self
 	c.known[self.Ref()] = self
 	c.mu.Unlock()
-	node := link.NewNode(self, link.Options{DrainTimeout: time.Millisecond, FreshFor: time.Hour})
+	node := link.NewNode(self, link.Options{DrainTimeout: time.Millisecond, FreshFor: time.Hour, DialContext: c.net.Dialer(id)})
 	opts := c.opts
 	opts.FlushTimeout = time.Nanosecond
 	cl := claim.NewClaims(self, c.log, view{c, self}, node, opts)
--- a/claim/property_test.go
+++ b/claim/property_test.go
@@ -78,6 +78,7 @@
 	keys    []int       // the key of each client
 	honest  []bool      // the only client of its key, so it may state attempt 1
 	faults  []int
+	kept    int64 // bytes of kept answers
 }
 
 func drawScript(t *rapid.T) script {
@@ -100,7 +101,8 @@
 	for _, k := range s.keys {
 		s.honest = append(s.honest, users[k] == 1)
 	}
-	s.faults = rapid.SliceOfN(rapid.IntRange(0, 8), 0, 8).Draw(t, "faults")
+	s.faults = rapid.SliceOfN(rapid.IntRange(0, 9), 0, 8).Draw(t, "faults")
+	s.kept = rapid.SampledFrom([]int64{5, 1 << 20}).Draw(t, "kept bytes")
 	return s
 }
 
@@ -152,7 +154,10 @@
 		l.set(func() { l.late = 0.5 })
 	case 6:
 		l.set(func() { l.latency, l.limited = 3*time.Millisecond, 0.3 })
+	case 7:
+		w.c.net.Cut(func(a, _ string) bool { return a == "i0" })
 	default:
+		w.c.net.Heal()
 		l.set(func() { l.outage, l.lost, l.late, l.limited = false, 0, 0, 0 })
 	}
 }
@@ -213,7 +218,8 @@
 }
 
 // Guards against a second run of a key and an untrue not_run under any mixture of lost, late and
-// refused appends, outages, deaths, cancelled callers and concurrent attempts.
+// refused appends, outages, deaths, cut links, dropped answers, cancelled callers and concurrent
+// attempts.
 func TestAtMostOnceUnderFaults(t *testing.T) {
 	if err := flag.Set("rapid.seed", fmt.Sprint(seed)); err != nil {
 		t.Fatal(err)
@@ -221,7 +227,8 @@
 	t.Logf("seed %d", seed)
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawScript(rt)
-		opts := claim.Options{ClaimTimeout: 60 * time.Millisecond, OutageAfter: 20 * time.Millisecond, LogTimeout: 50 * time.Millisecond}
+		opts := claim.Options{ClaimTimeout: 60 * time.Millisecond, OutageAfter: 20 * time.Millisecond, LogTimeout: 50 * time.Millisecond,
+			MaxKeptBytes: s.kept}
 		c, all := newCluster(t, seed, 3, opts)
 		w := &world{c: c, all: all, start: time.Now(), store: map[string]string{}}
 		var wg sync.WaitGroup
