health: polls follow demand, one observer per region, subsets; one reader of the instance list

Change: the observer of a back end in its region polls it each second; other instances only while they have requests for the service, else every 8 s; services with more than 16 back ends are routed to by subsets chosen by rendezvous hashing; the instance list is read once for all parts, every 2 s.

--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/feed"
+	"github.com/cicadasill/cicadasill/health"
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
@@ -125,3 +126,15 @@
 		return node.Forward(ctx, to, cause, req)
 	}
 }
+
+// demandingRouter tells the health tracker which services are in use.
+type demandingRouter struct {
+	router  routing.Router
+	tracker *health.Tracker
+}
+
+// Pick implements routing.Router.
+func (r demandingRouter) Pick(req routing.Request) (routing.Pick, error) {
+	r.tracker.Want(req.Service.Name)
+	return r.router.Pick(req)
+}
--- a/entry/build.go
+++ b/entry/build.go
@@ -23,6 +23,13 @@
 	"github.com/cicadasill/cicadasill/weights"
 )
 
+// observerKey separates the observers' keys from others in rendezvous hashing.
+const observerKey = "observer/"
+
+// subsetSize is the largest number of a service's back ends to which one instance routes and
+// which it polls. Today's services have fewer; with 600 samplers it bounds the polls per node.
+const subsetSize = 16
+
 // maxHeaderBytes bounds the header of a request.
 const maxHeaderBytes = 32 << 10
 
@@ -72,7 +79,8 @@
 	i.node = link.NewNode(i.self, link.Options{
 		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext,
 	})
-	i.members = membership.New(i.self, i.node, i.clients.list, membership.Options{
+	i.instanceList = &sharedList{list: i.clients.list}
+	i.members = membership.New(i.self, i.node, i.instanceList, membership.Options{
 		Registerer: i.config.Registry, Logger: i.log,
 	})
 	i.feed = feed.New(i.self, i.clients.log, feed.Options{
@@ -110,18 +118,31 @@
 		Registerer: i.config.Registry,
 	})
 	i.health = health.New(health.Options{
-		Engine: i.clients.engine, Plain: i.clients.plain, List: i.clients.list,
+		Engine: i.clients.engine, Plain: i.clients.plain, List: i.instanceList,
 		PeersLeaving: i.members.LeavingBackends, ReportLeaving: i.members.ReportLeaving,
 		CacheEvents: i.router.Hints().Events,
-		Registerer:  i.config.Registry, Logger: i.log,
+		Observes:    i.observes, Self: i.self.ID, Zone: i.self.Zone, Subset: subsetSize,
+		Registerer: i.config.Registry, Logger: i.log,
 	})
 	i.router.SetTracker(i.health)
 }
 
+// observes reports whether this instance is the observer of b in its region: the one that
+// polls b each second and reports that it is leaving.
+func (i *Instance) observes(b machine.Backend) bool {
+	regional := make([]machine.Instance, 0, len(i.members.Live()))
+	for _, peer := range i.members.Live() {
+		if peer.Zone.Region == i.self.Zone.Region {
+			regional = append(regional, peer)
+		}
+	}
+	return membership.Owner(observerKey+b.ID, regional).Ref() == i.self.Ref()
+}
+
 func (i *Instance) buildCallers() {
 	i.gateway = gateway.New(gateway.Options{
 		Self:    i.self,
-		Service: directory{i.feed}.Service,
+		Service: i.serviceInUse,
 		Router:  i.router, Tracker: i.health,
 		Engine: i.clients.engine, Plain: i.clients.plain,
 		Claims:  gateway.ClaimsOf(i.claims),
@@ -132,6 +153,15 @@
 	})
 }
 
+// serviceInUse looks up a caller's service. Its back ends are polled each second from then on.
+func (i *Instance) serviceInUse(name string) (*contract.Service, bool) {
+	service, ok := i.feed.State().Catalog.Service(name)
+	if ok {
+		i.health.Want(name)
+	}
+	return service, ok
+}
+
 // ownerOfClaim returns the instance to which rendezvous hashing assigns the claim stream of key.
 func (i *Instance) ownerOfClaim(key claim.Key) machine.Instance {
 	return membership.Owner(claim.Owner(key), i.members.Live())
@@ -139,7 +169,7 @@
 
 func (i *Instance) buildTrainers() {
 	dir := directory{i.feed}
-	picker := rolloutPicker{router: i.router, unfit: i.unfit}
+	picker := rolloutPicker{router: demandingRouter{i.router, i.health}, unfit: i.unfit}
 	i.rollouts = rollout.New(rollout.Options{
 		Directory: dir, Picker: picker, Engine: i.clients.engine, View: i.members,
 		Owner: membership.Owner, Forward: forwarder(i.node, link.CauseRollout),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,8 @@
 	unfit    *unfitSet
 	clients  clients
 
+	instanceList *sharedList
+
 	draining atomic.Bool
 	inFlight atomic.Int64
 	stopOnce sync.Once
--- a/health/backend.go
+++ b/health/backend.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadasill/cicadasill/limit"
@@ -30,6 +31,9 @@
 	// Limit is the adaptive concurrency of this instance's requests to the back end.
 	Limit *limit.Concurrency
 
+	// routed states that this instance routes to the back end.
+	routed atomic.Bool
+
 	mu           sync.Mutex
 	polled       bool
 	pollFailures int
--- a/health/doc.go
+++ b/health/doc.go
@@ -11,7 +11,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadasill/cicadasill/limit"
+	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/zone"
 )
 
 // Defaults of Options.
@@ -65,6 +67,17 @@
 	// CacheEvents receives an engine's cache events; gap reports that some are missing.
 	CacheEvents func(b *Backend, events []platform.CacheEvent, gap bool)
 
+	// Observes reports whether this instance polls a back end at the poll period whatever the
+	// demand; nil means that it observes all. One observer in each region is enough to notice a
+	// leaving back end.
+	Observes func(b machine.Backend) bool
+	// Self and Zone select this instance's subset of a service with more than Subset back
+	// ends; 0 means no subsets.
+	Self   string
+	Zone   zone.Zone
+	Subset int
+
+	IdlePeriod, ActiveFor   time.Duration
 	PollPeriod, PollTimeout time.Duration
 	PollFailures, Failures  int
 	Ejection, MaxEjection   time.Duration
@@ -78,6 +91,8 @@
 func (o *Options) setDefaults() {
 	setDuration(&o.PollPeriod, DefaultPollPeriod)
 	setDuration(&o.PollTimeout, DefaultPollTimeout)
+	setDuration(&o.IdlePeriod, DefaultIdlePeriod)
+	setDuration(&o.ActiveFor, DefaultActiveFor)
 	setDuration(&o.Ejection, DefaultEjection)
 	setDuration(&o.MaxEjection, DefaultMaxEjection)
 	setDuration(&o.Return, DefaultReturn)
--- a/health/poll.go
+++ b/health/poll.go
@@ -9,11 +9,17 @@
 	"github.com/cicadasill/cicadasill/platform"
 )
 
-// follow polls one back end until ctx ends.
+// follow polls one back end until ctx ends. A back end outside the subset is polled only
+// while this instance observes it.
 func (t *Tracker) follow(ctx context.Context, b *Backend) {
+	demand := t.demand.of(b.Service)
 	for ctx.Err() == nil {
-		t.poll(ctx, b)
-		sleep(ctx, jitter(t.opts.PollPeriod))
+		// Taken before the poll, so that a request during the poll is not missed.
+		woken := demand.woken()
+		if b.routed.Load() || t.isObserver(b.Backend) {
+			t.poll(ctx, b)
+		}
+		t.untilNextPoll(ctx, b, demand, woken)
 	}
 }
 
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -20,7 +20,8 @@
 	opts Options
 	log  *log.Logger
 
-	index atomic.Pointer[index]
+	index  atomic.Pointer[index]
+	demand *demand
 
 	mu      sync.Mutex // guards run, cancel and updates
 	run     context.Context
@@ -35,6 +36,7 @@
 type index struct {
 	byID      map[string]*Backend
 	byService map[string][]*Backend
+	demand    map[string]*serviceDemand
 }
 
 // New returns a tracker without back ends.
@@ -44,17 +46,21 @@
 	if t.log == nil {
 		t.log = log.New(io.Discard)
 	}
+	t.demand = newDemand()
 	t.index.Store(&index{})
 	t.registerMetrics()
 	return t
 }
 
-// Update replaces the set of back ends. The state of those that stay is kept.
+// Update replaces the set of back ends. The state of those that stay is kept. Of a service
+// with more back ends than the subset size, this instance routes to its subset only; it tracks
+// the others too, because it may be their observer.
 func (t *Tracker) Update(backends []machine.Backend) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.index.Load()
-	next := &index{byID: map[string]*Backend{}, byService: map[string][]*Backend{}}
+	next := &index{byID: map[string]*Backend{}, byService: map[string][]*Backend{}, demand: map[string]*serviceDemand{}}
+	routed := t.routed(backends)
 	for _, m := range backends {
 		b, ok := old.byID[m.ID]
 		if !ok || b.Backend != m {
@@ -62,7 +68,11 @@
 			b = newBackend(m, &t.opts)
 		}
 		next.byID[m.ID] = b
-		next.byService[m.Service] = append(next.byService[m.Service], b)
+		next.demand[m.Service] = t.demand.of(m.Service)
+		b.routed.Store(routed[m.ID])
+		if routed[m.ID] {
+			next.byService[m.Service] = append(next.byService[m.Service], b)
+		}
 	}
 	t.index.Store(next)
 	for id := range old.byID {
@@ -73,6 +83,21 @@
 	t.startAll()
 }
 
+// routed returns the ids of the back ends to which this instance routes.
+func (t *Tracker) routed(backends []machine.Backend) map[string]bool {
+	services := map[string][]machine.Backend{}
+	for _, b := range backends {
+		services[b.Service] = append(services[b.Service], b)
+	}
+	ids := map[string]bool{}
+	for _, all := range services {
+		for _, b := range t.subset(all) {
+			ids[b.ID] = true
+		}
+	}
+	return ids
+}
+
 // Run polls the back ends until ctx ends.
 func (t *Tracker) Run(ctx context.Context) error {
 	t.mu.Lock()
