rollout: shares leave no slot unused, unexpectedly long samples are parked, lying engines tested

Two trainers beyond their shares left a tenth of the slots unused; a slot is now refused only while another trainer with samples to start is below its share. A sample half as long again as predicted waits until no other does.

--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -21,8 +21,8 @@
 	cancel context.CancelFunc
 	// start is the sample's start that this attempt belongs to.
 	start int
-	// base is the number of tokens that the attempt resumed from, generated those it added.
-	base, generated int
+	// generated is the number of tokens that the attempt added to those it resumed from.
+	generated int
 	// replaces is the attempt whose place this one takes.
 	replaces          *attempt
 	kvFrom, kvRequest string
@@ -36,6 +36,8 @@
 	lastEvent time.Time
 	dead      bool
 	cause     WasteCause
+	// parked states that the attempt was ended to run the sample later.
+	parked bool
 	// poisoned states that the stream contradicted itself, so its tokens are not resumed from.
 	poisoned bool
 }
@@ -219,14 +221,20 @@
 
 // fail keeps the progress of a failed attempt and queues the sample again. Called with mu held.
 func (st *step) fail(s *sample, a *attempt, err error) {
-	st.srv.metrics.failures.WithLabelValues(st.key.service, "generate").Inc()
+	if !a.parked {
+		st.srv.metrics.failures.WithLabelValues(st.key.service, "generate").Inc()
+	}
 	if !a.poisoned && len(a.progress.tokens) > 0 && (s.saved == nil || len(a.progress.tokens) > len(s.saved.tokens)) {
 		s.saved = a.progress
 	}
-	s.exclude = []string{a.pick.Backend.ID}
 	if len(s.live) > 0 {
 		return
 	}
+	if a.parked {
+		st.enqueue(s)
+		return
+	}
+	s.exclude = []string{a.pick.Backend.ID}
 	var ae *attemptError
 	if !errors.As(err, &ae) || ae.Code != attemptStaleCache {
 		s.failures++
--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -17,7 +17,11 @@
 // dispatch starts pending samples until slots or engines are exhausted. A trainer's next step waits
 // until none of its earlier steps has a sample to start.
 func (st *step) dispatch(ctx context.Context) {
-	defer st.srv.wakeNext(st)
+	st.srv.slots.want(st.key, st.hasPending())
+	defer func() {
+		st.srv.slots.want(st.key, st.hasPending())
+		st.srv.wakeNext(st)
+	}()
 	for ctx.Err() == nil {
 		svc, ok := st.service()
 		if !ok || svc.Rollout == nil || st.srv.earlierPending(st) {
@@ -156,7 +160,7 @@
 	case s.saved != nil:
 		a.progress = s.saved.clone()
 	}
-	a.base = len(a.progress.tokens)
+	s.predicted = st.srv.lengths.predict(st.key.service, s.group, 0)
 	s.live = append(s.live, a)
 	st.mu.Unlock()
 	st.wg.Go(func() { st.runAttempt(actx, a) })
--- a/rollout/enginesim/engine.go
+++ b/rollout/enginesim/engine.go
@@ -75,6 +75,7 @@
 	holdOrders chan struct{}
 	holdNext   int
 	delayed    []platform.Order
+	distort    func(ev *platform.GenerateEvent)
 	tokens     int64
 }
 
@@ -325,6 +326,25 @@
 	return e.version
 }
 
+// Lie makes the engine distort the next event that it sends.
+func (e *Engine) Lie(distort func(ev *platform.GenerateEvent)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.distort = distort
+}
+
+// distorted applies the distortion asked for, once.
+func (e *Engine) distorted(ev platform.GenerateEvent) platform.GenerateEvent {
+	e.mu.Lock()
+	distort := e.distort
+	e.distort = nil
+	e.mu.Unlock()
+	if distort != nil {
+		distort(&ev)
+	}
+	return ev
+}
+
 // Down reports whether the engine crashed and was not restarted.
 func (e *Engine) Down() bool {
 	e.mu.Lock()
--- a/rollout/enginesim/stream.go
+++ b/rollout/enginesim/stream.go
@@ -52,7 +52,7 @@
 				s.done = true
 				_ = s.Close()
 			}
-			return ev, nil
+			return s.e.distorted(ev), nil
 		}
 	}
 }
--- a/rollout/exactlyonce_test.go
+++ b/rollout/exactlyonce_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/rollout"
 )
@@ -159,3 +160,36 @@
 		is.Equal(r.MaxTokens, 40)
 	}
 }
+
+// Guards against a take that the trainer gave up on and that takes the samples of the next one's wait.
+func TestNewerTakeEndsOlder(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), nil)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		b.fleet.Engine(id).SetSlow(0)
+	}
+	b.begin(is, 1, groups(1, 1, 10))
+	older := make(chan error, 1)
+	old := *b.trainer
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() {
+		_, err := old.Take(b.ctx, testTimeout, 0, false)
+		older <- err
+	})
+	b.until(is, func() bool { return len(older) == 1 || b.takeNow() == nil && len(older) == 1 })
+	is.NoErr(<-older)
+}
+
+// Guards against a former owner that holds memory and engines for a step that another instance owns.
+func TestFormerOwnerLetsGo(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) {
+		o.OwnershipGrace, o.MaxHeldTokens = testTimeout/1000, 100
+	})
+	b.begin(is, 1, groups(1, 10, 10))
+	owner := b.via
+	b.SetView(owner, []int{1 - owner}) // the owner learns that it is none any more
+	b.Cut(owner, 1-owner, true)        // and serves new steps locally
+	b.until(is, func() bool { return b.trainer.Open(b.ctx, 2, groups(1, 10, 10)) == nil })
+}
--- a/rollout/helpers_test.go
+++ b/rollout/helpers_test.go
@@ -132,3 +132,9 @@
 	}
 	return ""
 }
+
+// takeNow takes without waiting.
+func (b *bed) takeNow() error {
+	_, err := b.trainer.Take(b.ctx, 0, 0, false)
+	return err
+}
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -44,6 +44,7 @@
 	if !st.srv.opts.NoEarlyStop {
 		st.stopOld(svc)
 	}
+	st.parkLong()
 	moves := st.moveCandidates()
 	hedges := st.hedgeCandidates(svc)
 	st.mu.Unlock()
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -134,6 +134,7 @@
 	NoHedging            bool
 	NoMoves              bool
 	NoEarlyStop          bool
+	NoParking            bool
 }
 
 func (o Options) withDefaults() Options {
--- a/rollout/sample.go
+++ b/rollout/sample.go
@@ -64,19 +64,21 @@
 	have    bool
 	live    []*attempt
 	// saved is what failed or moved attempts left for the next one to resume from.
-	saved *progress
-	// kvFrom is the engine that still holds the KV cache of the moved attempt kvRequest.
-	kvFrom, kvRequest string
-	exclude           []string
-	noPrefix          bool
+	saved    *progress
+	exclude  []string
+	noPrefix bool
 	// winner is the whole sequence while it is being scored, result afterwards.
 	winner *progress
 	result *Sample
 	// spent counts the tokens generated for the current start, by all attempts together.
-	spent        int
-	moves        int
-	failures     int
-	notBefore    time.Time
+	spent     int
+	moves     int
+	failures  int
+	notBefore time.Time
+	// predicted is the expected length when the sample was last started. A sample far beyond it is
+	// parked once: it waits until no other sample does.
+	predicted    float64
+	parked       bool
 	softRestarts int
 	hedged       bool
 	delivered    bool
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -100,8 +100,7 @@
 	if !st.awaitStart(ctx, lazy) {
 		return
 	}
-	st.srv.slots.setActive(st.key.service, st.key.trainer, 1)
-	defer st.srv.slots.setActive(st.key.service, st.key.trainer, -1)
+	defer st.srv.slots.want(st.key, false)
 	st.begin()
 	ticker := time.NewTicker(st.srv.opts.MonitorPeriod)
 	defer ticker.Stop()
@@ -169,7 +168,7 @@
 		a.kill(cause)
 	}
 	s.live, s.saved, s.winner, s.result = nil, nil, nil, nil
-	s.kvFrom, s.kvRequest, s.delivered, s.hedged = "", "", false, false
+	s.delivered, s.hedged, s.parked = false, false, false
 	if s.stopScoring != nil {
 		s.stopScoring()
 		s.stopScoring = nil
--- a/rollout/tail_test.go
+++ b/rollout/tail_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/rollout"
 )
 
@@ -106,22 +107,45 @@
 	is.True(first[0].MaxTokens == 400 || first[1].MaxTokens == 400 || first[2].MaxTokens == 400)
 }
 
-// Guards against a trainer with a small share that starves beside a large one.
+// Guards against a trainer that gets far more or less than its share beside another one.
 func TestShares(t *testing.T) {
 	is := is.New(t)
 	svc := service()
-	svc.Trainers[0].Share = 0.7
+	svc.Trainers[0].Share = 0.9
 	svc.Trainers = append(svc.Trainers, service().Trainers[0])
-	svc.Trainers[1].Name, svc.Trainers[1].Share = "second", 0.3
+	svc.Trainers[1].Name, svc.Trainers[1].Share = "second", 0.1
 	b := newBed(t, svc, func(o *rollout.Options) { o.SlotsPerSampler, o.Owner = 4, nil })
 	large, small := b.trainer, *b.trainer
 	small.Name = "second"
-	b.begin(is, 1, groups(40, 4, 200))
+	b.begin(is, 1, groups(100, 4, 40))
 	b.until(is, func() bool { return len(b.fleet.Starts()) >= 12 })
-	small.Begin(1, groups(4, 1, 100))
+	small.Begin(1, groups(20, 1, 40))
 	is.NoErr(small.Reopen(b.ctx))
 	is.NoErr(small.Complete(b.ctx, testTimeout))
-	is.True(len(b.fleet.Starts()) < 100) // the large step has most of its samples yet to start
-	b.whole(is, 160)
-	is.Equal(large.Ledger().Delivered, 160)
+	started := len(b.fleet.Starts())
+	is.True(started < 400 && started >= 80) // 20 of the small one, and at least 3 for each of them
+	b.whole(is, 400)
+	is.Equal(large.Ledger().Delivered, 400)
+}
+
+// Guards against an engine's crossed, shifted or short answer that is taken for the sample.
+func TestEngineLies(t *testing.T) {
+	lies := map[string]func(*platform.GenerateEvent){
+		"crossed": func(ev *platform.GenerateEvent) { ev.RequestID = "another" },
+		"shifted": func(ev *platform.GenerateEvent) { ev.Index++ },
+		"short":   func(ev *platform.GenerateEvent) { ev.Done, ev.Total = true, ev.Index+len(ev.Tokens)+7 },
+		"overrun": func(ev *platform.GenerateEvent) { ev.Tokens = append(ev.Tokens, make([]int64, 100)...) },
+	}
+	for name, lie := range lies {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBed(t, service(), nil)
+			for _, id := range []string{"s0", "s1", "s2"} {
+				b.fleet.Engine(id).Lie(lie)
+			}
+			b.begin(is, 1, groups(2, 3, 60))
+			b.whole(is, 6)
+			is.True(b.metric("attempt_failures_total", "generate") >= 1)
+		})
+	}
 }
