rollout: Drain ends waiting takes, attempts ended here never count against an engine

A planned stop waited for long polls of up to 60 s. A client that wraps the end of a context in an error of its own made a cancelled hedge look like a failing engine.

--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -247,13 +247,14 @@
 }
 
 // reportable is the error that the picker learns. An attempt that was ended here says nothing about
-// the engine, which context.Canceled states.
-func reportable(a *attempt, err error) error {
-	var ae *attemptError
-	if errors.As(err, &ae) && (ae.Code == attemptSuperseded || ae.Code == attemptStaleCache) {
-		return context.Canceled
+// the engine, which context.Canceled states; only a silent engine is ended for what it did.
+func reportable(ctx context.Context, a *attempt, err error) error {
+	if err == nil {
+		return nil
 	}
-	if errors.Is(err, context.Canceled) && !a.silent.Load() {
+	var ae *attemptError
+	ended := errors.As(err, &ae) && (ae.Code == attemptSuperseded || ae.Code == attemptStaleCache)
+	if ended || (ctx.Err() != nil && !a.silent.Load()) {
 		return context.Canceled
 	}
 	return err
--- a/rollout/compare/deployment.go
+++ b/rollout/compare/deployment.go
@@ -54,6 +54,7 @@
 	view   []int // nil means all that are up
 	up     bool
 	router *httprouter.Router
+	server *rollout.Server
 	stop   context.CancelFunc
 	wg     *conc.WaitGroup
 }
@@ -94,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.mu.Lock()
 	in.self = machine.Instance{ID: fmt.Sprintf("entry-%d", i), Incarnation: in.self.Incarnation + 1}
-	in.up, in.router, in.stop, in.wg = true, router, cancel, &conc.WaitGroup{}
+	in.up, in.router, in.server, in.stop, in.wg = true, router, srv, cancel, &conc.WaitGroup{}
 	wg := in.wg
 	d.mu.Unlock()
 	wg.Go(func() { _ = srv.Run(ctx) })
@@ -113,6 +114,15 @@
 	}
 }
 
+// Drain prepares all instances for a planned stop.
+func (d *Deployment) Drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, in := range d.instances {
+		in.server.Drain()
+	}
+}
+
 // Close ends all instances.
 func (d *Deployment) Close() {
 	for i := range d.instances {
--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -174,7 +174,7 @@
 	began := time.Now()
 	err := st.stream(ctx, a)
 	gauge.Dec()
-	a.pick.Done(time.Since(began), a.generated, reportable(a, err))
+	a.pick.Done(time.Since(began), a.generated, reportable(ctx, a, err))
 	st.srv.slots.release(st.key.service, st.key.trainer)
 	st.srv.wakeService(st.key.service)
 	if p := st.finish(a, err); p != nil {
--- a/rollout/exactlyonce_test.go
+++ b/rollout/exactlyonce_test.go
@@ -193,3 +193,18 @@
 	b.Cut(owner, 1-owner, true)        // and serves new steps locally
 	b.until(is, func() bool { return b.trainer.Open(b.ctx, 2, groups(1, 10, 10)) == nil })
 }
+
+// Guards against a planned stop that waits for a take's long poll.
+func TestDrainEndsWaitingTake(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), nil)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		b.fleet.Engine(id).SetSlow(0)
+	}
+	b.begin(is, 1, groups(1, 1, 10))
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(b.Drain)
+	_, err := b.trainer.Take(b.ctx, 10*testTimeout, 0, false)
+	is.NoErr(err) // and not the end of the test's time
+}
--- a/rollout/server.go
+++ b/rollout/server.go
@@ -23,6 +23,8 @@
 	speeds  *speeds
 	ctx     context.Context
 	stop    context.CancelFunc
+	drain   context.Context // ends when Drain is called
+	endWait context.CancelFunc
 	wg      conc.WaitGroup
 
 	mu       sync.Mutex
@@ -40,8 +42,9 @@
 		logger = log.New(io.Discard)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	drain, endWait := context.WithCancel(ctx)
 	return &Server{
-		opts: opts, log: logger, metrics: newMetrics(opts.Registerer), slots: newSlots(opts.SlotsPerSampler),
+		drain: drain, endWait: endWait, opts: opts, log: logger, metrics: newMetrics(opts.Registerer), slots: newSlots(opts.SlotsPerSampler),
 		lengths: newLengths(), speeds: newSpeeds(), ctx: ctx, stop: cancel,
 		steps: make(map[stepKey]*step), acked: make(map[stepKey]time.Time),
 	}
@@ -71,6 +74,22 @@
 	}
 }
 
+// Drain ends waiting takes, so that a planned stop does not wait for them. Later takes wait briefly.
+func (s *Server) Drain() { s.endWait() }
+
+// waiting returns how long a take may wait, and a channel that ends its wait.
+func (s *Server) waiting(asked time.Duration) (time.Duration, <-chan struct{}) {
+	asked = min(max(0, asked), maxTakeWait)
+	if s.drain.Err() != nil {
+		return min(asked, drainPause), nil
+	}
+	return asked, s.drain.Done()
+}
+
+// drainPause is a take's longest wait at a draining instance. Without any wait a trainer would ask in
+// a tight loop until the load balancer moves it.
+const drainPause = 100 * time.Millisecond
+
 func (s *Server) shutdown() {
 	s.mu.Lock()
 	s.stopped = true
--- a/rollout/take.go
+++ b/rollout/take.go
@@ -15,7 +15,8 @@
 		return nil, err.(*Error)
 	}
 	replaced := st.beginTake(have, req.Version)
-	timer := time.NewTimer(min(time.Duration(max(0, req.WaitMs))*time.Millisecond, maxTakeWait))
+	wait, drained := st.srv.waiting(time.Duration(req.WaitMs) * time.Millisecond)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	expired := false
 	for {
@@ -34,6 +35,8 @@
 			expired = true
 		case <-replaced:
 			return resp, nil
+		case <-drained: // the trainer asks again, through another instance
+			return resp, nil
 		}
 	}
 }
