--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -34,8 +34,10 @@
 	version   int64
 	startedAt time.Time
 	lastEvent time.Time
-	dead      bool
-	cause     WasteCause
+	// gap is the longest time between two events so far.
+	gap   time.Duration
+	dead  bool
+	cause WasteCause
 	// parked states that the attempt was ended to run the sample later.
 	parked bool
 	// poisoned states that the stream contradicted itself, so its tokens are not resumed from.
@@ -144,6 +146,7 @@
 	var elapsed time.Duration
 	if !a.lastEvent.IsZero() {
 		elapsed = now.Sub(a.lastEvent)
+		a.gap = max(a.gap, elapsed)
 	}
 	st.srv.speeds.observe(st.key.service, a.pick.Backend.ID, len(ev.Tokens), elapsed, ev.Version, now)
 	a.lastEvent = now
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -23,6 +23,8 @@
 	tailBase, tailWeight = 0.05, 0.15
 	// A stalled sample is hedged after hedgeDelay * (2 - 1.75 * idle_weight): 0.1 s to 0.8 s.
 	hedgeDelay = 400 * time.Millisecond
+	// stallFactor is how many times the longest gap between a stream's events counts as a stall.
+	stallFactor = 2
 )
 
 type candidate struct {
@@ -148,7 +150,8 @@
 			continue
 		}
 		unfinished++
-		if len(s.live) == 1 && now.Sub(s.live[0].lastProgress()) > delay {
+		// An engine that sends large chunks is silent between them.
+		if len(s.live) == 1 && now.Sub(s.live[0].lastProgress()) > max(delay, stallFactor*s.live[0].gap) {
 			out = append(out, candidate{a: s.live[0], remaining: st.remaining(s, s.live[0])})
 		}
 	}
