link: one failed dial is retried at once, backoff counts consecutive failures

The table also forgot a peer's failures between dials. Change: the first failed dial is retried by the next exchange, the backoff starts with the second; failures are kept until the peer is cold; a session that ends says so in the error. Conclusion: a single lost connection costs one exchange; a dead peer is dialled twice and then backed off.

--- a/link/dial.go
+++ b/link/dial.go
@@ -17,6 +17,8 @@
 	sessions  []*session
 	dial      *dialAttempt
 	backoff   *backoff.ExponentialBackOff
+	failures  int // consecutive failed dials
+	lastDial  time.Time
 	notBefore time.Time
 	addr      string // address of the last dial
 }
@@ -111,15 +113,19 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p.dial = nil
+	p.lastDial = time.Now()
 	var wrong *Error
 	switch {
 	case a.err == nil:
 		p.backoff.Reset()
-		p.notBefore = time.Time{}
+		p.failures, p.notBefore = 0, time.Time{}
 	case errors.As(a.err, &wrong):
 		// The address answers, so there is nothing to spare by waiting.
 	default:
-		p.notBefore = time.Now().Add(p.backoff.NextBackOff())
+		// A single failed dial may be a fault of that connection, so the next exchange dials at once.
+		if p.failures++; p.failures > 1 {
+			p.notBefore = time.Now().Add(p.backoff.NextBackOff())
+		}
 	}
 	n.forgetColdPeersLocked()
 	close(a.done)
@@ -129,7 +135,7 @@
 func (n *Node) forgetColdPeersLocked() {
 	now := time.Now()
 	for id, p := range n.peers {
-		if len(p.sessions) == 0 && p.dial == nil && now.Sub(p.notBefore) > 2*n.opts.BackoffMax {
+		if len(p.sessions) == 0 && p.dial == nil && now.Sub(p.lastDial) > 2*n.opts.BackoffMax {
 			delete(n.peers, id)
 		}
 	}
--- a/link/errors.go
+++ b/link/errors.go
@@ -97,6 +97,7 @@
 	errClosed        = fault("node is closed")
 	errBackoff       = fault("last dial failed, waiting before the next one")
 	errSilent        = fault("no answer on an idle session")
+	errSessionEnded  = fault("session ended while the exchange waited")
 	errProtocol      = fault("peer speaks another protocol version")
 	errHandshake     = fault("handshake failed")
 	errCutShort      = fault("response ended before its end frame")
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -153,8 +154,11 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		s.timedOut(x.start)
+	case errors.Is(err, io.EOF) && s.ys.IsClosed():
+		err = errSessionEnded
 	}
 	return !s.meter.takeRefused(st.StreamID()), err
 }
--- a/link/faults_test.go
+++ b/link/faults_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/link/faultnet"
+	"github.com/cicadasill/cicadasill/machine"
 )
 
 func quick(net *faultnet.Network) link.Options {
@@ -146,6 +147,19 @@
 	is.Equal(<-got, "whole<nil>")
 }
 
+// Guards against a dead peer that is dialled for every exchange.
+func TestFailedDialsBackOff(t *testing.T) {
+	is := is.New(t)
+	net := faultnet.New()
+	a := start(t, "a", 1, anyPort(), link.Options{DialContext: net.Dialer("a"), BackoffMin: time.Minute, BackoffMax: time.Minute}, nil)
+	net.Cut(func(string, string) bool { return true })
+	for range 50 {
+		_, err := a.Call(t.Context(), machine.Instance{ID: "b", PeerAddr: "127.0.0.1:1"}, link.CauseProbe, "echo", nil)
+		is.Equal(link.CodeOf(err), link.NotSent)
+	}
+	is.Equal(net.Dials(), int64(2)) // the second one at once, then the backoff
+}
+
 // Guards against unbounded work: exchanges above the limit are refused as not run.
 func TestBusy(t *testing.T) {
 	is := is.New(t)
--- a/link/node.go
+++ b/link/node.go
@@ -140,7 +140,7 @@
 }
 
 func (n *Node) dropIfUnusedLocked(id string, p *peer) {
-	if len(p.sessions) == 0 && p.dial == nil && p.notBefore.IsZero() {
+	if len(p.sessions) == 0 && p.dial == nil && p.failures == 0 {
 		delete(n.peers, id)
 	}
 }
