feed: in-process deployments for tests and measurements, benchmarks

Cause: the tests' fakes are needed for measurements at 330 instances too. Change: feed/feedsim holds the in-memory log and the deployment; benchmarks of the time until a note is in effect everywhere and of the bytes without records.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/goleak"
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/feed"
+	"github.com/cicadasill/cicadasill/feed/feedsim"
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
@@ -25,14 +27,15 @@
 // disagree about the result.
 func TestRacingOperators(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, newLog())
-	nodes := d.start(0, 1, 2, 3, 4, 5, 6, 7, 8)
+	log := feedsim.NewLog()
+	d := newDeployment(t, log)
+	nodes := start(d, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 	waitReady(t, nodes...)
 	base := publish(t, nodes[0], addNote("first", "desk")).Revision
 	waitOffset(t, base-1, nodes...)
 	verdicts := make(chan release.Verdict, len(nodes))
 	for i, n := range nodes {
-		n.wg.Go(func() {
+		n.Go(func() {
 			note := &release.Note{ID: fmt.Sprint("race", i), Author: "a", Base: base, Changed: []contract.Service{service("desk", i+1)}}
 			v, err := n.PublishNote(context.Background(), note)
 			if err != nil {
@@ -53,7 +56,7 @@
 		is.True(v.ObjectRevision > base)
 	}
 	is.Equal(len(won), 1)
-	waitOffset(t, d.log.next(control.Stream)-1, nodes...)
+	waitOffset(t, log.Next(control.Stream)-1, nodes...)
 	for _, n := range nodes {
 		is.Equal(n.State().Chain, nodes[0].State().Chain)
 		is.Equal(n.State().Catalog.Revision(), won[0].Revision)
@@ -64,18 +67,19 @@
 // log's answer is lost whether or not the record was stored.
 func TestLostAppendAnswers(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, newLog())
-	n := d.start(0)[0]
+	log := feedsim.NewLog()
+	d := newDeployment(t, log)
+	n := start(d, 0)[0]
 	waitReady(t, n)
-	d.log.loseNext(fate{true, platform.OutcomeUnknown})
+	log.SetFates(feedsim.Fate{Stored: true, Err: platform.OutcomeUnknown})
 	is.True(publish(t, n, addNote("n1", "a")).Accepted)
-	is.Equal(d.log.next(control.Stream), int64(1))
-	d.log.loseNext(fate{false, platform.OutcomeUnknown}, fate{false, platform.RateLimited})
+	is.Equal(log.Next(control.Stream), int64(1))
+	log.SetFates(feedsim.Fate{Err: platform.OutcomeUnknown}, feedsim.Fate{Err: platform.RateLimited})
 	is.Equal(publish(t, n, addNote("n2", "b")), release.Verdict{Accepted: true, Revision: 2})
 	is.Equal(publish(t, n, addNote("n2", "b")), release.Verdict{Accepted: true, Revision: 2})
-	is.Equal(d.log.next(control.Stream), int64(2))
+	is.Equal(log.Next(control.Stream), int64(2))
 	is.Equal(publish(t, n, &release.Note{ID: "n3"}).Code, release.Invalid)
-	d.log.setDown(true)
+	log.SetDown(true)
 	_, err := n.PublishNote(t.Context(), addNote("n4", "c"))
 	var typed *feed.Error
 	is.True(errors.As(err, &typed))
@@ -87,8 +91,9 @@
 // from a snapshot after the withdrawal's record has expired.
 func TestWithdrawnVersionAcrossRestart(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, newLog())
-	nodes := d.start(0, 1)
+	log := feedsim.NewLog()
+	d := newDeployment(t, log)
+	nodes := start(d, 0, 1)
 	waitReady(t, nodes...)
 	publish(t, nodes[0], addNote("n", "lm"))
 	ctx := t.Context()
@@ -102,11 +107,11 @@
 	is.True(errors.As(nodes[0].AnnounceVersion(ctx, "none", 2, "t"), &typed))
 	is.Equal(typed.Code, feed.UnknownService)
 	writeSnapshots(t, nodes[0])
-	d.log.expire(control.Stream, 4)
+	log.Expire(control.Stream, 4)
 	for _, n := range nodes {
-		d.stop(n)
+		d.Stop(n)
 	}
-	restarted := d.start(0)[0]
+	restarted := start(d, 0)[0]
 	waitReady(t, restarted)
 	newest, offset := restarted.State().Versions.Newest("lm")
 	is.Equal(newest, int64(1))
@@ -119,13 +124,13 @@
 }
 
 // writeSnapshots lets an instance hold the snapshot duty until it has written a snapshot.
-func writeSnapshots(t *testing.T, n *node) {
+func writeSnapshots(t *testing.T, n *feedsim.Node) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	m := lease.NewManager(n.self, n.Follower, lease.Options{Poll: 2 * time.Millisecond})
-	n.wg.Go(func() { _ = m.Run(ctx) })
-	n.wg.Go(func() { _ = n.RunSnapshots(ctx, m) })
+	m := lease.NewManager(n.Instance, n.Follower, lease.Options{Poll: 2 * time.Millisecond})
+	n.Go(func() { _ = m.Run(ctx) })
+	n.Go(func() { _ = n.RunSnapshots(ctx, m) })
 	eventually(t, "a snapshot", func() bool { return n.State().Marker.StateOffset > 0 })
 }
 
@@ -133,26 +138,26 @@
 // while the log is down; and against a state that is lost when all are replaced at once.
 func TestAllStartWhileTheLogIsDown(t *testing.T) {
 	is := is.New(t)
-	log := newLog()
+	log := feedsim.NewLog()
 	old := newDeployment(t, log)
-	first := old.start(0)[0]
+	first := start(old, 0)[0]
 	waitReady(t, first)
 	for i := range 30 {
 		publish(t, first, addNote(fmt.Sprint("n", i), fmt.Sprint("s", i)))
 	}
 	writeSnapshots(t, first)
-	log.expire(control.Stream, 25)
+	log.Expire(control.Stream, 25)
 	want := first.State()
-	old.stop(first)
-	log.setDown(true)
+	old.Stop(first)
+	log.SetDown(true)
 
 	d := newDeployment(t, log)
-	nodes := d.start(0, 1, 2, 3, 4, 5, 6, 7, 8)
+	nodes := start(d, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 	for _, n := range nodes {
 		eventually(t, "a reason to wait", func() bool { return n.WaitingFor() == "the log (unavailable) or a peer with a state" })
 		is.Equal(n.State().Offset, int64(0))
 	}
-	log.setDown(false)
+	log.SetDown(false)
 	waitReady(t, nodes...)
 	for _, n := range nodes {
 		waitOffset(t, want.Offset-1, n)
@@ -166,29 +171,29 @@
 // against one that keeps a wrong state from a peer once the log is back.
 func TestBootFromPeers(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, newLog())
-	nodes := d.start(0, 1)
+	log := feedsim.NewLog()
+	d := newDeployment(t, log)
+	nodes := start(d, 0, 1)
 	waitReady(t, nodes...)
 	last := publish(t, nodes[0], addNote("n", "desk")).Revision - 1
 	waitOffset(t, last, nodes...)
-	d.log.setDown(true)
-	late := d.start(2)[0]
+	log.SetDown(true)
+	late := start(d, 2)[0]
 	waitReady(t, late)
 	is.Equal(late.State().Chain, nodes[0].State().Chain)
 
 	// i000 of the second deployment follows another log with other records and one more.
-	forged := newDeployment(t, d.log)
-	other := newLog()
-	wrong := forged.add(machine.Instance{ID: "i000", Incarnation: 1, Zone: nodes[0].self.Zone}, other)
-	wrong.run()
+	forged := newDeployment(t, log)
+	other := feedsim.NewLog()
+	wrong := forged.StartOn(other, "i000", "alm-north")
 	waitReady(t, wrong)
 	publish(t, wrong, addNote("forged", "wrong"))
-	victim := forged.start(1)[0]
+	victim := start(forged, 1)[0]
 	waitReady(t, victim)
 	_, exists := victim.State().Catalog.Service("wrong")
 	is.True(exists)
-	d.log.setDown(false)
-	forged.stop(wrong)
+	log.SetDown(false)
+	forged.Stop(wrong)
 	eventually(t, "the log's state", func() bool {
 		_, exists := victim.State().Catalog.Service("wrong")
 		return !exists && victim.State().Chain == nodes[0].State().Chain
@@ -199,46 +204,47 @@
 // before the membership notices, or when a member cannot reach the log.
 func TestReaderSilentAndMemberWithoutLog(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, newLog())
-	nodes := d.start(0, 1, 2)
+	log := feedsim.NewLog()
+	d := newDeployment(t, log)
+	nodes := start(d, 0, 1, 2)
 	waitReady(t, nodes...)
-	var reader *node
+	var reader *feedsim.Node
 	eventually(t, "one reader", func() bool {
 		reader = nil
 		before := make([]int64, len(nodes))
 		for i, n := range nodes {
-			before[i] = n.log.reads.Load()
+			before[i] = n.Log.Reads()
 		}
 		time.Sleep(100 * time.Millisecond)
 		readers := 0
 		for i, n := range nodes {
-			if n.log.reads.Load() > before[i] {
+			if n.Log.Reads() > before[i] {
 				reader, readers = n, readers+1
 			}
 		}
 		return readers == 1
 	})
-	var others []*node
+	var others []*feedsim.Node
 	for _, n := range nodes {
 		if n != reader {
 			others = append(others, n)
 		}
 	}
-	others[0].log.cut.Store(true) // served by the reader alone
+	others[0].Log.SetCut(true) // served by the reader alone
 	v := publish(t, others[1], addNote("n1", "a"))
 	waitOffset(t, v.Revision-1, nodes...)
 	is.True(others[0].LogReachable())
 
-	reader.stop() // still in every view, as before the failure is detected
-	d.silence(reader.self.ID)
+	reader.Halt() // still in every view, as before the failure is detected
+	d.Silence(reader)
 	v = publish(t, others[1], addNote("n2", "b"))
 	waitOffset(t, v.Revision-1, others[1])
 	eventually(t, "an unreachable log", func() bool { return !others[0].LogReachable() })
-	probe(others[0], others[1]) // the cut member learns the position and pulls
+	feedsim.Probe(others[0], others[1]) // the cut member learns the position and pulls
 	waitOffset(t, v.Revision-1, others[0])
 	v, err := others[1].PublishNote(t.Context(), addNote("n3", "c"))
 	is.NoErr(err)
-	others[0].log.cut.Store(false)
+	others[0].Log.SetCut(false)
 	waitOffset(t, v.Revision-1, others[0]) // its own read of the log after the stall
 }
 
@@ -246,30 +252,31 @@
 // with and without a usable snapshot in the log.
 func TestExpiredOffsets(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, newLog())
-	nodes := d.start(0, 3) // two data centres
+	log := feedsim.NewLog()
+	d := newDeployment(t, log)
+	nodes := start(d, 0, 3) // two data centres
 	ahead, behind := nodes[0], nodes[1]
 	waitReady(t, nodes...)
-	behind.log.cut.Store(true)
+	behind.Log.SetCut(true)
 	var last release.Verdict
 	for i := range 1100 { // more than the records that are kept for peers
 		last = publish(t, ahead, addNote(fmt.Sprint("n", i), fmt.Sprint("s", i%7)))
 	}
-	d.log.expire(control.Stream, 1090)
+	log.Expire(control.Stream, 1090)
 	is.True(!last.Accepted)
-	probe(ahead, behind)
+	feedsim.Probe(ahead, behind)
 	waitOffset(t, 1099, behind) // a peer's snapshot
 	is.Equal(behind.State().Chain, ahead.State().Chain)
 
-	fresh := d.start(6)[0]
+	fresh := start(d, 6)[0]
 	waitReady(t, fresh) // no snapshot in the log, so from a peer
 	is.Equal(fresh.State().Chain, ahead.State().Chain)
 
-	d.stop(fresh)
+	d.Stop(fresh)
 	writeSnapshots(t, ahead)
-	_, err := d.log.Append(t.Context(), control.SnapshotsStream, []byte("damaged"))
+	_, err := log.Append(t.Context(), control.SnapshotsStream, []byte("damaged"))
 	is.NoErr(err)
-	alone := newDeployment(t, d.log).start(6)[0]
+	alone := start(newDeployment(t, log), 6)[0]
 	waitReady(t, alone)
 	waitOffset(t, ahead.State().Offset-1, alone)
 	is.Equal(alone.State().Catalog.Revision(), ahead.State().Catalog.Revision())
@@ -279,21 +286,22 @@
 // against every member reading every record from the log.
 func TestSlowMemberAndReadsOfTheLog(t *testing.T) {
 	is := is.New(t)
-	d := newDeployment(t, newLog())
+	log := feedsim.NewLog()
+	d := newDeployment(t, log)
 	var ids []int
 	for i := range 40 {
 		ids = append(ids, i/3*9+i%3) // all in one data centre
 	}
-	nodes := d.start(ids...)
+	nodes := start(d, ids...)
 	waitReady(t, nodes...)
-	writer := newDeployment(t, d.log).start(3)[0] // outside, so that no member reads back its own records
+	writer := start(newDeployment(t, log), 3)[0] // outside, so that no member reads back its own records
 	waitReady(t, writer)
 	eventually(t, "members without reads of their own", func() bool { return quiet(nodes) >= len(nodes)-1 })
-	d.silence(nodes[7].self.ID)
-	others := append(append([]*node{}, nodes[:7]...), nodes[8:]...)
+	d.Silence(nodes[7])
+	others := append(append([]*feedsim.Node{}, nodes[:7]...), nodes[8:]...)
 	var before int64
 	for _, n := range others {
-		before += n.log.reads.Load()
+		before += n.Log.Reads()
 	}
 	for i := range 20 {
 		publish(t, writer, addNote(fmt.Sprint("n", i), fmt.Sprint("s", i)))
@@ -306,22 +314,22 @@
 	t.Logf("reads of the log by 39 members for 20 records: %d", readsOf(others)-before)
 }
 
-func readsOf(nodes []*node) (sum int64) {
+func readsOf(nodes []*feedsim.Node) (sum int64) {
 	for _, n := range nodes {
-		sum += n.log.reads.Load()
+		sum += n.Log.Reads()
 	}
 	return sum
 }
 
 // quiet counts the instances that do not read the log for a while.
-func quiet(nodes []*node) (count int) {
+func quiet(nodes []*feedsim.Node) (count int) {
 	before := make([]int64, len(nodes))
 	for i, n := range nodes {
-		before[i] = n.log.reads.Load()
+		before[i] = n.Log.Reads()
 	}
 	time.Sleep(150 * time.Millisecond)
 	for i, n := range nodes {
-		if n.log.reads.Load() == before[i] {
+		if n.Log.Reads() == before[i] {
 			count++
 		}
 	}
@@ -331,15 +339,18 @@
 // Guards against a feed that needs peers.
 func TestAlone(t *testing.T) {
 	is := is.New(t)
-	log := newLog()
+	log := feedsim.NewLog()
 	f := feed.New(machine.Instance{ID: "a"}, log, feed.Options{PollWait: 20 * time.Millisecond})
-	n := &node{Follower: f}
-	n.run()
-	defer func() { n.stop(); n.wg.Wait() }()
-	waitReady(t, n)
-	is.True(publish(t, n, addNote("n", "desk")).Accepted)
-	_, err := log.Append(t.Context(), control.Stream, []byte("not JSON"))
+	ctx, stop := context.WithCancel(t.Context())
+	var group conc.WaitGroup
+	group.Go(func() { _ = f.Run(ctx) })
+	defer group.Wait()
+	defer stop()
+	v, err := f.PublishNote(ctx, addNote("n", "desk"))
+	is.NoErr(err)
+	is.True(v.Accepted)
+	_, err = log.Append(ctx, control.Stream, []byte("not JSON"))
 	is.NoErr(err)
-	waitOffset(t, 1, n)
-	is.Equal(len(n.State().Catalog.Services()), 1)
+	is.NoErr(f.WaitOffset(ctx, 1))
+	is.Equal(len(f.State().Catalog.Services()), 1)
 }
--- /dev/null
+++ b/feed/feedsim/deployment.go
@@ -0,0 +1,161 @@
+package feedsim
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/cicadasill/cicadasill/feed"
+	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/zone"
+)
+
+type handler = func(ctx context.Context, payload []byte) ([]byte, error)
+
+// Deployment is a set of feeds that can reach each other. Every live instance is in every view.
+type Deployment struct {
+	log     *Log
+	options feed.Options
+	bytes   atomic.Int64
+
+	mu       sync.Mutex
+	nodes    map[string]*Node
+	live     []machine.Instance
+	handlers map[string]handler // by instance and method
+	silent   map[string]bool
+}
+
+// Node is one instance of a deployment.
+type Node struct {
+	*feed.Follower
+	Instance machine.Instance
+	Log      *Access
+
+	d    *Deployment
+	stop context.CancelFunc
+	wg   conc.WaitGroup
+}
+
+// New returns a deployment without instances. The options apply to each feed.
+func New(log *Log, options feed.Options) *Deployment {
+	return &Deployment{
+		log: log, options: options, nodes: map[string]*Node{}, handlers: map[string]handler{}, silent: map[string]bool{},
+	}
+}
+
+// Start starts an instance in a data centre, whose name begins with its region's and a dash.
+func (d *Deployment) Start(id, dataCentre string) *Node { return d.StartOn(d.log, id, dataCentre) }
+
+// StartOn starts an instance that follows another log.
+func (d *Deployment) StartOn(log *Log, id, dataCentre string) *Node {
+	region, _, _ := strings.Cut(dataCentre, "-")
+	n := &Node{d: d, Log: &Access{Log: log}, Instance: machine.Instance{
+		ID: id, Incarnation: uint64(time.Now().UnixNano()), Zone: zone.Zone{Region: region, DataCentre: dataCentre},
+	}}
+	options := d.options
+	options.Peers, options.View = n, n
+	n.Follower = feed.New(n.Instance, n.Log, options)
+	d.mu.Lock()
+	n.Register(func(method string, h func(context.Context, []byte) ([]byte, error)) { d.handlers[id+method] = h })
+	d.nodes[id] = n
+	d.publishLocked()
+	d.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	n.Go(func() { _ = n.Run(ctx) })
+	return n
+}
+
+// publishLocked rebuilds the view.
+func (d *Deployment) publishLocked() {
+	d.live = make([]machine.Instance, 0, len(d.nodes))
+	for _, n := range d.nodes {
+		d.live = append(d.live, n.Instance)
+	}
+	slices.SortFunc(d.live, func(a, b machine.Instance) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// Stop stops an instance and removes it from the views.
+func (d *Deployment) Stop(n *Node) {
+	d.mu.Lock()
+	if d.nodes[n.Instance.ID] == n {
+		delete(d.nodes, n.Instance.ID)
+	}
+	d.publishLocked()
+	d.mu.Unlock()
+	n.stop()
+	n.wg.Wait()
+}
+
+// Close stops all instances.
+func (d *Deployment) Close() {
+	d.mu.Lock()
+	nodes := make([]*Node, 0, len(d.nodes))
+	for _, n := range d.nodes {
+		nodes = append(nodes, n)
+	}
+	d.mu.Unlock()
+	for _, n := range nodes {
+		n.stop()
+	}
+	for _, n := range nodes {
+		d.Stop(n)
+	}
+}
+
+// Silence makes an instance answer no call any more, as a connection gone silent does. It
+// stays in the views.
+func (d *Deployment) Silence(n *Node) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent[n.Instance.ID] = true
+}
+
+// Bytes returns the bytes of all messages between instances so far.
+func (d *Deployment) Bytes() int64 { return d.bytes.Load() }
+
+// Halt stops an instance's feed, which stays in the views, as a crash before its detection.
+func (n *Node) Halt() { n.stop() }
+
+// Go runs a task that Stop waits for.
+func (n *Node) Go(task func()) { n.wg.Go(task) }
+
+// Self implements feed.View.
+func (n *Node) Self() machine.Instance { return n.Instance }
+
+// Live implements feed.View.
+func (n *Node) Live() []machine.Instance {
+	n.d.mu.Lock()
+	defer n.d.mu.Unlock()
+	return n.d.live
+}
+
+// Call implements feed.Peers.
+func (n *Node) Call(ctx context.Context, to machine.Instance, _ link.Cause, method string, payload []byte) ([]byte, error) {
+	n.d.mu.Lock()
+	_, live := n.d.nodes[to.ID]
+	h, silent := n.d.handlers[to.ID+method], n.d.silent[to.ID]
+	n.d.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if !live || h == nil {
+		return nil, &link.Error{Code: link.NotSent}
+	}
+	answer, err := h(ctx, payload)
+	n.d.bytes.Add(int64(len(payload) + len(answer)))
+	return answer, err
+}
+
+// Probe exchanges the positions of two instances, as a membership probe does.
+func Probe(a, b *Node) {
+	b.ReceivePiggyback(a.Instance, a.Piggyback())
+	a.ReceivePiggyback(b.Instance, b.Piggyback())
+}
