demo: a ready instance must show what was in force everywhere

Cause: a replaced instance that is ready without the catalog, or with an older one, was not seen. Change: the operators compare every ready instance also with what all instances had in force.

--- a/demo/operators.go
+++ b/demo/operators.go
@@ -50,7 +50,10 @@
 	revision map[string]map[int]int64
 	seen     map[string]int64 // highest revision seen by instance, incarnation and object
 	pending  []*acceptedNote
-	broken   []string
+	// everywhere is the revision of each object that was in force on all running instances.
+	everywhere map[string]int64
+	told       map[string]bool // instances and objects that are in broken already
+	broken     []string
 	// delayed returns the end of the last fault since t that may delay a note.
 	delayed func(t time.Time) time.Time
 }
@@ -65,6 +68,7 @@
 	o := &operators{
 		c: c, backend: c.st.backends[c.d.desk][0], next: 1, hist: hdrhistogram.New(1, time.Hour.Microseconds(), 3),
 		revision: map[string]map[int]int64{}, seen: map[string]int64{}, delayed: delayed,
+		everywhere: map[string]int64{}, told: map[string]bool{},
 	}
 	o.report.Refusals = map[string]int64{}
 	for i := range menuServices {
@@ -241,39 +245,55 @@
 	wg.Wait()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	lowest := map[string]int64{}
+	lowest, skip := map[string]int64{}, map[string]bool{}
 	complete := true
 	for i, v := range views {
 		if v.m == nil {
 			complete = complete && !o.c.members[i].is(running)
 			continue
 		}
-		for object, value := range v.got {
-			rev, known := o.revision[object][value]
-			if !known { // accepted, but the verdict has not been read yet
+		for object, revisions := range o.revision {
+			value, shown := v.got[object]
+			rev, known := revisions[value]
+			if shown && !known { // accepted, but the verdict has not been read yet
+				skip[object] = true
 				continue
 			}
-			o.compare(v.key+object, rev, fmt.Sprintf("%s showed %s revision %d after", v.m.id, object, rev))
+			o.compare(v.m.id, v.key, object, rev)
 			if low, ok := lowest[object]; !ok || rev < low {
 				lowest[object] = rev
 			}
 		}
 	}
 	if complete {
+		for object := range skip {
+			delete(lowest, object)
+		}
 		o.settle(lowest)
 	}
 }
 
-func (o *operators) compare(key string, rev int64, what string) {
-	if rev < o.seen[key] {
+// compare checks that an instance never shows less than it did before, and that a ready
+// instance, also one that has just started, shows what was in force everywhere. Revision 0
+// stands for an object that is missing.
+func (o *operators) compare(id, key, object string, rev int64) {
+	key += object
+	before := max(o.seen[key], o.everywhere[object])
+	if rev < before {
 		o.report.Reverted++
-		o.broken = append(o.broken, fmt.Sprintf("%s %d", what, o.seen[key]))
+		if !o.told[key] {
+			o.told[key] = true
+			o.broken = append(o.broken, fmt.Sprintf("%s was ready and showed %s at revision %d after %d was in force", id, object, rev, before))
+		}
 	}
 	o.seen[key] = max(o.seen[key], rev)
 }
 
 // settle records the notes that are in force on every running instance.
 func (o *operators) settle(lowest map[string]int64) {
+	for object, low := range lowest {
+		o.everywhere[object] = max(o.everywhere[object], low)
+	}
 	kept := o.pending[:0]
 	for _, n := range o.pending {
 		low, ok := lowest[n.object]
