--- a/demo/report.go
+++ b/demo/report.go
@@ -96,6 +96,8 @@
 	Versions          int64   `json:"versions"`
 	OnAllSamplersP99S float64 `json:"on_all_samplers_p99_s"`
 	MaxSwapping       int     `json:"max_swapping"`
+	// Pending versions were not on all samplers at the end.
+	Pending int `json:"pending"`
 }
 
 // Control is what the control plane costs, measured while the instances have no load.
@@ -141,8 +143,8 @@
 		100*r.Trainers.IdleFraction, 100*r.Trainers.IdleFloorFraction, r.Trainers.StalenessP50, r.Trainers.StalenessP99)
 	row("notes", "%d published, %d accepted, in force everywhere p99 %.2f s, %d reverted, %d pending",
 		r.Notes.Published, r.Notes.Accepted, r.Notes.InForceP99S, r.Notes.Reverted, r.Notes.Pending)
-	row("weights", "%d versions, on all samplers p99 %.2f s, at most %d samplers swapped at once",
-		r.Weights.Versions, r.Weights.OnAllSamplersP99S, r.Weights.MaxSwapping)
+	row("weights", "%d versions, on all samplers p99 %.2f s, at most %d samplers swapped at once, %d pending",
+		r.Weights.Versions, r.Weights.OnAllSamplersP99S, r.Weights.MaxSwapping, r.Weights.Pending)
 	k := r.Control
 	row("control", "per node without load: %.2f%% of a core, %.0f B/s (peers %.0f, log %.0f, list %.0f), and %.0f B/s to poll back ends",
 		100*k.CoreFractionPerNode, k.BytesPerSPerNode, k.PeerBytesPerS, k.LogBytesPerS, k.ListBytesPerS, k.BackendPollBytesPerS)
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -70,7 +70,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return Weights{
-		Versions: w.versions, MaxSwapping: w.maxSwapping,
+		Versions: w.versions, MaxSwapping: w.maxSwapping, Pending: len(w.pending),
 		OnAllSamplersP99S: round(float64(w.hist.ValueAtQuantile(99)) / 1e6),
 	}
 }
