membership: news is pushed at once, suspicions end between periods, probe orders differ

Cause: with 27 members a death was known to all only after 7.0 s and a leaving back end after 2.0 s: suspicions were checked once a period, statements travelled on probes only, and members with the same seed probed the same targets. Change: deaths, departures and leaving back ends are told to three peers at once by everyone who hears of them first; suspicions are checked ten times a period; the id is mixed into the probe order.

--- a/membership/backends.go
+++ b/membership/backends.go
@@ -45,6 +45,7 @@
 	}
 	m.leaving[id] = at
 	m.spreadLocked(gossipKey{backend: id})
+	m.newsLocked()
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"context"
 	"math/bits"
 	"sort"
 	"time"
@@ -17,6 +18,39 @@
 
 func (m *Members) spreadLocked(k gossipKey) { m.gossip[k] = &rumour{} }
 
+// newsLocked wakes the push of statements that others must act on soon.
+func (m *Members) newsLocked() {
+	select {
+	case m.news <- struct{}{}:
+	default:
+	}
+}
+
+// pushNews tells news to some peers at once instead of at the next probes. Everyone who hears
+// news for the first time does the same, so that it reaches all members in a few round trips;
+// statements on probes reach those who were missed.
+func (m *Members) pushNews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.news:
+		}
+		for _, peer := range m.pickOthers(newsFanout, m.self.ID) {
+			m.start(func() {
+				if a, err := m.exchange(ctx, peer, nil); err == nil {
+					m.absorb(a.GetUpdates(), a.GetPiggyback())
+				}
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(m.opts.Period / newsPerPeriod):
+		}
+	}
+}
+
 // updatesLocked returns this instance's statement about itself, the one about the receiver when
 // the receiver should hear it, and the least sent others.
 func (m *Members) updatesLocked(to string) []*wire.MemberUpdate {
--- a/membership/members.go
+++ b/membership/members.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
@@ -49,6 +50,7 @@
 	table      map[string]*member
 	listed     map[string]machine.Instance // candidates; their incarnation is 0
 	gossip     map[gossipKey]*rumour
+	news       chan struct{}
 	leaving    map[string]time.Time // back end id to the time of the report
 	order      []string             // ids still to probe in this pass
 	candidates []string             // candidate ids still to probe in this pass
@@ -65,9 +67,9 @@
 	opts = opts.withDefaults(self.Incarnation)
 	m := &Members{
 		self: self, node: node, list: list, opts: opts, log: opts.Logger, metrics: newMetrics(opts.Registerer),
-		sem: make(chan struct{}, maxInFlight), rng: rand.New(rand.NewPCG(opts.Seed, self.Incarnation)),
+		sem: make(chan struct{}, maxInFlight), rng: rand.New(rand.NewPCG(opts.Seed, xxhash.Sum64String(self.ID))),
 		superseded: make(chan struct{}), table: map[string]*member{}, listed: map[string]machine.Instance{},
-		gossip: map[gossipKey]*rumour{}, leaving: map[string]time.Time{}, changed: make(chan struct{}),
+		gossip: map[gossipKey]*rumour{}, news: make(chan struct{}, 1), leaving: map[string]time.Time{}, changed: make(chan struct{}),
 	}
 	m.live.Store(&[]machine.Instance{self})
 	node.Handle(probeMethod, m.handleProbe)
--- a/membership/options.go
+++ b/membership/options.go
@@ -23,12 +23,17 @@
 )
 
 const (
-	probesPerPeriod  = 2
-	indirectProbes   = 2
-	maxUpdates       = 8  // statements on one probe besides the sender's own
-	maxInFlight      = 16 // probes in flight at one instance
-	lonelyCandidates = 4  // candidates probed per period while no peer is known
-	leaveTold        = 3  // peers that must know of a planned stop
+	probesPerPeriod = 2
+	indirectProbes  = 2
+	maxUpdates      = 8  // statements on one probe besides the sender's own
+	maxInFlight     = 16 // probes in flight at one instance
+	expiryChecks    = 10 // checks for ended suspicions in a period
+	newsFanout      = 3  // peers that an instance tells news at once
+	// newsPerPeriod bounds how often an instance pushes news; a region cut makes news of half
+	// of the members.
+	newsPerPeriod    = 2
+	lonelyCandidates = 4 // candidates probed per period while no peer is known
+	leaveTold        = 3 // peers that must know of a planned stop
 	// gossipFactor times log2 of the number of members is how often a statement is sent.
 	gossipFactor = 3
 	// leavingFor is how long a report of a leaving back end counts.
@@ -55,7 +60,8 @@
 	ListPeriod   time.Duration
 	PauseLimit   time.Duration
 	SyncInterval time.Duration
-	// Seed makes the order of probes repeatable; 0 takes the incarnation.
+	// Seed makes the order of probes repeatable; 0 takes the incarnation. The id is mixed in:
+	// members with equal orders would all probe the same target in the same period.
 	Seed uint64
 }
 
--- a/membership/run.go
+++ b/membership/run.go
@@ -16,13 +16,12 @@
 func (m *Members) Run(ctx context.Context) error {
 	m.wg.Go(func() { m.pollList(ctx) })
 	m.wg.Go(func() { m.watchPauses(ctx) })
+	m.wg.Go(func() { m.expireSuspicions(ctx) })
+	m.wg.Go(func() { m.pushNews(ctx) })
 	t := time.NewTicker(m.opts.Period)
 	defer t.Stop()
-	last := time.Now()
 	for ctx.Err() == nil {
-		now := time.Now()
-		m.round(ctx, now, now.Sub(last))
-		last = now
+		m.round(ctx)
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -32,13 +31,32 @@
 	return nil
 }
 
+// expireSuspicions ends suspicions between the periods, so that a death is not found up to a
+// whole period later than the suspicion time.
+func (m *Members) expireSuspicions(ctx context.Context) {
+	t := time.NewTicker(max(m.opts.Period/expiryChecks, time.Millisecond))
+	defer t.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		m.mu.Lock()
+		if gap := now.Sub(last); gap > m.opts.Suspicion/2 {
+			m.restartSuspicionsLocked(now)
+		}
+		m.expireLocked(now)
+		m.mu.Unlock()
+		last = now
+	}
+}
+
 // round starts the probes of one period.
-func (m *Members) round(ctx context.Context, now time.Time, gap time.Duration) {
+func (m *Members) round(ctx context.Context) {
 	m.mu.Lock()
-	if gap > m.opts.Suspicion/2 && gap > 2*m.opts.Period {
-		m.restartSuspicionsLocked(now)
-	}
-	m.expireLocked(now)
 	var targets, candidates []machine.Instance
 	if !m.left {
 		targets, candidates = m.targetsLocked(), m.candidatesLocked()
--- a/membership/table.go
+++ b/membership/table.go
@@ -71,6 +71,9 @@
 	m.table[inst.ID] = &member{inst: inst, refutation: u.GetRefutation(), state: u.GetState(), since: time.Now()}
 	m.metrics.transitions.WithLabelValues(u.GetState().String()).Inc()
 	m.spreadLocked(gossipKey{id: inst.ID})
+	if !m.table[inst.ID].alive() {
+		m.newsLocked()
+	}
 	m.publishLocked()
 }
 
