claim: back ends that enforce keys are asked when the claimer does not answer

Cause: a call with ask_by_key waited for an unreachable claimer until its time ended although its back end could answer; a Begin that waited for the first read of a stream outlived Close. Change: such calls get a ticket with AskFirst after the first failed question; the wait ends with Close.

--- a/claim/ask.go
+++ b/claim/ask.go
@@ -35,6 +35,8 @@
 			return c.conclude(ctx, s, h, req, answer)
 		case link.CodeOf(err) == link.WrongPeer || !live:
 			return c.afterDeath(ctx, s, h, req)
+		case req.terms.AskByKey:
+			return c.askBackend(req, ClaimerUnreachable) // the back end knows as much and is reachable
 		}
 		if !sleep(ctx, jitter(askBackoff)) {
 			return Decision{}, unknown(ClaimerUnreachable, err)
--- a/claim/begin.go
+++ b/claim/begin.go
@@ -149,6 +149,8 @@
 			return ""
 		case <-ctx.Done():
 			return Cancelled
+		case <-c.ctx.Done():
+			return Closed
 		case <-timer.C:
 		}
 		c.mu.Lock()
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -277,6 +277,11 @@
 	if !errors.As(err, &ce) || ce.Outcome != claim.Unknown || ce.Reason != claim.ClaimerUnreachable {
 		t.Fatal(err)
 	}
+	d, cerr := begin(t, all[1], claim.Terms{AskByKey: true})
+	if cerr != nil || !d.Ticket.AskFirst() || d.Ticket.ReleaseOutcome() != claim.Unknown {
+		t.Fatalf("a back end that enforces keys is asked instead, got %v %v", d, cerr)
+	}
+	d.Ticket.Release()
 }
 
 var _ platform.Log = (*fakeLog)(nil)
