rollout: steps ahead are generated as far as the tolerated lag allows

Samples of steps opened far ahead were generated and then started again at each new version. A step now waits while it is further ahead than the tolerated lag, and a step that the trainer left without an acknowledgement does not hold up later ones.

--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -14,17 +14,16 @@
 // longFactor marks a sample as long when its prediction is this many times the service's mean.
 const longFactor = 2.0
 
-// dispatch starts pending samples until slots or engines are exhausted. A trainer's next step waits
-// until none of its earlier steps has a sample to start.
+// dispatch starts pending samples until slots or engines are exhausted.
 func (st *step) dispatch(ctx context.Context) {
-	st.srv.slots.want(st.key, st.hasPending())
+	st.srv.slots.want(st.key, st.startable())
 	defer func() {
-		st.srv.slots.want(st.key, st.hasPending())
+		st.srv.slots.want(st.key, st.startable())
 		st.srv.wakeNext(st)
 	}()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && st.startable() {
 		svc, ok := st.service()
-		if !ok || svc.Rollout == nil || st.srv.earlierPending(st) {
+		if !ok || svc.Rollout == nil {
 			return
 		}
 		s := st.next()
@@ -45,6 +44,41 @@
 	}
 }
 
+// startable reports whether samples wait and may start now. They may in a step that the trainer takes
+// from. A later step waits until no step before it has a sample to start, and until its samples would
+// not be beyond the tolerated lag when the trainer comes to them: each step that the trainer trains on
+// before makes them one version older.
+func (st *step) startable() bool {
+	svc, ok := st.service()
+	if !ok || svc.Rollout == nil || !st.hasPending() {
+		return false
+	}
+	if st.isTaken() {
+		return true
+	}
+	siblings := st.srv.siblings(st)
+	current, taking := int64(-1), false
+	for _, o := range siblings {
+		if o.isTaken() {
+			current, taking = max(current, o.key.step), true
+		}
+	}
+	ahead := int64(0)
+	for _, o := range siblings {
+		// A step before the one that the trainer takes from was given up without an acknowledgement.
+		if o.key.step >= st.key.step || o.key.step < current {
+			continue
+		}
+		if ahead++; o.hasPending() {
+			return false
+		}
+	}
+	if !taking {
+		ahead++ // the trainer trains on a step that it has acknowledged
+	}
+	return ahead <= softLag(svc.Rollout)
+}
+
 // next pops the first pending sample that may start now.
 func (st *step) next() *sample {
 	st.mu.Lock()
--- a/rollout/exactlyonce_test.go
+++ b/rollout/exactlyonce_test.go
@@ -208,3 +208,25 @@
 	_, err := b.trainer.Take(b.ctx, 10*testTimeout, 0, false)
 	is.NoErr(err) // and not the end of the test's time
 }
+
+// Guards against samples generated so far ahead that they are too old for the idle weight when the
+// trainer comes to them, and against a step given up without acknowledgement that blocks later ones.
+func TestStepsAheadFollowIdleWeight(t *testing.T) {
+	is := is.New(t)
+	svc := service()
+	svc.Rollout.MaxVersionLag, svc.Rollout.IdleWeight = 4, 0.5 // tolerates a lag of 2
+	b := newBed(t, svc, nil)
+	b.begin(is, 1, groups(1, 2, 10))
+	for step := int64(2); step <= 4; step++ {
+		is.NoErr(b.trainer.Open(b.ctx, step, groups(1, 2, int(10*step))))
+	}
+	b.whole(is, 2)
+	b.until(is, func() bool { return len(b.fleet.Starts()) >= 6 }) // steps 1 to 3
+	_, err := b.trainer.Take(b.ctx, 0, 0, false)
+	is.NoErr(err)
+	for _, r := range b.fleet.Starts() {
+		is.True(r.MaxTokens < 40)
+	}
+	b.trainer.Begin(4, groups(1, 2, 40)) // the trainer skips steps
+	b.whole(is, 2)
+}
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -59,7 +59,8 @@
 }
 
 // stopOld restarts samples whose oldest version is beyond the bound for the trainer's next take,
-// and, by the idle weight, those that are merely older than a version that is loaded.
+// and, by the idle weight, those that are merely older than a version that is loaded. The latter
+// only in the step that the trainer takes from: in a later step they would age again until then.
 func (st *step) stopOld(svc *contract.Service) {
 	expected := st.expectedVersion(svc)
 	loaded := min(st.newestLoaded(svc), max(expected, st.srv.opts.Directory.NewestVersion(st.key.service)))
@@ -75,7 +76,7 @@
 			st.restart(s, WasteTooOld)
 			continue
 		}
-		if !s.delivered && s.softRestarts == 0 && loaded-oldest > softLag(svc.Rollout) {
+		if st.taking != nil && !s.delivered && s.softRestarts == 0 && loaded-oldest > softLag(svc.Rollout) {
 			// Only one such restart: versions that arrive faster than a long sample finishes would
 			// otherwise keep it from ever finishing.
 			s.softRestarts++
--- a/rollout/server.go
+++ b/rollout/server.go
@@ -183,13 +183,13 @@
 // its PUT is more likely than a trainer that needs it again. Called with mu held.
 func (s *Server) add(st *step, lazy bool) *step {
 	ctx, cancel := context.WithCancel(s.ctx)
-	st.cancel = cancel
+	st.cancel, st.lazy = cancel, lazy
 	s.steps[st.key] = st
 	s.reserved += st.reserved
 	s.metrics.steps.Set(float64(len(s.steps)))
 	s.metrics.held.Set(float64(s.reserved))
 	s.wg.Go(func() {
-		st.run(ctx, lazy)
+		st.run(ctx)
 		cancel()
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -212,15 +212,6 @@
 	return out
 }
 
-func (s *Server) earlierPending(st *step) bool {
-	for _, o := range s.siblings(st) {
-		if o.key.step < st.key.step && o.hasPending() {
-			return true
-		}
-	}
-	return false
-}
-
 // wakeService lets every step of a service try for a slot that became free.
 func (s *Server) wakeService(service string) {
 	for _, st := range s.openSteps() {
@@ -263,6 +254,7 @@
 	s.mu.Unlock()
 	st.cancel()
 	st.close()
+	s.wakeService(st.key.service)
 }
 
 // ack closes a step. An unknown step is acknowledged too, since the acknowledgement may be repeated.
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -41,8 +41,10 @@
 	holding   bool
 	lastSeen  time.Time
 	started   bool
-	closed    bool
-	hedges    int
+	// lazy is set for a step that was acknowledged before; it begins only at a take.
+	lazy   bool
+	closed bool
+	hedges int
 	// changed is closed and replaced when a sample finishes.
 	changed chan struct{}
 	// taking is closed when a newer take replaces the one that waits.
@@ -94,10 +96,10 @@
 }
 
 // run starts samples until the step is closed.
-func (st *step) run(ctx context.Context, lazy bool) {
+func (st *step) run(ctx context.Context) {
 	defer close(st.done)
 	defer st.abandon()
-	if !st.awaitStart(ctx, lazy) {
+	if !st.awaitStart(ctx) {
 		return
 	}
 	defer st.srv.slots.want(st.key, false)
@@ -117,10 +119,10 @@
 	}
 }
 
-// awaitStart waits for the first take, or for OpenGrace unless lazy.
-func (st *step) awaitStart(ctx context.Context, lazy bool) bool {
+// awaitStart waits for the first take, or for OpenGrace unless the step is lazy.
+func (st *step) awaitStart(ctx context.Context) bool {
 	var grace <-chan time.Time
-	if !lazy {
+	if !st.lazy {
 		timer := time.NewTimer(st.srv.opts.OpenGrace)
 		defer timer.Stop()
 		grace = timer.C
@@ -205,13 +207,24 @@
 	return owner == nil || owner(st.key.owner(), live).Ref() == self.Ref()
 }
 
-// hasPending reports whether samples wait for an engine.
+// hasPending reports whether samples wait for an engine, or will as soon as the step begins.
 func (st *step) hasPending() bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return len(st.pending) > 0
+	return len(st.pending) > 0 || (!st.started && !st.lazy && !st.closed)
 }
 
+// isTaken reports whether the trainer takes from the step: its last take may still wait, or the next
+// one is on its way.
+func (st *step) isTaken() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.taking != nil && st.srv.now().Sub(st.lastSeen) < maxTakeWait+takePause
+}
+
+// takePause is the longest time between two takes of a step that the trainer waits for.
+const takePause = 5 * time.Second
+
 // touch notes a request of the trainer.
 func (st *step) touch() {
 	st.mu.Lock()
--- a/rollout/take.go
+++ b/rollout/take.go
@@ -56,6 +56,7 @@
 	for _, s := range st.samples {
 		st.applyHave(s, have.Get(s.position))
 	}
+	st.signal()
 	if !st.started {
 		select {
 		case <-st.start:
