--- a/demo/backends.go
+++ b/demo/backends.go
@@ -148,6 +148,16 @@
 	}
 }
 
+// usedKV reports whether a sampler of the trained service used KV of version for a prompt.
+func (s *stands) usedKV(promptHash string, version int64) bool {
+	for _, e := range s.engines[s.d.trained] {
+		if e.Ledger().UsedKV(promptHash, version) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *stands) close() {
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -90,6 +90,8 @@
 	is.Equal(len(tokens), 100)
 	is.True(seen[1] && seen[2])
 	is.Equal(events[0].KVVersion, int64(1))
+	is.True(s.Ledger().UsedKV(standin.BodyHash([]byte("p")), 1))
+	is.True(!s.Ledger().UsedKV(standin.BodyHash([]byte("p")), 2)) // the swap computes no KV anew
 	is.Equal(st.Transfers()[0].Zone, home.String())
 	is.NoErr(c.Order(ctx, peer.Addr(), order(2, s.Addr(), 1))) // from the other engine
 	is.Equal(peer.Version(), int64(2))
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -43,12 +43,15 @@
 	mu         sync.Mutex
 	executions []*Execution
 	byPrompt   map[string]int
+	kvOfPrompt map[string]map[int64]bool // versions that computed the KV of a prompt
 	orders     []*OrderRecord
 	refusals   []time.Time
 	tokens     int64
 }
 
-func newLedger() *Ledger { return &Ledger{byPrompt: map[string]int{}} }
+func newLedger() *Ledger {
+	return &Ledger{byPrompt: map[string]int{}, kvOfPrompt: map[string]map[int64]bool{}}
+}
 
 func (l *Ledger) begin(q *sequence) {
 	e := &Execution{
@@ -64,16 +67,36 @@
 		old := l.executions[0].Prompt
 		if l.byPrompt[old]--; l.byPrompt[old] == 0 {
 			delete(l.byPrompt, old)
+			delete(l.kvOfPrompt, old)
 		}
 		l.executions = l.executions[1:]
 	}
 }
 
+// prefilled notes the version of the KV that a sequence uses for its prompt.
+func (l *Ledger) prefilled(q *sequence) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := q.execution
+	e.KVVersion = q.kvVersion
+	if l.kvOfPrompt[e.Prompt] == nil {
+		l.kvOfPrompt[e.Prompt] = map[int64]bool{}
+	}
+	l.kvOfPrompt[e.Prompt][q.kvVersion] = true
+}
+
+// UsedKV reports whether an execution of a prompt with this hash used KV of version.
+func (l *Ledger) UsedKV(hash string, version int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.kvOfPrompt[hash][version]
+}
+
 func (l *Ledger) end(q *sequence, finished bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := q.execution
-	e.Ended, e.Finished, e.Preempted, e.KVVersion = time.Now(), finished, q.preempted, q.kvVersion
+	e.Ended, e.Finished, e.Preempted = time.Now(), finished, q.preempted
 	e.Tokens = q.produced - e.Resumed
 	l.tokens += int64(e.Tokens)
 }
--- a/standin/engine/schedule.go
+++ b/standin/engine/schedule.go
@@ -133,6 +133,7 @@
 		q.kvVersion = s.version
 	}
 	s.cache.add(q.req, q.kvVersion)
+	s.ledger.prefilled(q)
 }
 
 func (s *Server) finish(q *sequence) {
--- a/standin/trainer/step.go
+++ b/standin/trainer/step.go
@@ -167,7 +167,7 @@
 		g := s.open.Groups[s.groups[sample.Position]]
 		first := s.groups[sample.Position] * t.opts.Samples
 		oldest, ok := check(g, int64(sample.Position-first), sample)
-		if !ok {
+		if !ok || !t.opts.UsedKV(standin.BodyHash([]byte(g.Prompt)), sample.PromptVersion) {
 			t.ledger.Misattributed++
 		}
 		stale := s.open.Version - oldest
--- a/standin/trainer/trainer.go
+++ b/standin/trainer/trainer.go
@@ -55,6 +55,9 @@
 	Announced func(version int64, at time.Time)
 	// Floor returns the shortest time in which the engines can generate sequences of these lengths.
 	Floor func(lengths []int) time.Duration
+	// UsedKV reports whether an engine used KV of version for a prompt with this hash; nil means
+	// that the trainer cannot tell.
+	UsedKV func(promptHash string, version int64) bool
 	// Interrupted is told of each request whose connection failed without a whole answer.
 	Interrupted func(addr string, began time.Time, err error)
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -109,6 +112,9 @@
 	if opts.Announced == nil {
 		opts.Announced = func(int64, time.Time) {}
 	}
+	if opts.UsedKV == nil {
+		opts.UsedKV = func(string, int64) bool { return true }
+	}
 	if opts.Interrupted == nil {
 		opts.Interrupted = func(string, time.Time, error) {}
 	}
