entry: an instance without state refuses truly; tests of whole instances

Change: until the feed has a state every request is refused with reason not_ready, which a forwarding peer treats as not run; capacity reports peer traffic by cause.

--- a/capacity/measure.go
+++ b/capacity/measure.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/entry"
+	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/release"
 )
 
@@ -48,6 +49,8 @@
 	CoreFraction float64
 	// BytesPerS is the traffic per node, sent and received, by target.
 	BytesPerS map[Target]float64
+	// PeerBytesPerS is the traffic between peers per node, sent and received, by cause.
+	PeerBytesPerS map[link.Cause]float64
 	// HeapMB is the live heap per node in megabytes.
 	HeapMB float64
 	// LogReadsPerS and LogAppendsPerS are the load of the whole cluster on the log.
@@ -119,6 +122,7 @@
 func (c *cluster) measureIdle(ctx context.Context, size clusterSize, length time.Duration) Sample {
 	cpu, start := cpuTime(), time.Now()
 	bytes := c.traffic.perNode(size.instances)
+	causes := c.peerBytes()
 	reads, appends := c.log.Reads(), c.log.Appends()
 	// A cancelled measurement is short, not wrong: all figures are rates.
 	_ = sleep(ctx, length)
@@ -127,15 +131,30 @@
 		Instances: size.instances, Backends: size.backends,
 		CoreFraction:   (cpuTime() - cpu).Seconds() / elapsed / float64(size.instances),
 		BytesPerS:      map[Target]float64{},
+		PeerBytesPerS:  map[link.Cause]float64{},
 		LogReadsPerS:   float64(c.log.Reads()-reads) / elapsed,
 		LogAppendsPerS: float64(c.log.Appends()-appends) / elapsed,
 	}
 	for target, now := range c.traffic.perNode(size.instances) {
 		sample.BytesPerS[target] = (now - bytes[target]) / elapsed
 	}
+	for cause, now := range c.peerBytes() {
+		sample.PeerBytesPerS[cause] = (now - causes[cause]) / elapsed / float64(size.instances)
+	}
 	return sample
 }
 
+// peerBytes returns what all nodes have sent to and received from peers, by cause.
+func (c *cluster) peerBytes() map[link.Cause]float64 {
+	out := map[link.Cause]float64{}
+	for _, instance := range c.instances {
+		for _, b := range instance.LinkBytes() {
+			out[b.Cause] += float64(b.Sent + b.Received)
+		}
+	}
+	return out
+}
+
 // measureNotes publishes notes one after the other.
 func (c *cluster) measureNotes(ctx context.Context, sample *Sample, seed uint64) error {
 	random := rand.New(rand.NewPCG(seed, uint64(sample.Instances)))
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/feed"
+	"github.com/cicadasill/cicadasill/gateway"
 	"github.com/cicadasill/cicadasill/health"
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/link"
@@ -120,10 +121,17 @@
 	}
 }
 
-// forwarder returns a function that forwards HTTP requests over the link for one cause.
+// forwarder returns a function that forwards HTTP requests over the link for one cause. A
+// peer that has no state yet has done nothing, which the sender is told by a busy error.
 func forwarder(node *link.Node, cause link.Cause) func(context.Context, machine.Instance, *http.Request) (*http.Response, error) {
 	return func(ctx context.Context, to machine.Instance, req *http.Request) (*http.Response, error) {
-		return node.Forward(ctx, to, cause, req)
+		resp, err := node.Forward(ctx, to, cause, req)
+		if err != nil || resp.Header.Get(gateway.HeaderReason) != reasonNotReady {
+			return resp, err
+		}
+		// The body only repeats the reason.
+		_ = resp.Body.Close()
+		return nil, &link.Error{Code: link.Busy, Op: req.URL.Path, To: to.Ref(), RemoteCode: reasonNotReady}
 	}
 }
 
--- a/entry/build.go
+++ b/entry/build.go
@@ -188,7 +188,7 @@
 	i.gateway.Register(router)
 	i.rollouts.Register(router)
 	i.weights.Register(router)
-	handler := i.countInFlight(router)
+	handler := i.countInFlight(i.requireState(router))
 	i.node.HandleHTTP(handler)
 	i.httpServer = &http.Server{
 		Handler: handler, ReadHeaderTimeout: i.config.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
--- /dev/null
+++ b/entry/harness_test.go
@@ -0,0 +1,198 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/entry"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/operator"
+	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standin/list"
+	"github.com/cicadasill/cicadasill/standin/logserver"
+	"github.com/cicadasill/cicadasill/standin/plain"
+	"github.com/cicadasill/cicadasill/zone"
+)
+
+const (
+	anyPort   = "127.0.0.1:0"
+	testLimit = 30 * time.Second
+)
+
+var almaty = zone.Zone{Region: "almaty", DataCentre: "alm-north"}
+
+// deployment is a set of instances with a plain service, a log and an instance list.
+type deployment struct {
+	t         *testing.T
+	log       *logserver.Server
+	list      *list.Server
+	orders    *plain.Server
+	instances []*entry.Instance
+	cancels   []context.CancelFunc
+	tasks     conc.WaitGroup
+}
+
+func newDeployment(t *testing.T, think time.Duration) *deployment {
+	t.Helper()
+	d := &deployment{t: t}
+	var err error
+	if d.log, err = logserver.Start(logserver.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	if d.list, err = list.Start(list.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	if d.orders, err = plain.Start(plain.Options{ID: "orders-1", Think: think}); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, cancel := range d.cancels {
+			cancel()
+		}
+		d.tasks.Wait()
+		d.orders.Close()
+		d.list.Close()
+		d.log.Close()
+	})
+	return d
+}
+
+// start runs a new instance without waiting for it to be ready.
+func (d *deployment) start(id string) *entry.Instance {
+	d.t.Helper()
+	instance, err := entry.New(entry.Config{
+		Self:      machine.Instance{ID: id, HTTPAddr: anyPort, PeerAddr: anyPort, Zone: almaty},
+		AdminAddr: anyPort, LogAddr: d.log.Addr(), ListAddr: d.list.Addr(),
+	})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.list.SetNow(platform.Listed{
+		ID: id, Kind: "entry", PeerAddr: instance.PeerAddr(), HTTPAddr: instance.HTTPAddr(), Zone: almaty, State: platform.Live,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	d.instances = append(d.instances, instance)
+	d.cancels = append(d.cancels, cancel)
+	d.tasks.Go(func() {
+		if err := instance.Run(ctx); err != nil {
+			d.t.Errorf("instance %s: %v", id, err)
+		}
+	})
+	return instance
+}
+
+// startReady runs instances until all are ready, see each other and serve the orders service.
+func (d *deployment) startReady(ids ...string) {
+	d.t.Helper()
+	for _, id := range ids {
+		d.start(id)
+	}
+	for _, instance := range d.instances {
+		awaitReady(d.t, instance)
+	}
+	d.publish(0, "orders", d.ordersService())
+	d.until("all instances serve the service", func() bool {
+		for _, instance := range d.instances {
+			if len(instance.LiveInstances()) != len(ids) || !d.backendReady(instance) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (d *deployment) ordersService() contract.Service {
+	return contract.Service{
+		Name: "orders", Kind: machine.Plain,
+		Calls:    []contract.Call{{Name: "book", Priority: contract.Staff, DeadlineMs: int(testLimit.Milliseconds())}},
+		Backends: []machine.Backend{{ID: "orders-1", Kind: machine.Plain, Service: "orders", Addr: d.orders.Addr(), Zone: almaty}},
+	}
+}
+
+func (d *deployment) backendReady(instance *entry.Instance) bool {
+	backends, err := operator.NewClient(instance.AdminAddr()).Backends(d.t.Context(), "orders")
+	return err == nil && len(backends) == 1 && backends[0].Ready
+}
+
+func (d *deployment) publish(base int64, id string, services ...contract.Service) release.Verdict {
+	d.t.Helper()
+	verdict, err := operator.NewClient(d.instances[0].AdminAddr()).PublishNote(d.t.Context(), noteOf(d.t, base, id, services...))
+	is.New(d.t).NoErr(err)
+	return verdict
+}
+
+func noteOf(t *testing.T, base int64, id string, services ...contract.Service) []byte {
+	t.Helper()
+	data, err := json.Marshal(release.Note{ID: id, Author: "test", Base: base, Added: services})
+	is.New(t).NoErr(err)
+	return data
+}
+
+// until waits for a condition that becomes true by itself.
+func (d *deployment) until(what string, condition func() bool) {
+	d.t.Helper()
+	ctx, cancel := context.WithTimeout(d.t.Context(), testLimit)
+	defer cancel()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			d.t.Fatalf("not reached in %s: %s", testLimit, what)
+		case <-ticker.C:
+		}
+	}
+}
+
+func awaitReady(t *testing.T, instance *entry.Instance) {
+	t.Helper()
+	select {
+	case <-instance.Ready():
+	case <-time.After(testLimit):
+		t.Fatal("instance is not ready")
+	}
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+	err     error
+}
+
+// book posts a non-idempotent call at an instance.
+func book(ctx context.Context, instance *entry.Instance, key, attempt string) answer {
+	body := fmt.Sprintf(`{"order":%q}`, key)
+	url := "http://" + instance.HTTPAddr() + "/v1/services/orders/calls/book"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Cicadasill-Key", key)
+	if attempt != "" {
+		req.Header.Set("Cicadasill-Attempt", attempt)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode, outcome: resp.Header.Get("Cicadasill-Outcome"),
+		reason: resp.Header.Get("Cicadasill-Reason"), body: string(data), err: err,
+	}
+}
