--- a/entry/build.go
+++ b/entry/build.go
@@ -95,7 +95,7 @@
 		Logger: i.log, Registerer: i.config.Registry,
 	})
 	i.claims = claim.NewClaims(i.self, i.clients.log, i.members, i.node, claim.Options{
-		Logger: i.log, Registerer: i.config.Registry,
+		Share: claim.OwnerShare, Logger: i.log, Registerer: i.config.Registry,
 	})
 }
 
