--- a/feed/bench_test.go
+++ b/feed/bench_test.go
@@ -53,10 +53,17 @@
 				sent, read := d.Bytes(), readsOf(nodes)
 				time.Sleep(10 * time.Second)
 				bytes += float64(d.Bytes()-sent) / 10 / float64(n)
-				reads += float64(readsOf(nodes)-read) / 10
+				reads += (readsOf(nodes) - read) / 10
 			}
 			b.ReportMetric(bytes/float64(b.N), "B/s/node")
 			b.ReportMetric(reads/float64(b.N), "logreads/s")
 		})
 	}
 }
+
+func readsOf(nodes []*feedsim.Node) (sum float64) {
+	for _, n := range nodes {
+		sum += float64(n.Log.Reads())
+	}
+	return sum
+}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -10,12 +10,14 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/feed"
 	"github.com/cicadasill/cicadasill/feed/feedsim"
 	"github.com/cicadasill/cicadasill/lease"
+	"github.com/cicadasill/cicadasill/link/wire"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
@@ -78,6 +80,19 @@
 	is.Equal(publish(t, n, addNote("n2", "b")), release.Verdict{Accepted: true, Revision: 2})
 	is.Equal(publish(t, n, addNote("n2", "b")), release.Verdict{Accepted: true, Revision: 2})
 	is.Equal(log.Next(control.Stream), int64(2))
+	log.SetFates(feedsim.Fate{Stored: true, Err: platform.OutcomeUnknown})
+	n.Log.SetCut(true) // the record cannot be read back, so it must not be appended again
+	verdict := make(chan release.Verdict, 1)
+	n.Go(func() {
+		v, _ := n.PublishNote(context.Background(), addNote("n5", "d"))
+		verdict <- v
+	})
+	eventually(t, "the append", func() bool { return log.Next(control.Stream) > 2 })
+	reads := n.Log.Reads()
+	eventually(t, "tries to read back", func() bool { return n.Log.Reads() > reads+10 })
+	n.Log.SetCut(false)
+	is.True((<-verdict).Accepted)
+	is.Equal(log.Next(control.Stream), int64(3))
 	is.Equal(publish(t, n, &release.Note{ID: "n3"}).Code, release.Invalid)
 	log.SetDown(true)
 	_, err := n.PublishNote(t.Context(), addNote("n4", "c"))
@@ -187,17 +202,45 @@
 	other := feedsim.NewLog()
 	wrong := forged.StartOn(other, "i000", "alm-north")
 	waitReady(t, wrong)
-	publish(t, wrong, addNote("forged", "wrong"))
+	for i := range 3 {
+		publish(t, wrong, addNote(fmt.Sprint("forged", i), fmt.Sprint("wrong", i)))
+	}
 	victim := start(forged, 1)[0]
 	waitReady(t, victim)
-	_, exists := victim.State().Catalog.Service("wrong")
-	is.True(exists)
+	is.Equal(victim.State().Offset, int64(3))
 	log.SetDown(false)
+	var typed *feed.Error
+	is.True(errors.As(victim.Sync(t.Context()), &typed))
+	is.Equal(typed.Code, feed.LogBehind)
+	is.Equal(victim.State().Offset, int64(3)) // the log has one record, and states never move backwards
+	for i := range 3 {
+		publish(t, nodes[0], addNote(fmt.Sprint("more", i), fmt.Sprint("more", i)))
+	}
 	forged.Stop(wrong)
 	eventually(t, "the log's state", func() bool {
-		_, exists := victim.State().Catalog.Service("wrong")
-		return !exists && victim.State().Chain == nodes[0].State().Chain
+		return victim.State().Chain == nodes[0].State().Chain
 	})
+	_, exists := victim.State().Catalog.Service("wrong0")
+	is.True(!exists)
+}
+
+// Guards against records of a peer that do not continue the local state being applied.
+func TestForgedPush(t *testing.T) {
+	is := is.New(t)
+	log := feedsim.NewLog()
+	n := start(newDeployment(t, log), 0)[0]
+	waitReady(t, n)
+	publish(t, n, addNote("n", "desk"))
+	data, err := control.Record{Kind: control.KindNote, Note: addNote("forged", "wrong")}.Encode()
+	is.NoErr(err)
+	push, err := proto.Marshal(&wire.FeedPush{Records: []*wire.FeedRecord{{Offset: 1, Data: data, Chain: 7}}})
+	is.NoErr(err)
+	_, err = n.HandlePush(t.Context(), push)
+	is.NoErr(err)
+	is.Equal(n.State().Offset, int64(1))
+	is.Equal(publish(t, n, addNote("n2", "desk2")).Revision, int64(2))
+	_, err = n.HandlePush(t.Context(), []byte("not a message"))
+	is.True(err != nil)
 }
 
 // Guards against records that stop spreading when the reader of a data centre dies or hangs
@@ -208,28 +251,7 @@
 	d := newDeployment(t, log)
 	nodes := start(d, 0, 1, 2)
 	waitReady(t, nodes...)
-	var reader *feedsim.Node
-	eventually(t, "one reader", func() bool {
-		reader = nil
-		before := make([]int64, len(nodes))
-		for i, n := range nodes {
-			before[i] = n.Log.Reads()
-		}
-		time.Sleep(100 * time.Millisecond)
-		readers := 0
-		for i, n := range nodes {
-			if n.Log.Reads() > before[i] {
-				reader, readers = n, readers+1
-			}
-		}
-		return readers == 1
-	})
-	var others []*feedsim.Node
-	for _, n := range nodes {
-		if n != reader {
-			others = append(others, n)
-		}
-	}
+	reader, others := findReader(t, nodes)
 	others[0].Log.SetCut(true) // served by the reader alone
 	v := publish(t, others[1], addNote("n1", "a"))
 	waitOffset(t, v.Revision-1, nodes...)
@@ -296,44 +318,41 @@
 	waitReady(t, nodes...)
 	writer := start(newDeployment(t, log), 3)[0] // outside, so that no member reads back its own records
 	waitReady(t, writer)
-	eventually(t, "members without reads of their own", func() bool { return quiet(nodes) >= len(nodes)-1 })
-	d.Silence(nodes[7])
-	others := append(append([]*feedsim.Node{}, nodes[:7]...), nodes[8:]...)
-	var before int64
-	for _, n := range others {
-		before += n.Log.Reads()
+	reader, others := findReader(t, nodes)
+	d.Silence(others[0])
+	for _, n := range others[1:] {
+		n.Log.SetCut(true) // so that only the reader's pushes bring the records
 	}
+	before := reader.Log.Reads()
 	for i := range 20 {
 		publish(t, writer, addNote(fmt.Sprint("n", i), fmt.Sprint("s", i)))
 	}
-	waitOffset(t, 19, others...)
+	waitOffset(t, 19, others...) // the silent one reads the log itself
 	for _, n := range others {
 		is.Equal(n.State().Chain, writer.State().Chain)
 	}
-	waitOffset(t, 19, nodes[7]) // reads the log itself, since no push reaches it
-	t.Logf("reads of the log by 39 members for 20 records: %d", readsOf(others)-before)
+	t.Logf("reads of the log by the reader of 40 members for 20 records: %d", reader.Log.Reads()-before)
 }
 
-func readsOf(nodes []*feedsim.Node) (sum int64) {
-	for _, n := range nodes {
-		sum += n.Log.Reads()
-	}
-	return sum
-}
-
-// quiet counts the instances that do not read the log for a while.
-func quiet(nodes []*feedsim.Node) (count int) {
-	before := make([]int64, len(nodes))
-	for i, n := range nodes {
-		before[i] = n.Log.Reads()
-	}
-	time.Sleep(150 * time.Millisecond)
-	for i, n := range nodes {
-		if n.Log.Reads() == before[i] {
-			count++
+// findReader returns the only instance that reads the log all the time, and the others.
+func findReader(t *testing.T, nodes []*feedsim.Node) (reader *feedsim.Node, others []*feedsim.Node) {
+	eventually(t, "one reader", func() bool {
+		before := make([]int64, len(nodes))
+		for i, n := range nodes {
+			before[i] = n.Log.Reads()
 		}
-	}
-	return count
+		others = nil
+		time.Sleep(150 * time.Millisecond)
+		for i, n := range nodes {
+			if n.Log.Reads() > before[i] {
+				reader = n
+			} else {
+				others = append(others, n)
+			}
+		}
+		return len(others) == len(nodes)-1
+	})
+	return reader, others
 }
 
 // Guards against a feed that needs peers.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -200,13 +200,18 @@
 	must(t, manager(1, newFeed(log), c), "orders/x")
 	fb := newFeed(log)
 	ctx, stop := context.WithCancel(t.Context())
-	done := campaign(ctx, manager(2, fb, c), "orders/x")
+	waiting := manager(2, fb, c)
+	done := campaign(ctx, waiting, "orders/x")
 	for l, _ := fb.Leases().Get("orders/x"); l.Holder.ID != "i2"; l, _ = fb.Leases().Get("orders/x") {
 		c.advance(100 * time.Millisecond)
 		time.Sleep(time.Millisecond)
 	}
-	stop()
 	takeover := c.now()
+	is.NoErr(waiting.ReleaseAll(t.Context())) // as a planned stop does
+	stop()
+	for _, e := range log.entries {
+		is.True(e.Release == nil)
+	}
 	advanceUntil(t, c, campaign(t.Context(), manager(3, newFeed(log), c), "orders/x"), func() {})
 	is.True(c.now().Sub(takeover) >= lease.LongestOrderLife)
 	is.Equal(len(done), 0)
@@ -251,6 +256,27 @@
 	is.True(!h.Valid(time.Second)) // the lost renewal does not extend the validity
 }
 
+// Guards against an instance that never learns that it holds a duty because its acquire record
+// reached the log after a later attempt had failed.
+func TestLateAcquire(t *testing.T) {
+	is := is.New(t)
+	c, log := &clock{}, &history{}
+	f := newFeed(log)
+	attempts := make(chan lease.Entry, 100)
+	f.fail = func(e lease.Entry) (bool, error) { attempts <- e; return false, unknown() }
+	held := campaign(t.Context(), manager(1, f, c), "snapshot")
+	first := <-attempts
+	for range 2 {
+		c.advance(time.Second)
+		<-attempts
+	}
+	f.store(first)
+	h := <-held
+	is.Equal(h.Fence(), int64(0))
+	is.True(h.Valid(7 * time.Second))
+	is.True(!h.Valid(8 * time.Second)) // from the sending of the record that is in the log
+}
+
 // Guards against a holder that acts after a pause on what it knew before it.
 func TestPauseReportNeedsTheLog(t *testing.T) {
 	is := is.New(t)
