rollout: samples of steps ahead need engines with weights new enough for their hand-over

Samples far past their prediction are predicted by the mean of such samples, so that moves see what they gain.

--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -46,15 +46,21 @@
 
 // startable reports whether samples wait and may start now. They may in a step that the trainer takes
 // from. A later step waits until no step before it has a sample to start, and until its samples would
-// not be beyond the tolerated lag when the trainer comes to them: each step that the trainer trains on
-// before makes them one version older.
+// not be beyond the tolerated lag when the trainer comes to them.
 func (st *step) startable() bool {
 	svc, ok := st.service()
 	if !ok || svc.Rollout == nil || !st.hasPending() {
 		return false
 	}
+	ahead, waits := st.ahead()
+	return !waits && ahead <= softLag(svc.Rollout)
+}
+
+// ahead returns how many versions the trainer will have moved on until it comes to st, one for each
+// step that it trains on before, and whether a step before st has samples to start.
+func (st *step) ahead() (versions int64, waits bool) {
 	if st.isTaken() {
-		return true
+		return 0, false
 	}
 	siblings := st.srv.siblings(st)
 	current, taking := int64(-1), false
@@ -63,20 +69,17 @@
 			current, taking = max(current, o.key.step), true
 		}
 	}
-	ahead := int64(0)
 	for _, o := range siblings {
 		// A step before the one that the trainer takes from was given up without an acknowledgement.
-		if o.key.step >= st.key.step || o.key.step < current {
-			continue
-		}
-		if ahead++; o.hasPending() {
-			return false
+		if o.key.step < st.key.step && o.key.step >= current {
+			versions++
+			waits = waits || o.hasPending()
 		}
 	}
 	if !taking {
-		ahead++ // the trainer trains on a step that it has acknowledged
+		versions++ // the trainer trains on a step that it has acknowledged
 	}
-	return ahead <= softLag(svc.Rollout)
+	return versions, waits
 }
 
 // next pops the first pending sample that may start now.
@@ -121,16 +124,17 @@
 // and versions within the soft bound, for which it waits as long as engines may be loading them. The
 // age bound itself is kept.
 func (st *step) pick(ctx context.Context, svc *contract.Service, s *sample) (Pick, error) {
+	ahead, _ := st.ahead()
 	st.mu.Lock()
 	expected := st.expectedVersion(svc)
 	exclude := append([]string(nil), s.exclude...)
-	group, noPrefix := s.group, s.noPrefix
-	floors := []int64{max(0, expected-softLag(svc.Rollout))}
+	group, noPrefix, parked := s.group, s.noPrefix, s.parked
+	floors := []int64{max(0, expected+min(ahead, softLag(svc.Rollout))-softLag(svc.Rollout))}
 	if hard := max(0, expected-svc.Rollout.MaxVersionLag); hard < floors[0] && !st.mayHold() {
 		floors = append(floors, hard)
 	}
 	st.mu.Unlock()
-	if st.isLong(group) && !st.srv.opts.NoMoves {
+	if (parked || st.isLong(group)) && !st.srv.opts.NoMoves {
 		exclude = append(exclude, st.srv.speeds.of(st.key.service, st.srv.now()).slow(moveRatio)...)
 	}
 	req := PickRequest{Service: svc, PrefixID: group.PrefixID, Prompt: group.Prompt, MaxTokens: group.MaxTokens}
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -122,7 +122,7 @@
 		}
 		remaining := st.remaining(s, a)
 		gain := time.Duration((remaining/own - remaining/best) * float64(time.Second))
-		if gain < minMoveGain || (len(st.pending) > 0 && !st.isLong(s.group)) {
+		if gain < minMoveGain || (len(st.pending) > 0 && !s.parked && !st.isLong(s.group)) {
 			continue
 		}
 		out = append(out, candidate{a: a, remaining: remaining})
--- a/rollout/predict.go
+++ b/rollout/predict.go
@@ -29,11 +29,19 @@
 	return append(keys, service)
 }
 
+// tailKey names the mean length of samples that were far longer than predicted.
+func tailKey(service string) string { return service + "\x00tail" }
+
 // observe records the length of a finished sample of g.
 func (l *lengths) observe(service string, g *Group, n int) {
+	predicted := l.predict(service, g, 0)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, k := range lengthKeys(service, g) {
+	keys := lengthKeys(service, g)
+	if float64(n) > parkFactor*predicted {
+		keys = append(keys, tailKey(service))
+	}
+	for _, k := range keys {
 		old, ok := l.mean[k]
 		if !ok {
 			l.evict()
@@ -66,9 +74,11 @@
 			break
 		}
 	}
-	// A sample past its prediction is in the long tail, where it is as likely to double as to end.
-	if float64(done) >= predicted {
-		predicted = float64(done) * 1.5
+	// A sample far past its prediction is in the long tail, which has a mean of its own.
+	if tail := l.mean[tailKey(service)]; float64(done) > parkFactor*predicted && float64(done) < tail {
+		predicted = tail
+	} else if float64(done) >= predicted {
+		predicted = float64(done) * parkFactor
 	}
 	return min(predicted, float64(g.MaxTokens))
 }
