--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,9 @@
 
 	instanceList *sharedList
 
+	endDuties   context.CancelFunc
+	dutiesEnded chan struct{}
+
 	draining atomic.Bool
 	inFlight atomic.Int64
 	stopOnce sync.Once
@@ -149,13 +152,34 @@
 	run(i.health.Run)
 	run(i.gateway.Run)
 	run(i.rollouts.Run)
-	run(i.weights.Run)
-	run(func(ctx context.Context) error { return i.feed.RunSnapshots(ctx, i.leases) })
+	i.startDuties(ctx, group)
 	run(i.followCatalog)
 	run(i.followPauses)
 	run(i.followStopRequests)
 }
 
+// startDuties runs what is done under leases. A planned stop ends it before it releases the
+// leases, or the instance would take them again.
+func (i *Instance) startDuties(ctx context.Context, group *conc.WaitGroup) {
+	ctx, i.endDuties = context.WithCancel(ctx)
+	i.dutiesEnded = make(chan struct{})
+	group.Go(func() {
+		defer close(i.dutiesEnded)
+		var duties conc.WaitGroup
+		for _, duty := range []func(context.Context) error{
+			i.weights.Run,
+			func(ctx context.Context) error { return i.feed.RunSnapshots(ctx, i.leases) },
+		} {
+			duties.Go(func() {
+				if err := duty(ctx); err != nil && ctx.Err() == nil {
+					i.log.Error("duty ended", "err", err)
+				}
+			})
+		}
+		duties.Wait()
+	})
+}
+
 // serve runs the three listeners.
 func (i *Instance) serve(ctx context.Context, group *conc.WaitGroup, failures chan<- error) {
 	fail := func(addr string, err error) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/operator"
 	"github.com/cicadasill/cicadasill/release"
 )
@@ -160,3 +161,32 @@
 	})
 	is.Equal(d.orders.Ledger().RunsOfKey("after"), 1)
 }
+
+// Guards against a leaving instance that takes its leases again: their duties would stand
+// still for the lease's time to live after its end.
+func TestPlannedStopHandsOverLeases(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, time.Millisecond)
+	d.startReady("a")
+	d.until("the first instance holds the snapshot duty", func() bool { return len(leaseRecords(t, d, "a")) > 0 })
+	is.NoErr(d.instances[0].Stop(t.Context()))
+	records := leaseRecords(t, d, "a")
+	is.Equal(records[len(records)-1].Kind, control.KindLeaseReleased) // nothing of the instance follows its release
+}
+
+// leaseRecords returns the lease records of an instance in the control stream.
+func leaseRecords(t *testing.T, d *deployment, id string) []control.Record {
+	t.Helper()
+	var out []control.Record
+	for _, stored := range d.log.Records(control.Stream) {
+		record, err := control.Decode(stored.Data)
+		is.New(t).NoErr(err)
+		switch {
+		case record.Acquire != nil && record.Acquire.Holder.ID == id,
+			record.Renewal != nil && record.Renewal.Holder.ID == id,
+			record.Release != nil:
+			out = append(out, record)
+		}
+	}
+	return out
+}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -47,7 +47,13 @@
 
 // drain runs the steps of the planned stop in order.
 func (i *Instance) drain(ctx context.Context) error {
-	// Leases go first, so that their successors need not wait for the time to live.
+	// Duties end and leases go first, so that their successors need not wait for the time to live.
+	i.endDuties()
+	select {
+	case <-i.dutiesEnded:
+	case <-ctx.Done():
+		return &Error{Code: DrainIncomplete, Err: ctx.Err()}
+	}
 	if err := i.leases.ReleaseAll(ctx); err != nil {
 		i.log.Warn("leases not released", "err", err)
 	}
