entry: the lease hand-over test provokes its failure

Change: the test's instance has a balancer delay of 1 s. Result: with the change taken out the test fails (lease_acquired follows lease_released), with it it passes.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -167,6 +167,8 @@
 func TestPlannedStopHandsOverLeases(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, time.Millisecond)
+	// The delay leaves time for the fault: without it the instance ends before it could campaign again.
+	d.balancerDelay = time.Second
 	d.startReady("a")
 	d.until("the first instance holds the snapshot duty", func() bool { return len(leaseRecords(t, d, "a")) > 0 })
 	is.NoErr(d.instances[0].Stop(t.Context()))
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -34,10 +34,13 @@
 
 // deployment is a set of instances with a plain service, a log and an instance list.
 type deployment struct {
-	t         *testing.T
-	log       *logserver.Server
-	list      *list.Server
-	orders    *plain.Server
+	t      *testing.T
+	log    *logserver.Server
+	list   *list.Server
+	orders *plain.Server
+	// balancerDelay is that of the instances started from now on.
+	balancerDelay time.Duration
+
 	instances []*entry.Instance
 	cancels   []context.CancelFunc
 	tasks     conc.WaitGroup
@@ -74,6 +77,7 @@
 	instance, err := entry.New(entry.Config{
 		Self:      machine.Instance{ID: id, HTTPAddr: anyPort, PeerAddr: anyPort, Zone: almaty},
 		AdminAddr: anyPort, LogAddr: d.log.Addr(), ListAddr: d.list.Addr(),
+		BalancerDelay: d.balancerDelay,
 	})
 	if err != nil {
 		d.t.Fatal(err)
