--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -70,6 +70,7 @@
 	for _, streamed := range []bool{true, false} {
 		for name, spoil := range map[string]func(*conn){
 			"crossed": func(c *conn) { c.crossed = true }, "truncated": func(c *conn) { c.truncated = true },
+			"repeated": func(c *conn) { c.repeated = true },
 		} {
 			t.Run(fmt.Sprint(name, streamed), func(t *testing.T) {
 				is := is.New(t)
@@ -281,3 +282,68 @@
 	}
 	is.New(t).Equal(d.post(ctx, "a", "line-desk/calls/score", "body", gateway.HeaderDeadline, "20000").outcome, gateway.Answered)
 }
+
+// Guards P6 for keys that only their back end remembers: in a log outage all instances send
+// a key to the same back end, an earlier dispatch is asked for first, and an expired ticket
+// is never dispatched.
+func TestKeysWithoutClaims(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, nil, "a", "b")
+	d.logDown = true
+	order := func(inst, key string) reply {
+		return d.post(context.Background(), inst, "line-desk/calls/order", "body", gateway.HeaderKey, key)
+	}
+	for i := range 8 {
+		key := fmt.Sprint("key-", i)
+		for _, inst := range []string{"a", "b", "a", "b"} {
+			is.Equal(order(inst, key).outcome, gateway.Answered)
+		}
+		is.Equal(len(d.places[key]), 1)
+	}
+	d.askFirst = true
+	before := d.ran("key-0", "body")
+	is.Equal(order("a", "key-0").outcome, gateway.Answered)
+	is.Equal(d.ran("key-0", "body"), before)
+	d.askFirst, d.logDown, d.expired = false, false, true
+	is.Equal(d.send(context.Background(), "a", book, "1").outcome, gateway.NotRun)
+	is.Equal(d.ran("key", "body"), 0)
+}
+
+// Guards forwarded requests against views that differ, an owner that is stopping and an
+// answer that is cut on the way.
+func TestForwarding(t *testing.T) {
+	for name, prepare := range map[string]func(*deployment){
+		"each takes the other for the owner": func(d *deployment) { d.owner = eachOther },
+		"owner is stopping":                  func(d *deployment) { _ = d.instances["b"].Drain(context.Background()) },
+		"answer is cut":                      func(d *deployment) { d.cutAnswer = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, nil, "a", "b")
+			d.owner = "b"
+			prepare(d)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			r := d.send(ctx, "a", book, "1")
+			is.Equal(r.outcome, gateway.Answered)
+			is.Equal(r.body, answer("key", []byte("body")))
+			is.Equal(d.ran("key", "body"), 1)
+		})
+	}
+}
+
+// Guards against one slow back end that decides an idempotent call's latency: with no retry
+// budget only a hedge can answer after the first connection went silent.
+func TestHedge(t *testing.T) {
+	d := deploy(t, func(o *gateway.Options) {
+		o.MinHedgeDelay, o.MaxHedgeDelay = time.Millisecond, time.Millisecond
+		o.Retries = limit.NewRetryBudget(0.1, 0.5, -1)
+	}, "a")
+	var once atomic.Bool
+	d.hook = func(_, step string, _ *backend, c *conn) {
+		if step == firstByte && once.CompareAndSwap(false, true) {
+			c.silent = true
+		}
+	}
+	is.New(t).Equal(d.send(context.Background(), "a", read, "1").outcome, gateway.Answered)
+}
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -34,7 +34,7 @@
 }
 
 // conn is the connection of one attempt.
-type conn struct{ reset, silent, truncated, crossed bool }
+type conn struct{ reset, silent, truncated, crossed, repeated bool }
 
 // world holds the back ends, the claims' log and what really happened.
 type world struct {
@@ -51,6 +51,11 @@
 	logSlow  time.Duration
 	hook     func(inst, step string, b *backend, c *conn) // called with mu held
 	closed   chan struct{}
+
+	places    map[string]map[string]bool // back ends that each key reached
+	askFirst  bool                       // state of the tickets that are given out
+	expired   bool
+	cutAnswer bool // forwarded answers lose their end
 }
 
 // pass brings a request of an instance to a step and returns the fault that it meets there.
@@ -140,6 +145,10 @@
 	}
 	c.mu.Lock()
 	c.runs[req.Key+string(req.Body)]++
+	if c.places[req.Key] == nil {
+		c.places[req.Key] = map[string]bool{}
+	}
+	c.places[req.Key][addr] = true
 	c.mu.Unlock()
 	for _, step := range []string{firstByte, stream, end} {
 		if err := c.pass(ctx, c.inst, step, b, k); err != nil {
@@ -224,7 +233,9 @@
 	e.Done, e.Total = s.next == s.req.MaxTokens, s.next
 	switch {
 	case s.k.crossed:
-		e.RequestID = "of-another-request"
+		e.RequestID, e.Tokens[0] = "of-another-request", 1
+	case s.k.repeated:
+		e.Index -= chunk
 	case s.k.truncated:
 		e.Done, e.Total = true, s.req.MaxTokens
 	}
@@ -261,11 +272,16 @@
 	}
 }
 
-func (t *ticket) Finish(a claims.Answer)         { t.settle(&a, false) }
-func (t *ticket) Release()                       { t.settle(nil, true) }
-func (t *ticket) Unknown()                       { t.settle(nil, false) }
-func (t *ticket) AskFirst() bool                 { return false }
-func (t *ticket) Deadline() time.Time            { return time.Now().Add(time.Hour) }
+func (t *ticket) Finish(a claims.Answer) { t.settle(&a, false) }
+func (t *ticket) Release()               { t.settle(nil, true) }
+func (t *ticket) Unknown()               { t.settle(nil, false) }
+func (t *ticket) AskFirst() bool         { return t.c.askFirst }
+func (t *ticket) Deadline() time.Time {
+	if t.c.expired {
+		return time.Now().Add(-time.Second)
+	}
+	return time.Now().Add(time.Hour)
+}
 func (t *ticket) ReleaseOutcome() claims.Outcome { return t.outcome }
 
 // Begin follows the design page: the first claim of a key wins, others join or replay.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,7 @@
 	idle     chan struct{} // closed when draining and nothing is in flight
 
 	background conc.WaitGroup
+	stopped    bool // Run waits for background, which takes no more work
 }
 
 // New returns a gateway.
@@ -72,6 +73,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			g.mu.Lock()
+			g.stopped = true
+			g.mu.Unlock()
 			g.background.Wait()
 			return nil
 		case <-ticker.C:
@@ -89,6 +93,17 @@
 	}
 }
 
+// inBackground runs f unless Run has ended.
+func (g *Gateway) inBackground(f func()) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return false
+	}
+	g.background.Go(f)
+	return true
+}
+
 // Drain refuses new requests, truly, and returns when those in flight have finished or
 // ctx ends. It is called after the load balancer's delay.
 func (g *Gateway) Drain(ctx context.Context) error {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -199,13 +199,16 @@
 // cancelAtEngine tells an engine that nobody wants a generation. Closing the stream does
 // so too, unless its connection is silent.
 func (g *Gateway) cancelAtEngine(addr, id string) {
-	g.background.Go(func() {
+	cancel := func() {
 		ctx, cancel := context.WithTimeout(context.Background(), g.opts.CancelTimeout)
 		defer cancel()
 		if err := g.opts.Engine.Cancel(ctx, addr, id); err != nil {
 			g.log.Debug("generation not cancelled", "addr", addr, "request", id, "err", err)
 		}
-	})
+	}
+	if !g.inBackground(cancel) {
+		cancel()
+	}
 }
 
 func enginePriority(p contract.Priority) int {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -54,7 +54,7 @@
 	t.Helper()
 	d := &deployment{t: t, world: &world{
 		backends: map[string]*backend{}, runs: map[string]int{}, requests: map[string]bool{}, killed: map[string]bool{},
-		paused: map[string]chan struct{}{}, claims: map[string]*claimRecord{}, closed: make(chan struct{}),
+		paused: map[string]chan struct{}{}, claims: map[string]*claimRecord{}, places: map[string]map[string]bool{}, closed: make(chan struct{}),
 	}, instances: map[string]*instance{}}
 	d.services = map[string]*contract.Service{
 		"fry-lm": {Name: "fry-lm", Kind: machine.Sampler, Calls: []contract.Call{{Name: "generate", Idempotent: true, Priority: contract.Staff}}},
@@ -102,6 +102,9 @@
 			return found, ok
 		},
 		Owner: func(claims.Key) machine.Instance {
+			if d.owner == eachOther {
+				return d.instances[map[string]string{"a": "b", "b": "a"}[name]].self
+			}
 			if o := d.instances[d.owner]; o != nil {
 				return o.self
 			}
@@ -123,6 +126,9 @@
 	d.instances[name] = i
 }
 
+// eachOther as the owner means that a and b each take the other for the owner of every key.
+const eachOther = "each other"
+
 // observedRouter makes the choice of a back end a step of its own.
 type observedRouter struct {
 	*routing.Table
@@ -151,7 +157,11 @@
 	}
 	req = req.WithContext(ctx)
 	req.URL.Host = strings.TrimPrefix(d.instances[to.ID].server.URL, "http://")
-	return http.DefaultClient.Do(req)
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil && d.cutAnswer {
+		resp.Body = io.NopCloser(io.LimitReader(resp.Body, 3))
+	}
+	return resp, err
 }
 
 // reply is what a caller saw. Outcome is empty when the connection broke.
--- a/gateway/matrix_test.go
+++ b/gateway/matrix_test.go
@@ -166,10 +166,14 @@
 		t.Errorf("outcome %q (%s %s), want %q", first.outcome, first.reason, first.body, want)
 	}
 	check(t, d, kind, first, "first attempt")
-	if first.outcome == "" {
-		again := d.send(context.Background(), "b", kind, "2")
+	if first.outcome == "" || first.outcome == gateway.Unknown {
+		other := "b"
+		if d.instanceDead("b") {
+			other = "a"
+		}
+		again := d.send(context.Background(), other, kind, "2")
 		if kind == read || kind == generate {
-			if again.outcome != gateway.Answered && !d.instanceDead("b") {
+			if again.outcome != gateway.Answered {
 				t.Errorf("repeated idempotent request: %q %s %s", again.outcome, again.reason, again.body)
 			}
 		}
--- a/health/doc.go
+++ b/health/doc.go
@@ -13,6 +13,7 @@
 	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 	"github.com/cicadasill/cicadasill/zone"
 )
 
@@ -89,14 +90,14 @@
 }
 
 func (o *Options) setDefaults() {
-	setDuration(&o.PollPeriod, DefaultPollPeriod)
-	setDuration(&o.PollTimeout, DefaultPollTimeout)
-	setDuration(&o.IdlePeriod, DefaultIdlePeriod)
-	setDuration(&o.ActiveFor, DefaultActiveFor)
-	setDuration(&o.Ejection, DefaultEjection)
-	setDuration(&o.MaxEjection, DefaultMaxEjection)
-	setDuration(&o.Return, DefaultReturn)
-	setDuration(&o.LeavingHold, DefaultLeavingHold)
+	timing.SetDefault(&o.PollPeriod, DefaultPollPeriod)
+	timing.SetDefault(&o.PollTimeout, DefaultPollTimeout)
+	timing.SetDefault(&o.IdlePeriod, DefaultIdlePeriod)
+	timing.SetDefault(&o.ActiveFor, DefaultActiveFor)
+	timing.SetDefault(&o.Ejection, DefaultEjection)
+	timing.SetDefault(&o.MaxEjection, DefaultMaxEjection)
+	timing.SetDefault(&o.Return, DefaultReturn)
+	timing.SetDefault(&o.LeavingHold, DefaultLeavingHold)
 	if o.PollFailures == 0 {
 		o.PollFailures = DefaultPollFailures
 	}
@@ -108,12 +109,6 @@
 	}
 }
 
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // State is why a back end gets requests or not.
 type State string
 
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -92,7 +92,12 @@
 	is.New(t).True(!tracker.Ready("engine-1"))
 }
 
-// Guards P7: each of the three sources alone must take a leaving back end out, and an own
+// listed is a constant instance list.
+type listed []platform.Listed
+
+func (l listed) List(context.Context) ([]platform.Listed, error) { return l, nil }
+
+// Guards P7: each of the four sources alone must take a leaving back end out, and an own
 // observation must reach the peers.
 func TestLeavingSources(t *testing.T) {
 	is := is.New(t)
@@ -100,11 +105,14 @@
 	var peers sync.Map
 	tracker, e := start(t, health.Options{
 		ReportLeaving: func(id string) { told <- id },
+		List:          listed{{ID: "engine-3", State: platform.Leaving}},
 		PeersLeaving: func() (ids []string) {
 			peers.Range(func(k, _ any) bool { ids = append(ids, k.(string)); return true })
 			return ids
 		},
 	}, 3)
+	tracker.Update(backends(4))
+	eventually(t, func() bool { b, _ := tracker.Backend("engine-3"); return tracker.StateOf(b) == health.Leaving })
 	tracker.ObserveFailure("engine-0", &platform.Error{Code: platform.LeavingBackend})
 	is.True(!tracker.Ready("engine-0"))
 	is.Equal(<-told, "engine-0")
--- a/health/poll.go
+++ b/health/poll.go
@@ -7,6 +7,7 @@
 
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // follow polls one back end until ctx ends. A back end outside the subset is polled only
@@ -92,7 +93,7 @@
 			listed = time.Now()
 			t.readList(ctx)
 		}
-		sleep(ctx, min(sourcePeriod, t.opts.PollPeriod))
+		timing.Sleep(ctx, min(sourcePeriod, t.opts.PollPeriod))
 	}
 }
 
@@ -115,12 +116,3 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - pollJitter + 2*pollJitter*rand.Float64()))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
