--- a/claim/ask.go
+++ b/claim/ask.go
@@ -9,6 +9,7 @@
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/link/wire"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // resolve decides a key that another run's claim holds.
@@ -27,7 +28,7 @@
 		answer, err := c.ask(ctx, inst, h, req)
 		switch {
 		case err == nil && answer.GetState() == wire.ClaimAnswer_RUNNING:
-			if !sleep(ctx, jitter(askBackoff)) {
+			if !timing.Sleep(ctx, jitter(askBackoff)) {
 				return Decision{}, unknown(InFlight, ctx.Err())
 			}
 			continue
@@ -38,7 +39,7 @@
 		case req.terms.AskByKey:
 			return c.askBackend(req, ClaimerUnreachable) // the back end knows as much and is reachable
 		}
-		if !sleep(ctx, jitter(askBackoff)) {
+		if !timing.Sleep(ctx, jitter(askBackoff)) {
 			return Decision{}, unknown(ClaimerUnreachable, err)
 		}
 	}
@@ -99,7 +100,7 @@
 		if err := c.refresh(ctx, s, req); err != nil {
 			return c.askBackend(req, LogUnavailable)
 		}
-		if c.stillHolds(s, h, req) != nil && !sleep(ctx, jitter(askBackoff)) {
+		if c.stillHolds(s, h, req) != nil && !timing.Sleep(ctx, jitter(askBackoff)) {
 			return Decision{}, unknown(InFlight, ctx.Err())
 		}
 		return Decision{}, errAgain
@@ -149,17 +150,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // handleAsk answers what became of a claim of this instance.
 func (c *Claims) handleAsk(ctx context.Context, payload []byte) ([]byte, error) {
 	var q wire.ClaimAsk
--- a/claim/options.go
+++ b/claim/options.go
@@ -6,6 +6,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Defaults of Options.
@@ -76,19 +78,13 @@
 	if o.MaxKeptBytes == 0 {
 		o.MaxKeptBytes = DefaultMaxKeptBytes
 	}
-	setDuration(&o.ClaimTimeout, DefaultClaimTimeout)
-	setDuration(&o.LogTimeout, DefaultLogTimeout)
-	setDuration(&o.OutageAfter, DefaultOutageAfter)
-	setDuration(&o.EndDelay, DefaultEndDelay)
-	setDuration(&o.TrailPeriod, DefaultTrailPeriod)
-	setDuration(&o.AskWait, DefaultAskWait)
-	setDuration(&o.JoinTimeout, DefaultJoinTimeout)
-	setDuration(&o.FlushTimeout, DefaultFlushTimeout)
+	timing.SetDefault(&o.ClaimTimeout, DefaultClaimTimeout)
+	timing.SetDefault(&o.LogTimeout, DefaultLogTimeout)
+	timing.SetDefault(&o.OutageAfter, DefaultOutageAfter)
+	timing.SetDefault(&o.EndDelay, DefaultEndDelay)
+	timing.SetDefault(&o.TrailPeriod, DefaultTrailPeriod)
+	timing.SetDefault(&o.AskWait, DefaultAskWait)
+	timing.SetDefault(&o.JoinTimeout, DefaultJoinTimeout)
+	timing.SetDefault(&o.FlushTimeout, DefaultFlushTimeout)
 	return o
 }
-
-func setDuration(d *time.Duration, def time.Duration) {
-	if *d == 0 {
-		*d = def
-	}
-}
--- a/demo/display.go
+++ b/demo/display.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Periods of the live display.
@@ -19,7 +21,7 @@
 	if r.opts.Terminal {
 		period, before, after = terminalEvery, "\r\x1b[K", ""
 	}
-	for pauseFor(ctx, period) {
+	for timing.Sleep(ctx, period) {
 		fmt.Fprint(r.opts.Out, before, r.line(), after)
 	}
 	if r.opts.Terminal {
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -15,6 +15,7 @@
 	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/standin/engine"
 	"github.com/cicadasill/cicadasill/standin/plain"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Fault is the name of a fault.
@@ -108,7 +109,7 @@
 		length := max(minFaultLength, time.Duration(scheduleLength*d*float64(time.Second)))
 		own := rand.New(rand.NewPCG(rng.Uint64(), 41))
 		wg.Go(func() {
-			if pauseFor(ctx, at) {
+			if timing.Sleep(ctx, at) {
 				s.inject(ctx, f, length, own)
 			}
 		})
@@ -130,7 +131,7 @@
 	s.mu.Unlock()
 	s.log.Info("fault begins", "fault", f)
 	target, undo := s.begin(ctx, f, rng)
-	pauseFor(ctx, length)
+	timing.Sleep(ctx, length)
 	undo()
 	to := time.Now()
 	s.log.Info("fault ends", "fault", f, "target", target)
@@ -278,7 +279,7 @@
 	m := up[rng.IntN(len(up))]
 	if f == InstanceKill {
 		s.r.cluster.kill(m)
-		pauseFor(ctx, replaceAfter)
+		timing.Sleep(ctx, replaceAfter)
 	} else if err := s.r.cluster.drain(context.WithoutCancel(ctx), m); err != nil {
 		s.fail("P8", fmt.Sprintf("the planned stop of %s did not end: %v", m.id, err))
 	}
--- a/demo/operators.go
+++ b/demo/operators.go
@@ -14,6 +14,7 @@
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Times of the operators.
@@ -113,13 +114,13 @@
 	for k := range operatorsCount {
 		rng := rand.New(rand.NewPCG(o.c.opts.Seed, uint64(20+k)))
 		wg.Go(func() {
-			for pauseFor(ctx, time.Duration((0.5+rng.Float64())*float64(publishEvery))) {
+			for timing.Sleep(ctx, time.Duration((0.5+rng.Float64())*float64(publishEvery))) {
 				o.change(ctx, rng, rng.IntN(menuServices), -1)
 			}
 		})
 	}
 	wg.Go(func() {
-		for pauseFor(ctx, inForceEvery) {
+		for timing.Sleep(ctx, inForceEvery) {
 			o.watch(ctx)
 		}
 	})
@@ -176,7 +177,7 @@
 				return v, err
 			}
 		}
-		if !pauseFor(ctx, publishRetry) {
+		if !timing.Sleep(ctx, publishRetry) {
 			return release.Verdict{}, last
 		}
 	}
@@ -330,14 +331,3 @@
 	out.InForceP99S = float64(o.hist.ValueAtQuantile(99)) / 1e6
 	return out, o.broken
 }
-
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/demo/run.go
+++ b/demo/run.go
@@ -12,6 +12,7 @@
 	"github.com/cicadasill/cicadasill/standin/callers"
 	"github.com/cicadasill/cicadasill/standin/engine"
 	"github.com/cicadasill/cicadasill/standin/trainer"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // settleTime is the time after the load in which back ends finish what they run.
@@ -75,7 +76,7 @@
 	r.control = r.measureIdle(ctx, baseline)
 	r.load(ctx)
 	r.loaded = time.Since(r.began)
-	pauseFor(ctx, settleTime)
+	timing.Sleep(ctx, settleTime)
 	return r.report(), nil
 }
 
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -9,6 +9,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Periods of the watchers.
@@ -42,7 +44,7 @@
 }
 
 func (w *weightsWatch) run(ctx context.Context) {
-	for pauseFor(ctx, weightsEvery) {
+	for timing.Sleep(ctx, weightsEvery) {
 		w.look()
 	}
 }
@@ -87,7 +89,7 @@
 // cpuFraction measures the cores in use during d.
 func cpuFraction(ctx context.Context, d time.Duration) float64 {
 	from, began := cpuTime(), time.Now()
-	pauseFor(ctx, d)
+	timing.Sleep(ctx, d)
 	return float64(cpuTime()-from) / float64(time.Since(began))
 }
 
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // drainPoll is how often a planned stop looks whether requests are still in flight.
@@ -61,7 +63,7 @@
 	if err := i.members.Leave(ctx); err != nil {
 		i.log.Warn("leave not told", "err", err)
 	}
-	if !wait(ctx, i.config.BalancerDelay) {
+	if !timing.Sleep(ctx, i.config.BalancerDelay) {
 		return &Error{Code: DrainIncomplete, Err: ctx.Err()}
 	}
 	if err := i.gateway.Drain(ctx); err != nil {
@@ -76,21 +78,9 @@
 // awaitIdle waits until no request is in flight, forwarded ones included.
 func (i *Instance) awaitIdle(ctx context.Context) error {
 	for i.inFlight.Load() > 0 {
-		if !wait(ctx, drainPoll) {
+		if !timing.Sleep(ctx, drainPoll) {
 			return &Error{Code: DrainIncomplete, Err: ctx.Err()}
 		}
 	}
 	return nil
 }
-
-// wait pauses for d and reports whether ctx is still in force.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/link/options.go
+++ b/link/options.go
@@ -8,6 +8,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Defaults of Options.
@@ -70,16 +72,16 @@
 	if o.DialContext == nil {
 		o.DialContext = (&net.Dialer{}).DialContext
 	}
-	setDuration(&o.DialTimeout, DefaultDialTimeout)
-	setDuration(&o.HelloTimeout, DefaultHelloTimeout)
-	setDuration(&o.ExchangeTimeout, DefaultExchangeTimeout)
-	setDuration(&o.KeepaliveInterval, DefaultKeepaliveInterval)
-	setDuration(&o.KeepaliveTimeout, DefaultKeepaliveTimeout)
-	setDuration(&o.FreshFor, DefaultFreshFor)
-	setDuration(&o.IdleTimeout, DefaultIdleTimeout)
-	setDuration(&o.DrainTimeout, DefaultDrainTimeout)
-	setDuration(&o.BackoffMin, DefaultBackoffMin)
-	setDuration(&o.BackoffMax, DefaultBackoffMax)
+	timing.SetDefault(&o.DialTimeout, DefaultDialTimeout)
+	timing.SetDefault(&o.HelloTimeout, DefaultHelloTimeout)
+	timing.SetDefault(&o.ExchangeTimeout, DefaultExchangeTimeout)
+	timing.SetDefault(&o.KeepaliveInterval, DefaultKeepaliveInterval)
+	timing.SetDefault(&o.KeepaliveTimeout, DefaultKeepaliveTimeout)
+	timing.SetDefault(&o.FreshFor, DefaultFreshFor)
+	timing.SetDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	timing.SetDefault(&o.DrainTimeout, DefaultDrainTimeout)
+	timing.SetDefault(&o.BackoffMin, DefaultBackoffMin)
+	timing.SetDefault(&o.BackoffMax, DefaultBackoffMax)
 	if o.MaxServed == 0 {
 		o.MaxServed = DefaultMaxServed
 	}
@@ -88,9 +90,3 @@
 	}
 	return o
 }
-
-func setDuration(d *time.Duration, def time.Duration) {
-	if *d == 0 {
-		*d = def
-	}
-}
--- a/membership/options.go
+++ b/membership/options.go
@@ -6,6 +6,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Defaults of Options.
@@ -69,21 +71,15 @@
 	if o.Logger == nil {
 		o.Logger = log.New(io.Discard)
 	}
-	setDuration(&o.Period, DefaultPeriod)
-	setDuration(&o.ProbeTimeout, DefaultProbeTimeout)
-	setDuration(&o.IndirectTimeout, DefaultIndirectTimeout)
-	setDuration(&o.Suspicion, DefaultSuspicion)
-	setDuration(&o.ListPeriod, DefaultListPeriod)
-	setDuration(&o.PauseLimit, DefaultPauseLimit)
-	setDuration(&o.SyncInterval, DefaultSyncInterval)
+	timing.SetDefault(&o.Period, DefaultPeriod)
+	timing.SetDefault(&o.ProbeTimeout, DefaultProbeTimeout)
+	timing.SetDefault(&o.IndirectTimeout, DefaultIndirectTimeout)
+	timing.SetDefault(&o.Suspicion, DefaultSuspicion)
+	timing.SetDefault(&o.ListPeriod, DefaultListPeriod)
+	timing.SetDefault(&o.PauseLimit, DefaultPauseLimit)
+	timing.SetDefault(&o.SyncInterval, DefaultSyncInterval)
 	if o.Seed == 0 {
 		o.Seed = incarnation
 	}
 	return o
 }
-
-func setDuration(d *time.Duration, def time.Duration) {
-	if *d == 0 {
-		*d = def
-	}
-}
--- a/standin/trainer/request.go
+++ b/standin/trainer/request.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // maxAnswerBytes bounds an answer.
@@ -23,7 +25,7 @@
 		if _, ok := t.try(ctx, s, method, path, body, out); ok {
 			return true
 		}
-		pause(ctx, retryPause)
+		timing.Sleep(ctx, retryPause)
 	}
 	return false
 }
@@ -147,7 +149,7 @@
 			continue
 		}
 		if !a.send(ctx, rng, next) {
-			if !pause(ctx, retryPause) {
+			if !timing.Sleep(ctx, retryPause) {
 				return
 			}
 			continue
--- a/standin/trainer/step.go
+++ b/standin/trainer/step.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/cicadasill/cicadasill/standin"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Group, the bodies and Sample are the trainers' interface as docs/api.md states it. They are
@@ -138,7 +139,7 @@
 			}
 			continue
 		case !ok:
-			pause(ctx, retryPause)
+			timing.Sleep(ctx, retryPause)
 			continue
 		}
 		t.accept(s, answer)
--- a/standin/trainer/trainer.go
+++ b/standin/trainer/trainer.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Defaults of Options.
@@ -180,7 +182,7 @@
 		}
 		if ctx.Err() == nil { // died
 			s.restore()
-			pause(ctx, down)
+			timing.Sleep(ctx, down)
 		}
 	}
 	return false
@@ -222,7 +224,7 @@
 
 func (t *Trainer) train(ctx context.Context) {
 	began := time.Now()
-	pause(ctx, t.opts.Think)
+	timing.Sleep(ctx, t.opts.Think)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ledger.Busy += time.Since(began)
@@ -264,14 +266,3 @@
 func (t *Trainer) base(path string) string {
 	return fmt.Sprintf("/v1/services/%s%s", t.opts.Service, path)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
