rollout: moves and hedges never go to an engine with older weights

A sample moved off a slow engine while a swap went on could land on an engine that had not swapped, and was then beyond the tolerated lag at hand-over.

--- a/rollout/dispatch.go
+++ b/rollout/dispatch.go
@@ -129,7 +129,7 @@
 	expected := st.expectedVersion(svc)
 	exclude := append([]string(nil), s.exclude...)
 	group, noPrefix, parked := s.group, s.noPrefix, s.parked
-	floors := []int64{max(0, expected+min(ahead, softLag(svc.Rollout))-softLag(svc.Rollout))}
+	floors := []int64{st.softFloor(svc, ahead)}
 	if hard := max(0, expected-svc.Rollout.MaxVersionLag); hard < floors[0] && !st.mayHold() {
 		floors = append(floors, hard)
 	}
@@ -154,6 +154,13 @@
 	return Pick{}, err
 }
 
+// softFloor is the oldest version with which a sample stays within the tolerated lag until the trainer,
+// which will have moved on by ahead versions, takes it. Called with mu held.
+func (st *step) softFloor(svc *contract.Service, ahead int64) int64 {
+	lag := softLag(svc.Rollout)
+	return max(0, st.expectedVersion(svc)+min(ahead, lag)-lag)
+}
+
 func (st *step) isLong(g *Group) bool {
 	mean := st.srv.lengths.serviceMean(st.key.service)
 	return mean > 0 && st.srv.lengths.predict(st.key.service, g, 0) > longFactor*mean
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -170,13 +170,15 @@
 // second starts another attempt for a's sample on a faster engine: a move or a hedge.
 func (st *step) second(ctx context.Context, svc *contract.Service, a *attempt, move bool) {
 	st.srv.slots.force(st.key.service, st.key.trainer)
+	ahead, _ := st.ahead()
 	st.mu.Lock()
-	hard := max(0, st.expectedVersion(svc)-svc.Rollout.MaxVersionLag)
+	// An engine that still runs older weights would make the sample older than it is.
+	floor := max(st.softFloor(svc, ahead), a.version)
 	st.mu.Unlock()
 	exclude := append(st.srv.speeds.of(st.key.service, st.srv.now()).slow(moveRatio), a.pick.Backend.ID)
 	g := a.s.group
 	pick, err := st.srv.opts.Picker.Pick(ctx, PickRequest{
-		Service: svc, PrefixID: g.PrefixID, Prompt: g.Prompt, MaxTokens: g.MaxTokens, MinVersion: hard, Exclude: exclude,
+		Service: svc, PrefixID: g.PrefixID, Prompt: g.Prompt, MaxTokens: g.MaxTokens, MinVersion: floor, Exclude: exclude,
 	})
 	if err != nil {
 		st.srv.slots.release(st.key.service, st.key.trainer)
--- a/rollout/tail_test.go
+++ b/rollout/tail_test.go
@@ -164,3 +164,19 @@
 	is.True(len(b.fleet.Starts()) > before+12) // some went on after they were parked
 	is.Equal(b.trainer.Ledger().Attempts, 24)
 }
+
+// Guards against a move to an engine with older weights, which makes the sample older than it was.
+func TestMoveKeepsAge(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) { o.NoHedging = true })
+	b.trainer.Version = 2
+	b.fleet.Engine("s0").SetVersion(2)
+	b.fleet.Engine("s0").SetSlow(0.05)
+	b.fleet.Engine("s2").SetVersion(2) // s1 keeps version 1, which the bound allows
+	b.begin(is, 1, groups(1, 3, 1000))
+	b.whole(is, 3)
+	is.True(b.metric("moves_total", "") >= 1)
+	for _, s := range b.trainer.Samples() {
+		is.True(s.Ranges[0].Version == 1 || s.PromptVersion == 2)
+	}
+}
