--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -328,6 +328,7 @@
 			is.Equal(r.outcome, gateway.Answered)
 			is.Equal(r.body, answer("key", []byte("body")))
 			is.Equal(d.ran("key", "body"), 1)
+			is.Equal(d.forwards, 1)
 		})
 	}
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -48,6 +48,7 @@
 	instances map[string]*instance
 	owner     string // instance that owns every key; empty means no forwarding
 	leave     context.CancelFunc
+	forwards  int
 }
 
 func deploy(t testing.TB, tune func(*gateway.Options), names ...string) *deployment {
@@ -155,6 +156,9 @@
 	if dead {
 		return nil, notSent{}
 	}
+	d.mu.Lock()
+	d.forwards++
+	d.mu.Unlock()
 	req = req.WithContext(ctx)
 	req.URL.Host = strings.TrimPrefix(d.instances[to.ID].server.URL, "http://")
 	resp, err := http.DefaultClient.Do(req)
