gateway: test for callers who never read

Change: without the write deadline the request stays for ever and Drain never returns; the test fails then.

--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -348,3 +349,24 @@
 	}
 	is.New(t).Equal(d.send(context.Background(), "a", read, "1").outcome, gateway.Answered)
 }
+
+// Guards against callers who never read and so hold an engine and a slot for ever: their
+// stream ends at their deadline and the engine is told.
+func TestCallerThatNeverReads(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, nil, "a")
+	c, err := net.Dial("tcp", d.instances["a"].server.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	body := `{"prompt":"p","max_tokens":1000000,"stream":true}`
+	_, err = fmt.Fprintf(c, "POST /v1/services/fry-lm/calls/generate HTTP/1.1\r\nHost: a\r\n%s: 2000\r\nContent-Length: %d\r\n\r\n%s",
+		gateway.HeaderDeadline, len(body), body)
+	is.NoErr(err)
+	var first [1]byte
+	_, err = c.Read(first[:]) // the stream has begun
+	is.NoErr(err)
+	d.quiesce()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	is.Equal(d.cancels, 1)
+}
