entry: tests of leaving back ends, by the list and by their observer's report

Cause: polling by one observer per region rests on its report reaching all instances; nothing tested that on whole instances, nor a back end that only the instance list names as leaving.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/operator"
+	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
 )
 
@@ -192,3 +193,44 @@
 	}
 	return out
 }
+
+// Guards against new work for a back end that the platform lists as leaving although it
+// answers its own health checks as if nothing were the matter.
+func TestListedLeavingBackendGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, time.Millisecond)
+	d.startReady("a", "b")
+	is.Equal(book(t.Context(), d.instances[0], "before", "1").outcome, "answered")
+	d.list.Set(platform.Listed{ID: "orders-1", Kind: "plain", HTTPAddr: d.orders.Addr(), Zone: almaty, State: platform.Leaving})
+	d.awaitNoBackend()
+	for n, instance := range d.instances {
+		got := book(t.Context(), instance, fmt.Sprintf("after-%d", n), "1")
+		is.Equal(got.outcome, "not_run")
+		is.Equal(d.orders.Ledger().RunsOfKey(fmt.Sprintf("after-%d", n)), 0)
+	}
+}
+
+// Guards against instances that go on using a leaving back end because only its observer polls
+// it: the observer's report must reach all of them.
+func TestLeavingBackendIsReportedToAll(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, time.Millisecond)
+	d.startReady("a", "b", "c")
+	d.orders.SetLeaving(true)
+	d.awaitNoBackend()
+	runs, _ := d.orders.Ledger().Total()
+	is.Equal(runs, int64(0))
+}
+
+// awaitNoBackend waits until no instance counts the back end as ready.
+func (d *deployment) awaitNoBackend() {
+	d.t.Helper()
+	d.until("no instance uses the leaving back end", func() bool {
+		for _, instance := range d.instances {
+			if d.backendReady(instance) {
+				return false
+			}
+		}
+		return true
+	})
+}
