entry: fault matrix of the control plane, all cells

Cause: three of 130 cells failed in two of three runs because the port of a killed instance went to an instance of another cell, whose membership then merged with the first cell's. Change: an instance of a cell reaches only the running ends of its own cell; steps are seen at both directions of a connection; a failed cell explains its state.

--- a/entry/matrix_faults_test.go
+++ b/entry/matrix_faults_test.go
@@ -160,9 +160,14 @@
 	return id
 }
 
+// someUnreachable reports whether an instance shows that it does without the log. One without a
+// state must say what it waits for.
 func (w *world) someUnreachable() bool {
 	return slices.ContainsFunc(w.live(), func(m *member) bool {
 		status, err := operator.NewClient(m.instance.AdminAddr()).Status(w.t.Context())
+		if err == nil && !status.Ready && status.WaitingFor == "" {
+			w.report("instance %s is not ready and does not say why", m.id)
+		}
 		return err == nil && (!status.LogReachable || !status.Ready)
 	})
 }
--- a/entry/matrix_test.go
+++ b/entry/matrix_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/base64"
 	"fmt"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
@@ -14,13 +16,14 @@
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/feed"
 	"github.com/cicadasill/cicadasill/lease"
+	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/release"
 	"github.com/cicadasill/cicadasill/zone"
 )
 
 // cellsAtOnce bounds the worlds that run at once. Cells wait for failure detection and lapsing
 // leases most of the time, so they are more than the processors.
-const cellsAtOnce = 24
+const cellsAtOnce = 32
 
 // stepNote is the note whose way the steps of notes follow.
 const stepNote = `{"kind":"note","note":{"id":"step-note"`
@@ -47,29 +50,23 @@
 func publishStep(w *world) { w.publishNote(w.addNote("step-note")) }
 
 var matrixSteps = []step{
-	{"append", at(point{bytes: stepNote}), publishStep, nil},
+	{"append", at(point{bytes: stepNote, to: logEnd}), publishStep, nil},
 	{"read back", func(w *world) []point {
-		return []point{{bytes: stepNote, by: "a", pass: w.loseAnswer}, {bytes: readsControl, by: "a"}}
+		return []point{{bytes: stepNote, from: "a", to: logEnd, pass: w.loseAnswer}, {bytes: readsControl, from: "a"}}
 	}, publishStep, nil},
-	{"apply", at(point{bytes: encoded(stepNote), read: true}), publishStep, nil},
-	{"spread", at(point{bytes: stepNote}, point{bytes: feed.PushMethod}), publishStep, nil},
+	{"apply", at(point{bytes: encoded(stepNote), from: logEnd}), publishStep, nil},
+	{"spread", at(point{bytes: stepNote, to: logEnd}, point{bytes: feed.PushMethod}), publishStep, nil},
 	{"snapshot", at(point{bytes: snapshotAppend}), func(w *world) { w.stop(w.holder(feed.SnapshotDuty)) }, nil},
-	{"expire", at(point{bytes: readsControl, by: "d"}), func(w *world) {
+	{"expire", at(point{bytes: readsControl, from: "d"}), func(w *world) {
 		w.join("d", shymkent)
 		publishStep(w)
 	}, (*world).expire},
-	{"boot", at(point{bytes: readsSnapshots, by: "d"}), func(w *world) { w.join("d", shymkent) }, nil},
-	{"join", at(point{bytes: probe, by: "d"}), func(w *world) { w.join("d", shymkent) }, nil},
-	{"leave", func(w *world) []point { return []point{{bytes: probe, by: "b"}} }, func(w *world) { w.stop("b") }, nil},
-	{"claim lease", at(point{bytes: `"duty":"` + lease.OrdersPrefix + newService}), func(w *world) {
-		w.publishNote(w.note("fresh", w.base.Revision, func(n *release.Note) {
-			s := w.sampler("checked")
-			s.Name, s.Backends = newService, nil
-			n.Added = []contract.Service{s}
-		}))
-	}, nil},
-	{"renew", at(point{bytes: string(control.KindLeaseRenewed)}), func(*world) {}, nil},
-	{"lapse", at(point{bytes: `"duty":"` + lease.OrdersPrefix + "checked"}), func(w *world) {
+	{"boot", at(point{bytes: readsSnapshots, from: "d"}), func(w *world) { w.join("d", shymkent) }, nil},
+	{"join", at(point{bytes: probe, from: "d"}), func(w *world) { w.join("d", shymkent) }, nil},
+	{"leave", at(point{bytes: probe, from: "b"}), func(w *world) { w.stop("b") }, nil},
+	{"claim lease", at(point{bytes: `"duty":"` + lease.OrdersPrefix + newService, to: logEnd}), (*world).claimDuty, nil},
+	{"renew", at(point{bytes: string(control.KindLeaseRenewed), to: logEnd}), func(*world) {}, nil},
+	{"lapse", at(point{bytes: `"duty":"` + lease.OrdersPrefix + "checked", to: logEnd}), func(w *world) {
 		w.kill(w.holder(lease.OrdersPrefix + "checked"))
 	}, nil},
 }
@@ -79,6 +76,21 @@
 	return base64.StdEncoding.EncodeToString([]byte(prefix[:len(prefix)/3*3]))
 }
 
+// claimDuty adds a sampler service and announces a version of it, which makes all instances
+// campaign for the duty of its orders.
+func (w *world) claimDuty() {
+	w.publishNote(w.note("fresh", w.base.Revision, func(n *release.Note) {
+		s := w.sampler("checked")
+		s.Name, s.Backends = newService, []machine.Backend{}
+		n.Added = []contract.Service{s}
+	}))
+	ctx, cancel := context.WithTimeout(w.t.Context(), testLimit)
+	defer cancel()
+	for ctx.Err() == nil && !slices.ContainsFunc(w.live(), func(m *member) bool { return w.announceAt(m, newService, 2) }) {
+		runtime.Gosched()
+	}
+}
+
 // holder returns the instance that holds a duty according to the log.
 func (w *world) holder(duty string) string {
 	l, _ := w.truth().Leases.Get(duty)
--- a/entry/matrix_world_test.go
+++ b/entry/matrix_world_test.go
@@ -52,6 +52,7 @@
 
 	mu       sync.Mutex
 	losses   int
+	ends     map[string]string // ids by address
 	members  []*member
 	kept     []platform.Record // records of the control stream that retention has dropped
 	verdicts map[string]release.Verdict
@@ -62,7 +63,7 @@
 	t.Helper()
 	w := &world{
 		deployment: newDeployment(t, time.Millisecond), net: faultnet.New(), engines: map[string]*engine.Server{},
-		cuts: cuts{paused: map[string]bool{}}, verdicts: map[string]release.Verdict{},
+		ends: map[string]string{}, cuts: cuts{paused: map[string]bool{}}, verdicts: map[string]release.Verdict{},
 	}
 	w.net.Cut(w.cuts.cut)
 	weights, err := store.Start(store.Options{WeightBytes: 1 << 10})
@@ -80,10 +81,11 @@
 		}
 		t.Cleanup(e.Close)
 		w.engines[service] = e
-		w.net.Name(e.Addr(), service+"@"+home.Region)
+		w.name(e.Addr(), service, home.Region)
 	}
-	w.net.Name(w.log.Addr(), "log@almaty")
-	w.net.Name(w.list.Addr(), "list@almaty")
+	t.Cleanup(w.explain)
+	w.name(w.log.Addr(), logEnd, almaty.Region)
+	w.name(w.list.Addr(), "list", almaty.Region)
 	return w
 }
 
@@ -144,7 +146,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.net.Name(instance.PeerAddr(), id+"@"+at.Region)
+	w.name(instance.PeerAddr(), id, at.Region)
 	show := w.list.Set
 	if w.base.Revision == 0 {
 		show = w.list.SetNow
@@ -159,6 +161,7 @@
 	w.members = append(w.members, m)
 	w.mu.Unlock()
 	w.tasks.Go(func() {
+		defer w.forget(instance.PeerAddr())
 		if err := instance.Run(ctx); err != nil {
 			w.report("instance %s: %v", id, err)
 		}
@@ -173,6 +176,7 @@
 	for _, m := range w.members {
 		if m.id == id && !m.killed {
 			m.killed = true
+			delete(w.ends, m.instance.PeerAddr())
 			m.kill()
 		}
 	}
@@ -185,6 +189,31 @@
 	return slices.DeleteFunc(slices.Clone(w.members), func(m *member) bool { return m.killed || m.leaving })
 }
 
+// explain logs the state of a world whose cell has failed.
+func (w *world) explain() {
+	if !w.t.Failed() {
+		return
+	}
+	for _, m := range w.live() {
+		w.t.Logf("%s at %s: offset and readiness %+v, lists %v", m.id, m.instance.PeerAddr(), w.status(m), m.instance.LiveInstances())
+	}
+	w.t.Logf("log: %v, list: %+v", w.log.Streams(), w.list.Visible())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.errs {
+		w.t.Log("reported:", e)
+	}
+}
+
+// status returns what an operator is told, empty when the instance does not answer.
+func (w *world) status(m *member) operator.Status {
+	status, err := operator.NewClient(m.instance.AdminAddr()).Status(context.Background())
+	if err != nil {
+		w.report("status of %s: %v", m.id, err)
+	}
+	return status
+}
+
 func (w *world) report(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
