entry: the fault matrix requires acceptance of repeated notes and boots during an outage

Cause: a note published twice and refused the second time, or an instance that boots only after an outage, would have passed.

--- a/entry/matrix_checks_test.go
+++ b/entry/matrix_checks_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cicadasill/cicadasill/contract"
@@ -131,12 +132,16 @@
 	return true
 }
 
-// checkVerdicts compares the answers that operators got with the fold of the log.
+// checkVerdicts compares the answers that operators got with the fold of the log. Only racing
+// notes may be refused: a repeated publication must not be taken for a second note.
 func (w *world) checkVerdicts() {
 	truth := w.truth().Catalog
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, got := range w.verdicts {
+		if !got.Accepted && !strings.HasPrefix(id, racePrefix) {
+			w.errs = append(w.errs, fmt.Sprintf("note %s was refused: %+v", id, got))
+		}
 		if want, ok := truth.Verdict(id); !ok || want != got {
 			w.errs = append(w.errs, fmt.Sprintf("operator was told %+v of note %s, the log gives %+v", got, id, want))
 		}
--- a/entry/matrix_faults_test.go
+++ b/entry/matrix_faults_test.go
@@ -15,6 +15,9 @@
 // logDelay is added to each operation on a slow log; it stays under the feed's timeout of 3 s.
 const logDelay = 700 * time.Millisecond
 
+// racePrefix begins the ids of the notes of racing operators.
+const racePrefix = "race-"
+
 // fault is struck when a step is reached at an instance, stands until hold returns, and then ends.
 type fault struct {
 	name string
@@ -35,7 +38,10 @@
 		strike: func(w *world, _ string) string { w.log.SetOutage(true); return "" },
 		hold: func(w *world, _ string) {
 			w.replaceAll()
-			w.until("an operator sees the outage", func() bool { return w.someUnreachable() })
+			w.until("an operator sees the outage", w.someUnreachable)
+			if w.ready() > 0 {
+				w.until("instances boot from peers", func() bool { return w.ready() == len(w.live()) })
+			}
 		},
 		end: func(w *world, _ string) { w.log.SetOutage(false) },
 	},
@@ -172,6 +178,11 @@
 	})
 }
 
+// ready returns the number of live instances that serve.
+func (w *world) ready() int {
+	return len(slices.DeleteFunc(w.live(), func(m *member) bool { return !w.status(m).Ready }))
+}
+
 // crossRegion reports whether any live instance lists one of the other region.
 func (w *world) crossRegion() bool {
 	for _, m := range w.live() {
@@ -194,7 +205,7 @@
 		group.Go(func() {
 			desk := w.plain("desk")
 			desk.QueueLimit = n + 1
-			results[n] = w.publishNote(w.note(fmt.Sprintf("race-%d", n), base, func(r *release.Note) {
+			results[n] = w.publishNote(w.note(fmt.Sprintf("%s%d", racePrefix, n), base, func(r *release.Note) {
 				r.Changed = []contract.Service{desk}
 			}))
 		})
