--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -113,3 +113,89 @@
 	is.Equal(refused.Reason, limit.CallerGone)
 	is.Equal(q.Depth(contract.Staff), 0)
 }
+
+// waiting admits a request in the background and returns its result once it waits.
+func waiting(q *limit.Queue, p contract.Priority, deadline time.Time, order chan<- time.Time) {
+	before := q.Depth(p)
+	go func() {
+		release, err := q.Admit(context.Background(), p, deadline, 1)
+		if err != nil {
+			order <- time.Time{}
+			return
+		}
+		order <- deadline
+		release()
+	}()
+	for q.Depth(p) == before && len(order) == 0 { // a refusal on arrival ends the wait too
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against staff waiting for rollouts that hold every slot, a queue without bound, and
+// a request of a late deadline that goes before one of an early deadline.
+func TestReserveBoundAndOrder(t *testing.T) {
+	is := is.New(t)
+	q := limit.NewQueue(limit.QueueOptions{Capacity: func() int { return 10 }, Limit: 3})
+	now := time.Now()
+	order := make(chan time.Time, 3)
+	var release []func()
+	for range 9 {
+		r, err := q.Admit(context.Background(), contract.Rollout, now.Add(time.Hour), 1)
+		is.NoErr(err)
+		release = append(release, r)
+	}
+	waiting(q, contract.Rollout, now.Add(3*time.Hour), order)
+	staff, err := q.Admit(context.Background(), contract.Staff, now.Add(time.Hour), 1)
+	is.NoErr(err)
+	waiting(q, contract.Rollout, now.Add(1*time.Hour), order)
+	waiting(q, contract.Rollout, now.Add(2*time.Hour), order)
+	var refused *limit.Refused
+	is.True(errors.As(q.Check(contract.Rollout, now.Add(time.Hour), 1), &refused))
+	is.Equal(refused.Reason, limit.QueueFull)
+	staff()
+	release[0]()
+	for i := range 3 {
+		is.Equal((<-order).Sub(now), time.Duration(i+1)*time.Hour)
+	}
+}
+
+// Guards against capacity spent on answers that come too late, against slots lost when a
+// caller leaves at the moment of its dispatch, and against a limit that ignores failures.
+func TestLateDispatchAndLostSlots(t *testing.T) {
+	is := is.New(t)
+	q := queue(1)
+	release, err := q.Admit(context.Background(), contract.Staff, time.Now().Add(time.Minute), 1)
+	is.NoErr(err)
+	time.Sleep(200 * time.Millisecond) // makes the measured hold time at least 200 ms
+	release()
+	release, err = q.Admit(context.Background(), contract.Staff, time.Now().Add(time.Minute), 1)
+	is.NoErr(err)
+	is.True(q.Check(contract.Staff, time.Now().Add(50*time.Millisecond), 1) != nil)
+	order := make(chan time.Time, 1)
+	late := time.Now().Add(500 * time.Millisecond)
+	waiting(q, contract.Staff, late, order)
+	time.Sleep(time.Until(late.Add(-100 * time.Millisecond))) // less time is left than the hold time
+	release()
+	is.Equal(<-order, time.Time{})
+	for range 300 {
+		release, err := q.Admit(context.Background(), contract.Staff, time.Now().Add(time.Minute), 1)
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			if r, err := q.Admit(ctx, contract.Staff, time.Now().Add(time.Minute), 1); err == nil {
+				r()
+			}
+			close(done)
+		}()
+		go cancel()
+		release()
+		<-done
+		cancel()
+	}
+	is.NoErr(q.Check(contract.Staff, time.Now().Add(time.Nanosecond), 1)) // the slot is free
+	c := limit.NewConcurrency(limit.ConcurrencyOptions{Initial: 16})
+	is.True(c.TryAcquire())
+	c.Release(0, false)
+	is.True(c.Limit() < 16)
+}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -82,6 +82,8 @@
 	is := is.New(t)
 	r, _ := table(t, engines{}, routing.Options{}, limit.ConcurrencyOptions{})
 	is.True(pickN(t, r, routing.Request{Bytes: 1e6}, 300)["engine-2"] < 60) // both draws far: 1 in 9
+	r, _ = table(t, engines{"engine-0": 1, "engine-1": 1}, routing.Options{}, limit.ConcurrencyOptions{})
+	is.True(pickN(t, r, routing.Request{Bytes: 1e7}, 300)["engine-2"] < 30) // 10 MB cost more than one queued request
 	// The far engine is one of the two candidates in a third of the choices and must win each.
 	const seed = 1
 	t.Log("seed", seed)
@@ -100,6 +102,9 @@
 	is.Equal(pickN(t, r, req, 50)["engine-1"], 50)
 	r.Hints().Add("fry-lm", "p", "engine-1", 6)
 	is.True(pickN(t, r, req, 100)["engine-1"] < 90)
+	old, _ := table(t, engines{}, routing.Options{HintHalfLife: time.Nanosecond}, limit.ConcurrencyOptions{})
+	old.Hints().Add("fry-lm", "p", "engine-1", 7)
+	is.True(pickN(t, old, req, 100)["engine-1"] < 90)
 	b, _ := tracker.Backend("engine-0")
 	r.Hints().Events(b, []platform.CacheEvent{{Seq: 9, PrefixID: "p", Added: true}}, true)
 	is.Equal(pickN(t, r, req, 50)["engine-0"], 50)
