rollout: a step that its trainer left for a later one is dropped after 10 minutes

A trainer that restarts and never acknowledges its old steps kept their memory reserved for an hour each and was then refused as busy (TestGivenUpStepLetsGo).

--- a/rollout/exactlyonce_test.go
+++ b/rollout/exactlyonce_test.go
@@ -230,3 +230,16 @@
 	b.trainer.Begin(4, groups(1, 2, 40)) // the trainer skips steps
 	b.whole(is, 2)
 }
+
+// Guards against steps that a restarted trainer never acknowledged filling the memory bound.
+func TestGivenUpStepLetsGo(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, service(), func(o *rollout.Options) { o.GivenUpExpiry, o.MaxHeldTokens = testTimeout/1000, 200 })
+	b.begin(is, 1, groups(1, 10, 10))
+	is.NoErr(b.takeNow())
+	b.begin(is, 2, groups(1, 10, 10))
+	b.whole(is, 10)
+	b.until(is, func() bool { return b.trainer.Open(b.ctx, 3, groups(1, 10, 10)) == nil })
+	b.whole(is, 10) // the step that it takes from stays
+	is.Equal(b.trainer.Ledger().Reopened, 0)
+}
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -79,6 +79,9 @@
 	// DefaultStepExpiry is how long a step is kept without any request of its trainer. New weights come
 	// every 17 minutes, and a trainer sends nothing while it trains.
 	DefaultStepExpiry = time.Hour
+	// DefaultGivenUpExpiry is how long a step is kept without requests once its trainer takes from a
+	// later one. A trainer that restarted without an acknowledgement would otherwise fill the memory bound.
+	DefaultGivenUpExpiry = 10 * time.Minute
 	// DefaultOwnershipGrace is how long a step is kept after its ownership moved elsewhere.
 	DefaultOwnershipGrace = 15 * time.Second
 	// DefaultForwardMargin is added to a take's wait as the deadline of forwarding it.
@@ -119,6 +122,7 @@
 	MonitorPeriod     time.Duration
 	OpenGrace         time.Duration
 	StepExpiry        time.Duration
+	GivenUpExpiry     time.Duration
 	OwnershipGrace    time.Duration
 	ForwardMargin     time.Duration
 	RetryPause        time.Duration
@@ -146,6 +150,7 @@
 	setDuration(&o.MonitorPeriod, DefaultMonitorPeriod)
 	setDuration(&o.OpenGrace, DefaultOpenGrace)
 	setDuration(&o.StepExpiry, DefaultStepExpiry)
+	setDuration(&o.GivenUpExpiry, DefaultGivenUpExpiry)
 	setDuration(&o.OwnershipGrace, DefaultOwnershipGrace)
 	setDuration(&o.ForwardMargin, DefaultForwardMargin)
 	setDuration(&o.RetryPause, DefaultRetryPause)
--- a/rollout/server.go
+++ b/rollout/server.go
@@ -60,7 +60,7 @@
 
 // Run expires steps until ctx ends, then cancels every step and waits for its goroutines.
 func (s *Server) Run(ctx context.Context) error {
-	period := max(10*time.Millisecond, min(s.opts.StepExpiry, s.opts.OwnershipGrace)/4)
+	period := max(10*time.Millisecond, min(s.opts.StepExpiry, s.opts.OwnershipGrace, s.opts.GivenUpExpiry)/4)
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
@@ -109,7 +109,8 @@
 	for _, st := range s.openSteps() {
 		idle := now.Sub(st.idleSince())
 		owned := st.ownedBy(self, live, s.opts.Owner)
-		if idle > s.opts.StepExpiry || (!owned && idle > s.opts.OwnershipGrace) || !s.isTrainer(st.key) {
+		if idle > s.opts.StepExpiry || (!owned && idle > s.opts.OwnershipGrace) || !s.isTrainer(st.key) ||
+			(idle > s.opts.GivenUpExpiry && s.takesLater(st)) {
 			s.log.Info("step expired", "service", st.key.service, "trainer", st.key.trainer, "step", st.key.step,
 				"idle", idle, "owned", owned)
 			s.remove(st)
@@ -124,6 +125,16 @@
 	}
 }
 
+// takesLater reports whether the trainer takes from a step after st.
+func (s *Server) takesLater(st *step) bool {
+	for _, o := range s.siblings(st) {
+		if o.key.step > st.key.step && o.isTaken() {
+			return true
+		}
+	}
+	return false
+}
+
 // versionOf returns the version that the picked engine reported last, 0 if unknown.
 func (s *Server) versionOf(pick Pick) int64 {
 	if pick.Version != 0 || s.opts.Load == nil {
