--- a/entry/matrix_network_test.go
+++ b/entry/matrix_network_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cicadasill/cicadasill/link/faultnet"
 )
@@ -63,15 +64,24 @@
 	net.Conn
 	own, remote string
 	trigger     *trigger
+	dead        *atomic.Bool
 }
 
+// Write implements net.Conn. A killed instance sends nothing, so it cannot release its leases
+// while its goroutines end.
 func (c *watched) Write(p []byte) (int, error) {
 	c.trigger.saw(c.own, c.remote, p)
+	if c.dead.Load() {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(p)
 }
 
 func (c *watched) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.dead.Load() {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
 		c.trigger.saw(c.remote, c.own, p[:n])
 	}
@@ -94,21 +104,22 @@
 	delete(w.ends, addr)
 }
 
-// dialer returns the DialContext function of an instance. It reaches the ends of its own world.
-func (w *world) dialer(id, region string) func(context.Context, string, string) (net.Conn, error) {
+// dialer returns the DialContext function of an instance. It reaches the ends of its own world
+// until the instance is dead.
+func (w *world) dialer(id, region string, dead *atomic.Bool) func(context.Context, string, string) (net.Conn, error) {
 	dial := w.net.Dialer(id + "@" + region)
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		w.mu.Lock()
 		remote, known := w.ends[addr]
 		w.mu.Unlock()
-		if !known {
+		if !known || dead.Load() {
 			return nil, faultnet.ErrCut
 		}
 		c, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &watched{Conn: c, own: id, remote: remote, trigger: &w.trigger}, nil
+		return &watched{Conn: c, own: id, remote: remote, trigger: &w.trigger, dead: dead}, nil
 	}
 }
 
--- a/entry/matrix_test.go
+++ b/entry/matrix_test.go
@@ -23,7 +23,7 @@
 
 // cellsAtOnce bounds the worlds that run at once. Cells wait for failure detection and lapsing
 // leases most of the time, so they are more than the processors.
-const cellsAtOnce = 32
+const cellsAtOnce = 44
 
 // stepNote is the note whose way the steps of notes follow.
 const stepNote = `{"kind":"note","note":{"id":"step-note"`
--- a/entry/matrix_world_test.go
+++ b/entry/matrix_world_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,7 @@
 	id       string
 	instance *entry.Instance
 	kill     context.CancelFunc
+	dead     *atomic.Bool // its connections carry nothing any more
 	killed   bool
 	leaving  bool
 	high     int64 // the highest catalog revision seen at it
@@ -139,9 +141,10 @@
 
 // join runs a new instance without waiting for it. After the start the list shows it with a lag.
 func (w *world) join(id string, at zone.Zone) *member {
+	dead := &atomic.Bool{}
 	instance, err := entry.New(entry.Config{
 		Self:      machine.Instance{ID: id, HTTPAddr: anyPort, PeerAddr: anyPort, Zone: at},
-		AdminAddr: anyPort, LogAddr: w.log.Addr(), ListAddr: w.list.Addr(), DialContext: w.dialer(id, at.Region),
+		AdminAddr: anyPort, LogAddr: w.log.Addr(), ListAddr: w.list.Addr(), DialContext: w.dialer(id, at.Region, dead),
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -155,7 +158,7 @@
 		ID: id, Kind: "entry", PeerAddr: instance.PeerAddr(), HTTPAddr: instance.HTTPAddr(), Zone: at, State: platform.Live,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{id: id, instance: instance, kill: cancel}
+	m := &member{id: id, instance: instance, kill: cancel, dead: dead}
 	w.mu.Lock()
 	w.cancels = append(w.cancels, cancel)
 	w.members = append(w.members, m)
@@ -176,6 +179,7 @@
 	for _, m := range w.members {
 		if m.id == id && !m.killed {
 			m.killed = true
+			m.dead.Store(true)
 			delete(w.ends, m.instance.PeerAddr())
 			m.kill()
 		}
