limit: the test of lost slots reaches the moment between cancellation and dispatch

Cause: a mutation that loses the slot survived; the request was seldom queued when it was cancelled. Change: the test cancels a queued request just before its dispatch.

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"testing"
 	"time"
 
@@ -188,10 +189,12 @@
 			}
 			close(done)
 		}()
-		go cancel()
-		release()
-		<-done
+		for q.Depth(contract.Staff) == 0 {
+			runtime.Gosched()
+		}
 		cancel()
+		release() // dispatches the request before its goroutine has seen the cancellation
+		<-done
 	}
 	is.NoErr(q.Check(contract.Staff, time.Now().Add(time.Nanosecond), 1)) // the slot is free
 	c := limit.NewConcurrency(limit.ConcurrencyOptions{Initial: 16})
