--- a/cli/capacity.go
+++ b/cli/capacity.go
@@ -1,16 +1,20 @@
 package cli
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"os"
 
 	"github.com/spf13/cobra"
 
 	"github.com/cicadasill/cicadasill/capacity"
+	"github.com/cicadasill/cicadasill/settings"
 )
 
 func (a *app) capacityCommand() *cobra.Command {
 	options := capacity.Options{}
-	var plots string
+	var plots, from string
 	cmd := &cobra.Command{
 		Use:   "capacity",
 		Short: "Measure what control costs per node as the deployment grows",
@@ -20,7 +24,7 @@
 		Args: exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			options.Progress = func(what string) { fmt.Fprintln(a.errOut, "measuring", what) }
-			report, err := capacity.Run(cmd.Context(), options)
+			report, err := capacityReport(cmd.Context(), options, from)
 			if err != nil {
 				return err
 			}
@@ -45,6 +49,23 @@
 	f.DurationVar(&options.Settle, "settle", capacity.DefaultSettle, "time before each measurement")
 	f.DurationVar(&options.Measure, "measure", capacity.DefaultMeasure, "length of each measurement")
 	f.Uint64Var(&options.Seed, "seed", 1, "seed of the pauses between notes")
+	f.StringVar(&from, "from", "", "take the figures from the --json output of an earlier run instead of measuring")
 	f.StringVar(&plots, "plots", "", "directory for plots; empty draws none")
 	return cmd
 }
+
+// capacityReport measures, or reads the report of an earlier run.
+func capacityReport(ctx context.Context, options capacity.Options, from string) (*capacity.Report, error) {
+	if from == "" {
+		return capacity.Run(ctx, options)
+	}
+	data, err := os.ReadFile(from)
+	if err != nil {
+		return nil, &settings.ReadError{Path: from, Err: err}
+	}
+	var report capacity.Report
+	if err := json.Unmarshal(data, &report); err != nil {
+		return nil, &settings.ReadError{Path: from, Err: err}
+	}
+	return &report, nil
+}
