feed, control: shorter tests and benchmarks, waiting moved to feedsim

Change: feedsim waits for readiness and offsets and counts reads; one benchmark of the fold. No test or assertion is removed.

--- a/feed/bench_test.go
+++ b/feed/bench_test.go
@@ -47,23 +47,13 @@
 func BenchmarkIdleBytes(b *testing.B) {
 	for _, n := range []int{9, 330} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			d, nodes := benchmark(b, n)
-			var bytes, reads float64
+			d, _ := benchmark(b, n)
 			for b.Loop() {
-				sent, read := d.Bytes(), readsOf(nodes)
+				sent, read := d.Bytes(), d.Reads()
 				time.Sleep(10 * time.Second)
-				bytes += float64(d.Bytes()-sent) / 10 / float64(n)
-				reads += (readsOf(nodes) - read) / 10
+				b.ReportMetric(float64(d.Bytes()-sent)/10/float64(n), "B/s/node")
+				b.ReportMetric(float64(d.Reads()-read)/10, "logreads/s")
 			}
-			b.ReportMetric(bytes/float64(b.N), "B/s/node")
-			b.ReportMetric(reads/float64(b.N), "logreads/s")
 		})
 	}
 }
-
-func readsOf(nodes []*feedsim.Node) (sum float64) {
-	for _, n := range nodes {
-		sum += float64(n.Log.Reads())
-	}
-	return sum
-}
--- a/feed/fakes_test.go
+++ b/feed/fakes_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/feed"
 	"github.com/cicadasill/cicadasill/feed/feedsim"
@@ -40,22 +42,14 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	for _, n := range nodes {
-		if err := n.WaitOffset(ctx, offset); err != nil {
-			t.Fatalf("%s is at %d, not beyond %d", n.Instance.ID, n.State().Offset, offset)
-		}
-	}
+	is.New(t).NoErr(feedsim.WaitOffset(ctx, offset, nodes...))
 }
 
 func waitReady(t testing.TB, nodes ...*feedsim.Node) {
 	t.Helper()
-	for _, n := range nodes {
-		select {
-		case <-n.Ready():
-		case <-time.After(patience):
-			t.Fatalf("%s waits for %s", n.Instance.ID, n.WaitingFor())
-		}
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.New(t).NoErr(feedsim.WaitReady(ctx, nodes...))
 }
 
 // eventually waits for a condition that must come true.
--- a/feed/feedsim/deployment.go
+++ b/feed/feedsim/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -120,6 +121,39 @@
 // Bytes returns the bytes of all messages between instances so far.
 func (d *Deployment) Bytes() int64 { return d.bytes.Load() }
 
+// Reads returns the reads of the log by all present instances.
+func (d *Deployment) Reads() (sum int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range d.nodes {
+		sum += n.Log.Reads()
+	}
+	return sum
+}
+
+// WaitReady waits until the boot of every node is over. The error names one that still waits.
+func WaitReady(ctx context.Context, nodes ...*Node) error {
+	for _, n := range nodes {
+		select {
+		case <-n.Ready():
+		case <-ctx.Done():
+			return fmt.Errorf("%s waits for %s: %w", n.Instance.ID, n.WaitingFor(), ctx.Err())
+		}
+	}
+	return nil
+}
+
+// WaitOffset waits until every node has applied the record at offset. The error names one that
+// has not.
+func WaitOffset(ctx context.Context, offset int64, nodes ...*Node) error {
+	for _, n := range nodes {
+		if err := n.WaitOffset(ctx, offset); err != nil {
+			return fmt.Errorf("%s is at %d, not beyond %d: %w", n.Instance.ID, n.State().Offset, offset, err)
+		}
+	}
+	return nil
+}
+
 // Halt stops an instance's feed, which stays in the views, as a crash before its detection.
 func (n *Node) Halt() { n.stop() }
 
