--- a/entry/matrix_faults_test.go
+++ b/entry/matrix_faults_test.go
@@ -196,7 +196,7 @@
 	return false
 }
 
-// race publishes conflicting notes at all instances at once; the log's order decides.
+// race publishes conflicting notes at once, and one note twice; the log's order decides.
 func (w *world) race() {
 	base := w.truth().Catalog.Revision()
 	results := make([]release.Verdict, 4)
@@ -210,7 +210,14 @@
 			}))
 		})
 	}
+	var twice [2]release.Verdict
+	for n := range twice {
+		group.Go(func() { twice[n] = w.publishNote(w.addNote("twice")) })
+	}
 	group.Wait()
+	if !twice[0].Accepted || twice[0] != twice[1] {
+		w.report("one note published twice has the verdicts %+v", twice)
+	}
 	accepted := 0
 	for _, v := range results {
 		if v.Accepted {
--- a/entry/matrix_pairs_test.go
+++ b/entry/matrix_pairs_test.go
@@ -10,6 +10,7 @@
 	{"append", "answer lost", "racing operators"},
 	{"append", "log outage", "instance killed"},
 	{"read back", "answer lost", "instance killed"},
+	{"read back", "log slow", "instance killed"},
 	{"spread", "silent connections", "silent connections"},
 	{"spread", "region cut", "instance killed"},
 	{"boot", "log outage", "all replaced"},
