--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -127,7 +127,7 @@
 	}
 	reg := prometheus.NewRegistry()
 	inst, err := c.opts.NewInstance(InstanceConfig{
-		Self: self, AdminAddr: m.admin, LogAddr: c.st.log.Addr(), ListAddr: c.st.list.Addr(),
+		Self: self, Deployment: c.d.name, AdminAddr: m.admin, LogAddr: c.st.log.Addr(), ListAddr: c.st.list.Addr(),
 		DialContext: c.net.dialer(who), Logger: c.log.With("instance", m.id), Registry: reg, BalancerDelay: balancerDelay,
 	})
 	if err != nil {
--- a/demo/options.go
+++ b/demo/options.go
@@ -68,6 +68,7 @@
 type InstanceConfig struct {
 	// Self holds the addresses at which the instance must listen.
 	Self          machine.Instance
+	Deployment    string
 	AdminAddr     string
 	LogAddr       string
 	ListAddr      string
--- a/entry/build.go
+++ b/entry/build.go
@@ -77,6 +77,7 @@
 
 func (i *Instance) buildControl() {
 	i.node = link.NewNode(i.self, link.Options{
+		Deployment: i.config.Deployment,
 		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext,
 	})
 	i.instanceList = &sharedList{list: i.clients.list}
--- a/entry/config.go
+++ b/entry/config.go
@@ -22,6 +22,8 @@
 	// is replaced by the start time.
 	Self      machine.Instance
 	AdminAddr string
+	// Deployment names the deployment; instances of another one are not talked to.
+	Deployment string
 	// LogAddr and ListAddr are the platform's log and instance list, host:port or http URL.
 	LogAddr  string
 	ListAddr string
@@ -53,6 +55,7 @@
 	return Config{
 		Self:             s.Machine(0),
 		AdminAddr:        s.Listen.Admin,
+		Deployment:       s.Instance.Deployment,
 		LogAddr:          s.Platform.Log,
 		ListAddr:         s.Platform.InstanceList,
 		Logger:           logger,
--- a/link/dial.go
+++ b/link/dial.go
@@ -151,6 +151,12 @@
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
+	var wrong *Error
+	if errors.As(err, &wrong) {
+		_ = conn.Close()
+		wrong.To = to.Ref()
+		return nil, wrong
+	}
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Join(errHandshake, err)
--- a/link/hello.go
+++ b/link/hello.go
@@ -54,13 +54,14 @@
 	return b[0], err
 }
 
-func sendHello(conn net.Conn, self machine.Instance, toID string) (int64, error) {
-	b, err := delimited(&wire.Hello{From: ToWire(self), ToId: toID, Protocol: protocolVersion})
+func (n *Node) sendHello(conn net.Conn, toID string) (int64, error) {
+	hello := &wire.Hello{From: ToWire(n.self), ToId: toID, Protocol: protocolVersion, Deployment: n.opts.Deployment}
+	b, err := delimited(hello)
 	if err != nil {
 		return 0, err
 	}
-	n, err := conn.Write(b)
-	return int64(n), err
+	written, err := conn.Write(b)
+	return int64(written), err
 }
 
 func readHello(conn net.Conn) (*wire.Hello, int64, error) {
@@ -78,7 +79,7 @@
 // helloOut introduces the dialler and learns who answers.
 func (n *Node) helloOut(conn net.Conn, toID string) (machine.Instance, *counter, error) {
 	_ = conn.SetDeadline(time.Now().Add(n.opts.HelloTimeout))
-	sent, err := sendHello(conn, n.self, toID)
+	sent, err := n.sendHello(conn, toID)
 	if err != nil {
 		return machine.Instance{}, nil, err
 	}
@@ -86,6 +87,9 @@
 	if err != nil {
 		return machine.Instance{}, nil, err
 	}
+	if h.GetDeployment() != n.opts.Deployment {
+		return machine.Instance{}, nil, &Error{Code: WrongPeer, Op: "hello", RemoteMessage: "another deployment"}
+	}
 	peer := FromWire(h.GetFrom())
 	c := n.account.counter(peer.Zone, Overhead)
 	c.add(sent, received)
@@ -93,7 +97,9 @@
 }
 
 // helloIn learns who dials and answers with this instance. A dialler that expects another
-// instance receives the answer too, so that it knows whom it reached; accepted is then false.
+// instance receives the answer too, so that it knows whom it reached; accepted is then false,
+// as it is for a dialler of another deployment: when addresses are used again, the memberships
+// of two deployments would otherwise merge.
 func (n *Node) helloIn(conn net.Conn) (peer machine.Instance, c *counter, accepted bool, err error) {
 	_ = conn.SetDeadline(time.Now().Add(n.opts.HelloTimeout))
 	h, received, err := readHello(conn)
@@ -101,13 +107,14 @@
 		return machine.Instance{}, nil, false, err
 	}
 	peer = FromWire(h.GetFrom())
-	sent, err := sendHello(conn, n.self, peer.ID)
+	sent, err := n.sendHello(conn, peer.ID)
 	if err != nil {
 		return machine.Instance{}, nil, false, err
 	}
 	c = n.account.counter(peer.Zone, Overhead)
 	c.add(sent, received)
-	return peer, c, h.GetToId() == n.self.ID, conn.SetDeadline(time.Time{})
+	accepted = h.GetToId() == n.self.ID && h.GetDeployment() == n.opts.Deployment
+	return peer, c, accepted, conn.SetDeadline(time.Time{})
 }
 
 // delimited returns m with its length prefix.
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -102,6 +102,19 @@
 	is.NoErr(err) // incarnation 0 addresses any run
 }
 
+// Guards against two deployments that merge when an address of one is used again by the other.
+func TestOtherDeploymentIsRefused(t *testing.T) {
+	is := is.New(t)
+	a := start(t, "a", 1, anyPort(), link.Options{Deployment: "altyn-tostar"}, nil)
+	b := start(t, "b", 1, anyPort(), link.Options{Deployment: "moreton"}, echo)
+	_, err := a.Call(t.Context(), b.self, link.CauseForward, "echo", nil)
+	var le *link.Error
+	is.True(errors.As(err, &le))
+	is.Equal(le.Code, link.WrongPeer)
+	is.Equal(le.Actual, machine.Instance{}) // nothing is learned of the stranger
+	is.True(le.NotRun())
+}
+
 // Guards against an error that calls a handled exchange not_sent or an unhandled one unknown.
 func TestErrorsStateWhatMayHaveRun(t *testing.T) {
 	is := is.New(t)
--- a/link/options.go
+++ b/link/options.go
@@ -50,6 +50,9 @@
 	Logger      *log.Logger
 	DialContext DialFunc
 
+	// Deployment names the deployment. Instances with another name are not talked to.
+	Deployment string
+
 	DialTimeout  time.Duration
 	HelloTimeout time.Duration
 	// ExchangeTimeout bounds a Call whose context has no deadline.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -44,7 +44,8 @@
 		return true
 	}
 	var le *link.Error
-	if errors.As(err, &le) && le.Code == link.WrongPeer {
+	// An instance of another deployment is not named and not learned.
+	if errors.As(err, &le) && le.Code == link.WrongPeer && le.Actual.ID != "" {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.applyLocked(&wire.MemberUpdate{Instance: link.ToWire(le.Actual), State: live})
