--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,7 +26,7 @@
 
 // Instance names this instance and its place.
 type Instance struct {
-	ID         string `json:"id" validate:"required,hostname_rfc1123,max=63"`
+	ID string `json:"id" validate:"required,hostname_rfc1123,max=63"`
 	// Deployment is the same at all instances of a deployment and differs between deployments.
 	Deployment string `json:"deployment" validate:"required,hostname_rfc1123,max=63"`
 	Region     string `json:"region" validate:"required,hostname_rfc1123"`
