--- a/health/poll.go
+++ b/health/poll.go
@@ -58,12 +58,18 @@
 		return platform.LoadReport{Leaving: leaving, MeasuredAt: time.Now()}, err
 	}
 	report, err := t.opts.Engine.Load(ctx, b.Addr)
-	if err == nil && t.opts.CacheEvents != nil {
+	if err == nil && t.opts.CacheEvents != nil && t.needsHints(b) {
 		t.pollCache(ctx, b)
 	}
 	return report, err
 }
 
+// needsHints reports whether cache events of b are worth a request: hints of a service that is
+// not in use would have decayed before they are used.
+func (t *Tracker) needsHints(b *Backend) bool {
+	return t.opts.Observes == nil || t.demand.of(b.Service).active(time.Now(), t.opts.ActiveFor)
+}
+
 // pollCache passes on new cache events. A failure costs only hints.
 func (t *Tracker) pollCache(ctx context.Context, b *Backend) {
 	events, err := t.opts.Engine.CacheEvents(ctx, b.Addr, b.cacheSeq)
