--- a/feed/boot.go
+++ b/feed/boot.go
@@ -15,6 +15,7 @@
 	"github.com/cicadasill/cicadasill/link/wire"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // member is an instance of the same data centre.
@@ -39,7 +40,7 @@
 			f.opts.Logger.Info("booted from a peer", "peer", peer, "offset", s.Offset)
 			return true
 		}
-		if !pause(ctx, jittered(f.retryDelay(failures))) {
+		if !timing.Sleep(ctx, jittered(f.retryDelay(failures))) {
 			return false
 		}
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -194,18 +194,6 @@
 	return d + time.Duration(rand.Int64N(int64(d)+1))
 }
 
-// pause waits for d and reports whether ctx is still in force.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // wake signals a loop without blocking.
 func wake(ch chan struct{}) {
 	select {
--- a/feed/logread.go
+++ b/feed/logread.go
@@ -8,6 +8,7 @@
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/membership"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // read is one bounded read of the log.
@@ -112,7 +113,7 @@
 	for ctx.Err() == nil {
 		reader := f.isReader()
 		if !reader && !f.stalled() {
-			pause(ctx, min(roleCheck, f.opts.StallAfter/4))
+			timing.Sleep(ctx, min(roleCheck, f.opts.StallAfter/4))
 			continue
 		}
 		wait := f.opts.PollWait
@@ -127,7 +128,7 @@
 		}
 		if ctx.Err() == nil {
 			f.opts.Logger.Debug("the log was not read", "err", err)
-			pause(ctx, jittered(f.retryDelay(failures)))
+			timing.Sleep(ctx, jittered(f.retryDelay(failures)))
 			failures++
 		}
 	}
--- a/feed/publish.go
+++ b/feed/publish.go
@@ -11,6 +11,7 @@
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Append implements Feed. It reads the log up to the new record, so that the effect shows in
@@ -115,7 +116,7 @@
 // readBack reads the log to its end, after a delay, until it succeeds. It reports false when
 // ctx ends before.
 func (f *Follower) readBack(ctx context.Context, failures int) bool {
-	for pause(ctx, jittered(f.retryDelay(failures))) {
+	for timing.Sleep(ctx, jittered(f.retryDelay(failures))) {
 		if f.Sync(ctx) == nil {
 			return true
 		}
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -9,6 +9,7 @@
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/link/wire"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // wantSnapshot as the number of records asks for the whole state.
@@ -80,7 +81,7 @@
 			return
 		case <-f.wakePull:
 		}
-		if !pause(ctx, jittered(f.opts.PullDelay)) {
+		if !timing.Sleep(ctx, jittered(f.opts.PullDelay)) {
 			return
 		}
 		f.mu.Lock()
--- a/feed/snapshot.go
+++ b/feed/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/lease"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // SnapshotDuty is the lease duty of writing snapshots.
@@ -23,7 +24,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				f.opts.Logger.Warn("no campaign for the snapshot duty", "err", err)
-				pause(ctx, maxRetryDelay)
+				timing.Sleep(ctx, maxRetryDelay)
 			}
 			continue
 		}
@@ -41,7 +42,7 @@
 		if f.snapshotDue(written) && held.Valid(f.opts.LogTimeout) {
 			if err := f.writeSnapshot(ctx); err != nil {
 				f.opts.Logger.Warn("snapshot not written", "err", err)
-				if !pause(ctx, maxRetryDelay) || isClosed(held.Lost()) {
+				if !timing.Sleep(ctx, maxRetryDelay) || isClosed(held.Lost()) {
 					return
 				}
 				continue
--- a/gateway/admit.go
+++ b/gateway/admit.go
@@ -10,6 +10,7 @@
 	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // capacityPeriod is how long a computed capacity is used: the sum over 600 back ends is
@@ -105,7 +106,7 @@
 		case routing.AllTried:
 			q.Exclude = nil
 		case routing.AtLimit:
-			if !sleep(ctx, wait) {
+			if !timing.Sleep(ctx, wait) {
 				return p, ctx.Err()
 			}
 			wait = min(2*wait, maxLimitWait)
@@ -121,14 +122,3 @@
 	g.metrics.retries.WithLabelValues(r.service.Name, string(platform.CodeOf(err))).Inc()
 	return platform.CodeOf(err) == platform.LeavingBackend || g.opts.Retries.Withdraw()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -9,6 +9,7 @@
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // reasonReplayed marks an answer that an earlier attempt with the same key produced.
@@ -148,7 +149,7 @@
 				return result{backend: p.Backend.ID, response: resp}
 			}
 		}
-		sleep(ctx, askPeriod)
+		timing.Sleep(ctx, askPeriod)
 	}
 	return res
 }
--- a/lease/held.go
+++ b/lease/held.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Held is a lease held by this instance.
@@ -56,20 +57,8 @@
 			return nil
 		}
 		// The record names its epoch, so appending it twice has no further effect.
-		if platform.HadNoEffect(err) || ctx.Err() != nil || !sleep(ctx, h.m.opts.Poll) {
+		if platform.HadNoEffect(err) || ctx.Err() != nil || !timing.Sleep(ctx, h.m.opts.Poll) {
 			return &Error{Code: ReleaseUnconfirmed, Duty: h.duty, Err: err}
 		}
 	}
 }
-
-// sleep waits for d and reports whether ctx is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/lease/options.go
+++ b/lease/options.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Defaults of Options.
@@ -69,9 +70,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDuration(&o.TTL, DefaultTTL)
-	setDuration(&o.Stagger, DefaultStagger)
-	setDuration(&o.Poll, DefaultPoll)
+	timing.SetDefault(&o.TTL, DefaultTTL)
+	timing.SetDefault(&o.Stagger, DefaultStagger)
+	timing.SetDefault(&o.Poll, DefaultPoll)
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -84,12 +85,6 @@
 	return o
 }
 
-func setDuration(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 func defaultSuccessorWait(duty string) time.Duration {
 	if strings.HasPrefix(duty, OrdersPrefix) {
 		return LongestOrderLife
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -11,6 +11,7 @@
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // PickRequest describes the work that needs a back end.
@@ -145,17 +146,17 @@
 
 func (o Options) withDefaults() Options {
 	setInt(&o.SlotsPerSampler, DefaultSlotsPerSampler)
-	setDuration(&o.FirstTokenTimeout, DefaultFirstTokenTimeout)
-	setDuration(&o.ProgressTimeout, DefaultProgressTimeout)
-	setDuration(&o.MonitorPeriod, DefaultMonitorPeriod)
-	setDuration(&o.OpenGrace, DefaultOpenGrace)
-	setDuration(&o.StepExpiry, DefaultStepExpiry)
-	setDuration(&o.GivenUpExpiry, DefaultGivenUpExpiry)
-	setDuration(&o.OwnershipGrace, DefaultOwnershipGrace)
-	setDuration(&o.ForwardMargin, DefaultForwardMargin)
-	setDuration(&o.RetryPause, DefaultRetryPause)
-	setDuration(&o.MaxRetryPause, DefaultMaxRetryPause)
-	setDuration(&o.SoftHold, DefaultSoftHold)
+	timing.SetDefault(&o.FirstTokenTimeout, DefaultFirstTokenTimeout)
+	timing.SetDefault(&o.ProgressTimeout, DefaultProgressTimeout)
+	timing.SetDefault(&o.MonitorPeriod, DefaultMonitorPeriod)
+	timing.SetDefault(&o.OpenGrace, DefaultOpenGrace)
+	timing.SetDefault(&o.StepExpiry, DefaultStepExpiry)
+	timing.SetDefault(&o.GivenUpExpiry, DefaultGivenUpExpiry)
+	timing.SetDefault(&o.OwnershipGrace, DefaultOwnershipGrace)
+	timing.SetDefault(&o.ForwardMargin, DefaultForwardMargin)
+	timing.SetDefault(&o.RetryPause, DefaultRetryPause)
+	timing.SetDefault(&o.MaxRetryPause, DefaultMaxRetryPause)
+	timing.SetDefault(&o.SoftHold, DefaultSoftHold)
 	if o.MaxHeldTokens == 0 {
 		o.MaxHeldTokens = DefaultMaxHeldTokens
 	}
@@ -170,9 +171,3 @@
 		*v = def
 	}
 }
-
-func setDuration(v *time.Duration, def time.Duration) {
-	if *v == 0 {
-		*v = def
-	}
-}
--- a/rollout/score.go
+++ b/rollout/score.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // ScoreRequest is the body of the scoring call.
@@ -78,7 +79,7 @@
 		}
 		st.srv.metrics.failures.WithLabelValues(st.key.service, "score").Inc()
 		st.srv.log.Debug("scoring failed", "service", st.key.service, "step", st.key.step, "err", err)
-		if !sleep(ctx, backoff(st.srv.opts.RetryPause, st.srv.opts.MaxRetryPause, failures)) {
+		if !timing.Sleep(ctx, backoff(st.srv.opts.RetryPause, st.srv.opts.MaxRetryPause, failures)) {
 			return 0, false
 		}
 	}
@@ -111,7 +112,7 @@
 		return 0, err
 	}
 	timeout := p.Timeout
-	setDuration(&timeout, DefaultScoreTimeout)
+	timing.SetDefault(&timeout, DefaultScoreTimeout)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := time.Now()
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -247,15 +247,3 @@
 	}
 	st.notify()
 }
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/weights/distributor.go
+++ b/weights/distributor.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // releaseTimeout bounds giving back a lease at shutdown.
@@ -79,7 +80,7 @@
 		held, err := d.opts.Campaign(ctx, Duty(service))
 		if err != nil {
 			d.log.Debug("campaign failed", "duty", Duty(service), "err", err)
-			sleep(ctx, d.opts.RetryPause)
+			timing.Sleep(ctx, d.opts.RetryPause)
 			continue
 		}
 		d.log.Info("orders lease held", "service", service, "fence", held.Fence())
@@ -132,18 +133,6 @@
 	}
 }
 
-// sleep waits for t and reports whether ctx is still alive.
-func sleep(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // swapLimit returns how many samplers of svc may swap at once.
 func swapLimit(svc *contract.Service) int {
 	fraction := 1.0
--- a/weights/options.go
+++ b/weights/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Announced is an announced version of a service.
@@ -104,14 +105,14 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDuration(&o.OrderLife, DefaultOrderLife)
-	setDuration(&o.OrderTimeout, DefaultOrderTimeout)
-	setDuration(&o.LeaseMargin, DefaultLeaseMargin)
-	setDuration(&o.SweepPeriod, DefaultSweepPeriod)
-	setDuration(&o.ReportPeriod, DefaultReportPeriod)
-	setDuration(&o.ReportTimeout, DefaultReportTimeout)
-	setDuration(&o.RetryPause, DefaultRetryPause)
-	setDuration(&o.MaxRetryPause, DefaultMaxRetryPause)
+	timing.SetDefault(&o.OrderLife, DefaultOrderLife)
+	timing.SetDefault(&o.OrderTimeout, DefaultOrderTimeout)
+	timing.SetDefault(&o.LeaseMargin, DefaultLeaseMargin)
+	timing.SetDefault(&o.SweepPeriod, DefaultSweepPeriod)
+	timing.SetDefault(&o.ReportPeriod, DefaultReportPeriod)
+	timing.SetDefault(&o.ReportTimeout, DefaultReportTimeout)
+	timing.SetDefault(&o.RetryPause, DefaultRetryPause)
+	timing.SetDefault(&o.MaxRetryPause, DefaultMaxRetryPause)
 	if o.MaxFailures == 0 {
 		o.MaxFailures = DefaultMaxFailures
 	}
@@ -123,9 +124,3 @@
 	}
 	return o
 }
-
-func setDuration(v *time.Duration, def time.Duration) {
-	if *v == 0 {
-		*v = def
-	}
-}
--- a/weights/order.go
+++ b/weights/order.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 const tracerName = "github.com/cicadasill/cicadasill/weights"
@@ -77,7 +78,7 @@
 		if rep, err := dr.d.report(ctx, b); err == nil && rep.Version == o.Version {
 			return true
 		}
-		if time.Now().After(until) || !sleep(ctx, dr.d.opts.ReportPeriod) {
+		if time.Now().After(until) || !timing.Sleep(ctx, dr.d.opts.ReportPeriod) {
 			return false
 		}
 	}
