--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	jsonv2 "github.com/go-json-experiment/json"
 )
 
 // streamLine is one line of a streamed answer.
@@ -21,29 +23,20 @@
 	Total int  `json:"total"`
 }
 
-var buffers = sync.Pool{New: func() any {
-	b := &lineBuffer{}
-	b.encoder = json.NewEncoder(&b.Buffer)
-	return b
-}}
-
-type lineBuffer struct {
-	bytes.Buffer
-	encoder *json.Encoder
-}
+var buffers = sync.Pool{New: func() any { return &bytes.Buffer{} }}
 
 // streamSink writes an ndjson stream. The status and headers go out with the first
 // tokens, so that a failure before them is an ordinary error response.
 type streamSink struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	buffer  *lineBuffer
+	buffer  *bytes.Buffer
 	line    streamLine
 	begun   bool
 }
 
 func newStreamSink(w http.ResponseWriter, deadline time.Time) *streamSink {
-	s := &streamSink{w: w, control: http.NewResponseController(w), buffer: buffers.Get().(*lineBuffer)}
+	s := &streamSink{w: w, control: http.NewResponseController(w), buffer: buffers.Get().(*bytes.Buffer)}
 	// A caller that reads nothing holds its engine no longer than its own deadline.
 	_ = s.control.SetWriteDeadline(deadline)
 	return s
@@ -80,9 +73,10 @@
 func (s *streamSink) write(line any) error {
 	s.begin()
 	s.buffer.Reset()
-	if err := s.buffer.encoder.Encode(line); err != nil {
+	if err := jsonv2.MarshalWrite(s.buffer, line); err != nil {
 		return err
 	}
+	s.buffer.WriteByte('\n')
 	if _, err := s.w.Write(s.buffer.Bytes()); err != nil {
 		return err
 	}
