--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/samber/oops"
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 	"go.opentelemetry.io/otel"
@@ -88,16 +89,28 @@
 		logger.Error("settings not readable", "err", err)
 		return ExitSettings
 	default:
-		logger.Error("process ended", "err", err)
+		logger.Error("process ended", append([]any{"err", err}, contextOf(err)...)...)
 		return ExitFailure
 	}
 }
 
+// contextOf returns the key-value pairs that were attached to err on its way up.
+func contextOf(err error) []any {
+	var pairs []any
+	if detailed, ok := oops.AsOops(err); ok {
+		for key, value := range detailed.Context() {
+			pairs = append(pairs, key, value)
+		}
+	}
+	return pairs
+}
+
 // Run runs the instance that s describes until ctx ends or a signal asks for the planned stop.
 func Run(ctx context.Context, s *settings.Settings, logTo io.Writer) error {
+	failure := oops.In("daemon").With("instance", s.Instance.ID, "data_centre", s.Instance.DataCentre)
 	logger, err := telemetry.NewLogger(logTo, s.Telemetry.LogLevel, s.Instance.ID)
 	if err != nil {
-		return err
+		return failure.Wrapf(err, "logger")
 	}
 	provider, flush, err := telemetry.NewTracerProvider(telemetry.TraceOptions{
 		Exporter: s.Telemetry.Traces.Exporter, Path: s.Telemetry.Traces.Path,
@@ -105,7 +118,7 @@
 		Instance:    s.Instance.ID, DataCentre: s.Instance.DataCentre,
 	})
 	if err != nil {
-		return err
+		return failure.Wrapf(err, "traces")
 	}
 	otel.SetTracerProvider(provider)
 	otel.SetTextMapPropagator(telemetry.Propagator())
@@ -113,13 +126,13 @@
 	config.Registry = newRegistry()
 	instance, err := entry.New(config)
 	if err != nil {
-		return err
+		return failure.Wrapf(err, "instance")
 	}
 	runErr := runUntilSignal(ctx, instance, logger)
 	if err := flush(context.WithoutCancel(ctx)); err != nil {
 		logger.Warn("spans not flushed", "err", err)
 	}
-	return runErr
+	return failure.Wrapf(runErr, "run")
 }
 
 func newRegistry() *prometheus.Registry {
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -19,7 +19,7 @@
 func (e *LevelError) Error() string { return fmt.Sprintf("unknown log level %q", string(e.Level)) }
 
 // NewLogger returns a logger that writes one logfmt line for each event to w.
-// The instance ID is a field of every line.
+// The instance ID is a field of every line, unless it is empty.
 func NewLogger(w io.Writer, level Level, instance string) (*log.Logger, error) {
 	parsed, err := log.ParseLevel(string(level))
 	if err != nil {
@@ -32,6 +32,9 @@
 		TimeFormat:      time.RFC3339Nano,
 		TimeFunction:    log.NowUTC,
 	})
+	if instance == "" {
+		return logger, nil
+	}
 	return logger.With("instance", instance), nil
 }
 
