--- a/cli/capacity.go
+++ b/cli/capacity.go
@@ -9,7 +9,6 @@
 	"github.com/spf13/cobra"
 
 	"github.com/cicadasill/cicadasill/capacity"
-	"github.com/cicadasill/cicadasill/settings"
 )
 
 func (a *app) capacityCommand() *cobra.Command {
@@ -61,11 +60,11 @@
 	}
 	data, err := os.ReadFile(from)
 	if err != nil {
-		return nil, &settings.ReadError{Path: from, Err: err}
+		return nil, &FileError{Path: from, Err: err}
 	}
 	var report capacity.Report
 	if err := json.Unmarshal(data, &report); err != nil {
-		return nil, &settings.ReadError{Path: from, Err: err}
+		return nil, &FileError{Path: from, Err: err}
 	}
 	return &report, nil
 }
--- a/cli/note.go
+++ b/cli/note.go
@@ -11,7 +11,6 @@
 
 	"github.com/cicadasill/cicadasill/operator"
 	"github.com/cicadasill/cicadasill/release"
-	"github.com/cicadasill/cicadasill/settings"
 )
 
 // inForcePollInterval is the time between two questions while publish waits for a note to be in force.
@@ -204,7 +203,7 @@
 		data, err = os.ReadFile(path)
 	}
 	if err != nil {
-		return nil, nil, &settings.ReadError{Path: path, Err: err}
+		return nil, nil, &FileError{Path: path, Err: err}
 	}
 	note, err := release.ParseNote(path, data)
 	return note, data, err
--- a/cli/root.go
+++ b/cli/root.go
@@ -49,6 +49,18 @@
 // Unwrap returns the cause.
 func (e *UsageError) Unwrap() error { return e.Err }
 
+// FileError reports a file that cannot be read.
+type FileError struct {
+	Path string
+	Err  error
+}
+
+// Error implements error.
+func (e *FileError) Error() string { return fmt.Sprintf("file %s: %v", e.Path, e.Err) }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Err }
+
 // NotInForceError reports that a note is not in force on every live instance.
 type NotInForceError struct {
 	ID      string
@@ -119,6 +131,7 @@
 		usage       *UsageError
 		invalid     *jsonc.Errors
 		unreadable  *settings.ReadError
+		file        *FileError
 		unreachable *operator.UnreachableError
 		response    *operator.ResponseError
 		broken      *BrokenPromiseError
@@ -127,7 +140,7 @@
 	switch {
 	case errors.As(err, &usage):
 		return ExitUsage
-	case errors.As(err, &invalid), errors.As(err, &unreadable):
+	case errors.As(err, &invalid), errors.As(err, &unreadable), errors.As(err, &file):
 		return ExitInvalid
 	case errors.As(err, &unreachable):
 		return ExitUnreachable
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -85,20 +85,16 @@
 }
 
 func (i *Instance) serveService(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	name := params.ByName("service")
-	service, ok := i.feed.State().Catalog.Service(name)
+	service, ok := i.namedService(w, params)
 	if !ok {
-		writeUnknownService(w, name)
 		return
 	}
 	writeJSON(w, http.StatusOK, service)
 }
 
 func (i *Instance) serveBackends(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	name := params.ByName("service")
-	service, ok := i.feed.State().Catalog.Service(name)
+	service, ok := i.namedService(w, params)
 	if !ok {
-		writeUnknownService(w, name)
 		return
 	}
 	views := make([]operator.Backend, 0, len(service.Backends))
@@ -154,20 +150,16 @@
 }
 
 func (i *Instance) serveNote(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	id := params.ByName("id")
-	verdict, ok := i.feed.State().Catalog.Verdict(id)
+	id, verdict, ok := i.namedVerdict(w, params)
 	if !ok {
-		writeUnknownNote(w, id)
 		return
 	}
 	writeJSON(w, http.StatusOK, operator.NoteRecord{ID: id, Verdict: verdict})
 }
 
 func (i *Instance) serveInForce(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	id := params.ByName("id")
-	verdict, ok := i.feed.State().Catalog.Verdict(id)
+	id, verdict, ok := i.namedVerdict(w, params)
 	if !ok {
-		writeUnknownNote(w, id)
 		return
 	}
 	answer := operator.InForce{ID: id, Verdict: verdict, Everywhere: verdict.Accepted}
@@ -210,16 +202,29 @@
 	return nil, false
 }
 
-func writeUnknownService(w http.ResponseWriter, name string) {
-	writeError(w, http.StatusNotFound, operator.ErrorDetail{
-		Code: "unknown_service", Message: fmt.Sprintf("no service %q is in force", name),
-	})
+// namedService returns the service that the path names. It answers the request when there is none.
+func (i *Instance) namedService(w http.ResponseWriter, params httprouter.Params) (*contract.Service, bool) {
+	name := params.ByName("service")
+	service, ok := i.feed.State().Catalog.Service(name)
+	if !ok {
+		writeError(w, http.StatusNotFound, operator.ErrorDetail{
+			Code: "unknown_service", Message: fmt.Sprintf("no service %q is in force", name),
+		})
+	}
+	return service, ok
 }
 
-func writeUnknownNote(w http.ResponseWriter, id string) {
-	writeError(w, http.StatusNotFound, operator.ErrorDetail{
-		Code: "unknown_note", Message: fmt.Sprintf("no recent note has the id %q", id),
-	})
+// namedVerdict returns the note that the path names and its verdict. It answers the request when
+// the note is not remembered.
+func (i *Instance) namedVerdict(w http.ResponseWriter, params httprouter.Params) (string, release.Verdict, bool) {
+	id := params.ByName("id")
+	verdict, ok := i.feed.State().Catalog.Verdict(id)
+	if !ok {
+		writeError(w, http.StatusNotFound, operator.ErrorDetail{
+			Code: "unknown_note", Message: fmt.Sprintf("no recent note has the id %q", id),
+		})
+	}
+	return id, verdict, ok
 }
 
 func writeError(w http.ResponseWriter, status int, detail operator.ErrorDetail) {
