Versions are listed with their trainer and with withdrawn ones

Cause: GET versions hid withdrawn versions, so an operator could not see that a withdrawal had been accepted.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -68,6 +68,21 @@
 	is.True(!s.Versions.Announced("lm", 4))
 }
 
+// Guards against a list of versions that hides withdrawn ones or forgets who announced them,
+// also after a snapshot.
+func TestAllVersionsAreListed(t *testing.T) {
+	is := is.New(t)
+	announced := control.Record{Kind: control.KindVersionAnnounced, Version: &control.Version{Service: "lm", Version: 3, Trainer: "main"}}
+	s := apply(t, control.Empty(), note("n", 0), announced, version(control.KindVersionWithdrawn, 3))
+	want := []control.AnnouncedVersion{{Version: 3, Offset: 1, Trainer: "main", Withdrawn: true}}
+	is.Equal(s.Versions.All("lm"), want)
+	data, err := control.EncodeSnapshot(s)
+	is.NoErr(err)
+	restored, err := control.DecodeSnapshot(data)
+	is.NoErr(err)
+	is.Equal(restored.Versions.All("lm"), want)
+}
+
 // Guards against a record that stops the fold, and against a skip without a typed reason.
 func TestSkippedRecords(t *testing.T) {
 	for data, reason := range map[string]control.SkipReason{
--- a/control/state.go
+++ b/control/state.go
@@ -105,7 +105,7 @@
 	}
 	var reason SkipReason
 	if r.Kind == KindVersionAnnounced {
-		s.Versions, reason = s.Versions.announce(r.Version.Service, r.Version.Version, offset)
+		s.Versions, reason = s.Versions.announce(r.Version.Service, r.Version.Version, offset, r.Version.Trainer)
 	} else {
 		s.Versions, reason = s.Versions.withdraw(r.Version.Service, r.Version.Version)
 	}
--- a/control/versions.go
+++ b/control/versions.go
@@ -15,7 +15,9 @@
 	Version int64 `json:"version"`
 	// Announced is the offset of the first announcement, -1 when only a withdrawal was seen.
 	Announced int64 `json:"announced"`
-	Withdrawn bool  `json:"withdrawn,omitempty"`
+	// Trainer is the one that announced the version first.
+	Trainer   string `json:"trainer,omitempty"`
+	Withdrawn bool   `json:"withdrawn,omitempty"`
 }
 
 // history holds a service's versions in ascending order. Versions at or below Floor are
@@ -53,19 +55,21 @@
 	return ok && e.Announced >= 0
 }
 
-// AnnouncedVersion is a version that was announced and not withdrawn.
+// AnnouncedVersion is a version that was announced.
 type AnnouncedVersion struct {
 	Version int64
-	// Offset is that of the first announcement.
-	Offset int64
+	// Offset is that of the first announcement, Trainer the one that made it.
+	Offset    int64
+	Trainer   string
+	Withdrawn bool
 }
 
-// Usable returns the announced, not withdrawn versions of a service, lowest first.
-func (v Versions) Usable(service string) []AnnouncedVersion {
+// All returns the announced versions of a service, withdrawn ones included, lowest first.
+func (v Versions) All(service string) []AnnouncedVersion {
 	var all []AnnouncedVersion
 	for _, e := range v.services[service].Entries {
-		if e.Announced >= 0 && !e.Withdrawn {
-			all = append(all, AnnouncedVersion{e.Version, e.Announced})
+		if e.Announced >= 0 {
+			all = append(all, AnnouncedVersion{e.Version, e.Announced, e.Trainer, e.Withdrawn})
 		}
 	}
 	return all
@@ -93,12 +97,12 @@
 }
 
 // announce records an announcement. A withdrawn version stays withdrawn.
-func (v Versions) announce(service string, version, offset int64) (Versions, SkipReason) {
+func (v Versions) announce(service string, version, offset int64, trainer string) (Versions, SkipReason) {
 	return v.change(service, version, func(e *versionEntry) bool {
 		if e.Announced >= 0 {
 			return false
 		}
-		e.Announced = offset
+		e.Announced, e.Trainer = offset, trainer
 		return true
 	})
 }
--- a/entry/adapters.go
+++ b/entry/adapters.go
@@ -47,12 +47,12 @@
 	return d.feed.State().Versions.Withdrawn(service, version)
 }
 
-// Announced lists the usable versions of a service, oldest first.
+// Announced lists the announced versions of a service, withdrawn ones included, oldest first.
 func (d directory) Announced(service string) []weights.Announced {
-	usable := d.feed.State().Versions.Usable(service)
-	out := make([]weights.Announced, 0, len(usable))
-	for _, v := range usable {
-		out = append(out, weights.Announced{Version: v.Version})
+	all := d.feed.State().Versions.All(service)
+	out := make([]weights.Announced, 0, len(all))
+	for _, v := range all {
+		out = append(out, weights.Announced{Version: v.Version, Trainer: v.Trainer, Withdrawn: v.Withdrawn})
 	}
 	return out
 }
