--- a/cli/root.go
+++ b/cli/root.go
@@ -109,7 +109,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
 	root.AddCommand(
 		a.settingsCommand(), a.noteCommand(), a.serviceCommand(), a.samplerCommand(),
-		a.instanceCommand(), a.statusCommand(), a.drainCommand(), a.demoCommand(), a.platformCommand(), a.capacityCommand(),
+		a.instanceCommand(), a.statusCommand(), a.drainCommand(), a.demoCommand(), a.platformCommand(), a.capacityCommand(), a.measureCommand(),
 	)
 	return root
 }
