Run on the users' platform: adapter, batch jobs, discovery, orders, forwarding

Cause: the users' platform speaks protocols that the product did not know. Change: changelog (state from a compacted log), job (batch jobs that any instance can carry on), presence, duty, versions, backends, routes, forward, instance, and the adapter platform/hosted. cicadasilld gains the subcommand hosted; deploy/ says how it runs.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel"
 
 	"github.com/cicadasill/cicadasill/entry"
+	"github.com/cicadasill/cicadasill/instance"
 	"github.com/cicadasill/cicadasill/jsonc"
 	"github.com/cicadasill/cicadasill/settings"
 	"github.com/cicadasill/cicadasill/telemetry"
@@ -68,6 +69,30 @@
 	command.Flags().StringVar(&path, "settings", "", "path of the settings file, JSON with comments")
 	// The flag exists, so this cannot fail.
 	_ = command.MarkFlagRequired("settings")
+	command.AddCommand(newHostedCommand())
+	return command
+}
+
+// hostedSettingsVariable holds the path of the settings file on the users' platform.
+const hostedSettingsVariable = "CICADASILL_CONFIG"
+
+func newHostedCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "hosted",
+		Short: "Run one entry instance on the users' platform",
+		Long: `Run one entry instance on the users' platform until SIGTERM, which starts the planned stop.
+The settings file is the one named by --settings or by the variable ` + hostedSettingsVariable + `.
+
+Exit codes: 0 planned stop completed, 1 failure, 3 settings cannot be read or are wrong.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return instance.Daemon(cmd.Context(), path, cmd.OutOrStdout())
+		},
+	}
+	command.Flags().StringVar(&path, "settings", os.Getenv(hostedSettingsVariable), "path of the settings file, JSON with comments")
 	return command
 }
 
@@ -76,6 +101,7 @@
 	var (
 		mistakes   *jsonc.Errors
 		unreadable *settings.ReadError
+		missing    *instance.ReadError
 	)
 	switch {
 	case err == nil:
@@ -85,7 +111,7 @@
 			logger.Error("wrong setting", "file", m.File, "line", m.Line, "field", m.Field, "problem", m.Message)
 		}
 		return ExitSettings
-	case errors.As(err, &unreadable):
+	case errors.As(err, &unreadable), errors.As(err, &missing):
 		logger.Error("settings not readable", "err", err)
 		return ExitSettings
 	default:
@@ -124,11 +150,11 @@
 	otel.SetTextMapPropagator(telemetry.Propagator())
 	config := entry.ConfigOf(s, logger)
 	config.Registry = newRegistry()
-	instance, err := entry.New(config)
+	running, err := entry.New(config)
 	if err != nil {
 		return failure.Wrapf(err, "instance")
 	}
-	runErr := runUntilSignal(ctx, instance, logger)
+	runErr := runUntilSignal(ctx, running, logger)
 	if err := flush(context.WithoutCancel(ctx)); err != nil {
 		logger.Warn("spans not flushed", "err", err)
 	}
@@ -146,7 +172,7 @@
 
 // runUntilSignal runs the instance. The first signal starts the planned stop, the second ends
 // the instance at once.
-func runUntilSignal(ctx context.Context, instance *entry.Instance, logger *log.Logger) error {
+func runUntilSignal(ctx context.Context, running *entry.Instance, logger *log.Logger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -161,7 +187,7 @@
 			logger.Info("planned stop", "signal", sig.String())
 		}
 		group.Go(func() {
-			if err := instance.Stop(ctx); err != nil && ctx.Err() == nil {
+			if err := running.Stop(ctx); err != nil && ctx.Err() == nil {
 				logger.Error("planned stop incomplete", "err", err)
 			}
 		})
@@ -172,7 +198,7 @@
 			cancel()
 		}
 	})
-	err := instance.Run(ctx)
+	err := running.Run(ctx)
 	cancel()
 	group.Wait()
 	return err
--- /dev/null
+++ b/instance/settings.go
@@ -0,0 +1,105 @@
+package instance
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cicadasill/cicadasill/jsonc"
+	"github.com/cicadasill/cicadasill/telemetry"
+)
+
+// Settings is the content of an instance's settings file, JSON with comments.
+type Settings struct {
+	Instance  InstanceSettings  `json:"instance" validate:"required"`
+	Listen    ListenSettings    `json:"listen" validate:"required"`
+	Store     StoreSettings     `json:"store" validate:"required"`
+	Jobs      JobSettings       `json:"jobs" validate:"required"`
+	Limits    LimitSettings     `json:"limits" validate:"required"`
+	Stop      StopSettings      `json:"stop" validate:"required"`
+	Telemetry TelemetrySettings `json:"telemetry"`
+}
+
+// InstanceSettings names the instance and its place.
+type InstanceSettings struct {
+	ID         string `json:"id" validate:"required,max=200"`
+	Region     string `json:"region" validate:"required"`
+	DataCentre string `json:"data_centre" validate:"required"`
+}
+
+// ListenSettings holds the addresses, host:port, at which the instance listens.
+type ListenSettings struct {
+	// Clients serves callers and trainers.
+	Clients string `json:"clients" validate:"required,hostname_port"`
+	// Ready answers whether the instance takes new connections.
+	Ready string `json:"ready" validate:"required,hostname_port"`
+	// Metrics serves counters and histograms.
+	Metrics string `json:"metrics" validate:"omitempty,hostname_port"`
+}
+
+// StoreSettings tell where the platform's store is and what it takes from all instances.
+type StoreSettings struct {
+	Addr string `json:"addr" validate:"required,hostname_port"`
+	// Partitions is the number of partitions of a topic.
+	Partitions int     `json:"partitions" validate:"gte=1,lte=10000"`
+	WritesPerS float64 `json:"writes_per_s" validate:"gt=0"`
+	ReadsPerS  float64 `json:"reads_per_s" validate:"gt=0"`
+}
+
+// JobSettings configure batch jobs.
+type JobSettings struct {
+	// RetentionS is the time in seconds after its submission for which a job's results can be read.
+	RetentionS float64 `json:"retention_s" validate:"gt=0"`
+	// SlotShare is the part of an engine's slots that one instance uses, 0 to 1.
+	SlotShare float64 `json:"slot_share" validate:"gt=0,lte=1"`
+}
+
+// LimitSettings are the limits of the machine.
+type LimitSettings struct {
+	// MemoryMB is the memory in megabytes at which the process is ended.
+	MemoryMB float64 `json:"memory_mb" validate:"gt=0"`
+}
+
+// StopSettings configure the planned stop.
+type StopSettings struct {
+	// GraceS is the time in seconds after SIGTERM at which the process is ended.
+	GraceS float64 `json:"grace_s" validate:"gt=0"`
+}
+
+// TelemetrySettings configure the logs.
+type TelemetrySettings struct {
+	LogLevel telemetry.Level `json:"log_level" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// DefaultLogLevel is used where the settings name none.
+const DefaultLogLevel telemetry.Level = "info"
+
+// ReadError reports a settings file that cannot be read.
+type ReadError struct {
+	Path string
+	Err  error
+}
+
+// Error implements error.
+func (e *ReadError) Error() string { return fmt.Sprintf("settings file %s: %v", e.Path, e.Err) }
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Err }
+
+// LoadSettings reads and checks a settings file. Mistakes are a *jsonc.Errors that names them all.
+func LoadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &ReadError{Path: path, Err: err}
+	}
+	s := &Settings{}
+	if err := jsonc.Decode(path, data, s); err != nil {
+		return nil, err
+	}
+	if s.Telemetry.LogLevel == "" {
+		s.Telemetry.LogLevel = DefaultLogLevel
+	}
+	return s, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/job/records.go
@@ -0,0 +1,63 @@
+package job
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cicadasill/cicadasill/changelog"
+)
+
+// recordBytes bounds the items or results in one record. It leaves room for the encoding below
+// the smallest record size of the platform's stores, 256 KiB.
+const recordBytes = 160 << 10
+
+// itemSize estimates the encoded size of an item.
+func itemSize(i *Item) int {
+	n := len(i.ID) + len(i.Path) + len(i.Body) + len(i.Group) + len(i.Model) + 32
+	for k, v := range i.Headers {
+		n += len(k) + len(v) + 4
+	}
+	return n
+}
+
+// itemRecords returns the records that store the items of a job.
+func itemRecords(id ID, items []Item) ([]changelog.Record, error) {
+	var records []changelog.Record
+	for len(items) > 0 {
+		n, size := 0, 0
+		for n < len(items) && (n == 0 || size+itemSize(&items[n]) <= recordBytes) {
+			size += itemSize(&items[n])
+			n++
+		}
+		data, err := cbor.Marshal(items[:n])
+		if err != nil {
+			return nil, err
+		}
+		key := fmt.Sprintf("%s%s/%06d", itemsPrefix, id, len(records))
+		records = append(records, changelog.Record{Key: key, Value: data})
+		items = items[n:]
+	}
+	return records, nil
+}
+
+// resultRecords returns the records that list results from a position on.
+func resultRecords(id ID, position int, results []Result) ([]changelog.Record, error) {
+	var records []changelog.Record
+	for len(results) > 0 {
+		n, size := 0, 0
+		for n < len(results) && (n == 0 || size+len(results[n].Output) <= recordBytes) {
+			size += len(results[n].Output)
+			n++
+		}
+		data, err := cbor.Marshal(resultsRecord{Position: position, Results: results[:n]})
+		if err != nil {
+			return nil, err
+		}
+		key := fmt.Sprintf("%s%s/%06d", resultsPrefix, id, position)
+		records = append(records, changelog.Record{Key: key, Value: data})
+		results = results[n:]
+		position += n
+	}
+	return records, nil
+}
