--- a/instance/instance.go
+++ b/instance/instance.go
@@ -117,7 +117,7 @@
 	client := hosted.NewBackends(s.Instance.ID)
 	i.jobs = job.NewRegistry(job.RegistryOptions{
 		Self: i.self, Log: i.store, Partitions: s.Store.Partitions,
-		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, IndexRead: i.contact("index"),
+		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, Near: i.present.Near, IndexRead: i.contact("index"),
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
@@ -288,6 +288,7 @@
 	i.driver.Retire()
 	ctx, cancel := context.WithDeadline(ctx, start.Add(grace-exitMargin))
 	defer cancel()
+	i.present.Stopping(ctx)
 	i.orders.Release(ctx)
 	for time.Since(start) < time.Duration(handoverPart*float64(grace)) && i.driver.Active() > 0 {
 		if !timing.Sleep(ctx, 20*time.Millisecond) {
--- a/job/registry.go
+++ b/job/registry.go
@@ -47,6 +47,8 @@
 	// Retention is how long after its submission a job's results can be asked for.
 	Retention time.Duration
 	Logger    *log.Logger
+	// Near reports whether an instance lives and is in the data centre of this one.
+	Near func(machine.Ref) bool
 	// IndexRead is called after each read of the index, with its error.
 	IndexRead func(error)
 }
@@ -150,7 +152,7 @@
 	summary := Summary{
 		ID: spec.ID, Partition: at, Host: spec.Host, Path: spec.Path, Total: len(spec.Items),
 		SubmittedMs: time.Now().UnixMilli(), Step: spec.Step, Model: spec.Model,
-		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, Driver: g.opts.Self,
+		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, Driver: g.driverFor(spec),
 	}
 	_, err = g.update(ctx, spec.ID, func(old *Summary) *Summary {
 		if old != nil {
@@ -161,6 +163,23 @@
 	return err
 }
 
+// driverFor returns the instance that drives a new job: the one that drove the latest job of the
+// same trainer, because it has connections to the engines, if it lives and is in this data centre.
+func (g *Registry) driverFor(spec *Spec) machine.Ref {
+	var latest *Summary
+	g.index.View(func() {
+		for _, s := range g.jobs.jobs {
+			if s.Host == spec.Host && s.Model == spec.Model && s.Step >= 0 && (latest == nil || s.SubmittedMs > latest.SubmittedMs) {
+				latest = s
+			}
+		}
+	})
+	if latest == nil || spec.Step < 0 || !g.opts.Near(latest.Driver) {
+		return g.opts.Self
+	}
+	return latest.Driver
+}
+
 // update replaces a job's summary by what change makes of it; nil leaves it. It reports whether
 // this call changed the summary. change must not modify its argument.
 func (g *Registry) update(ctx context.Context, id ID, change func(*Summary) *Summary) (bool, error) {
--- a/job/run.go
+++ b/job/run.go
@@ -18,8 +18,9 @@
 	firstEventTimeout = 2500 * time.Millisecond
 	// eventTimeout covers a load of weights between two events.
 	eventTimeout = 1800 * time.Millisecond
-	// busyPause is how long an engine is avoided that refused an item.
-	busyPause = 150 * time.Millisecond
+	// refusalPause is how long an engine is avoided for a model whose item it refused. Most
+	// refusals come from engines that load weights, which takes about a second.
+	refusalPause = 350 * time.Millisecond
 	// brokenPause spaces the attempts of an item that fails everywhere.
 	brokenPause = 20 * time.Millisecond
 	// routePause spaces the looks for a configuration that is not there yet.
@@ -193,10 +194,8 @@
 	switch {
 	case err == nil:
 		b.Succeeded()
-	case errors.As(err, &notRun):
-		b.Busy(busyPause)
-	case errors.As(err, &old):
-		b.Busy(busyPause)
+	case errors.As(err, &notRun), errors.As(err, &old):
+		b.Loading(item.Model, refusalPause)
 	case errors.As(err, &broken):
 		if cause := context.Cause(ctx); cause != nil {
 			err = &BrokenError{Err: cause}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -27,6 +27,8 @@
 	Heartbeat = 700 * time.Millisecond
 	// DeadAfter is almost three heartbeats: one may be lost and the next one late.
 	DeadAfter = 2 * time.Second
+	// NearWithin is the age of a heartbeat up to which an instance is given new work.
+	NearWithin = 1300 * time.Millisecond
 	// readPeriod spaces the reads of all records.
 	readPeriod = 350 * time.Millisecond
 	// appendTimeout bounds one heartbeat's append.
@@ -41,6 +43,8 @@
 	DataCentre  string `cbor:"2,keyasint"`
 	Leaving     bool   `cbor:"3,keyasint"`
 	Sequence    uint64 `cbor:"4,keyasint"`
+	// Stopping instances finish their work but take no new one.
+	Stopping bool `cbor:"5,keyasint"`
 }
 
 // seen is an instance's newest record with the time at which it arrived here.
@@ -61,6 +65,7 @@
 	byID     map[string]seen
 	outageAt time.Time // last failed read
 	leaving  bool
+	stopping bool
 	sequence uint64
 	beatAt   time.Time // start of the last acknowledged heartbeat
 }
@@ -94,7 +99,7 @@
 func (t *Table) beat(ctx context.Context) {
 	t.mu.Lock()
 	t.sequence++
-	r := record{Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Leaving: t.leaving, Sequence: t.sequence}
+	r := record{Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Leaving: t.leaving, Stopping: t.stopping, Sequence: t.sequence}
 	t.mu.Unlock()
 	data, err := cbor.Marshal(r)
 	if err != nil {
@@ -115,6 +120,14 @@
 	t.mu.Unlock()
 }
 
+// Stopping tells the others to give this instance no new work.
+func (t *Table) Stopping(ctx context.Context) {
+	t.mu.Lock()
+	t.stopping = true
+	t.mu.Unlock()
+	t.beat(ctx)
+}
+
 // Leave tells the others that this instance does no more work on its own.
 func (t *Table) Leave(ctx context.Context) {
 	t.mu.Lock()
@@ -185,6 +198,15 @@
 	return silent && time.Since(t.outageAt) > DeadAfter
 }
 
+// Near reports whether an instance lives, takes work and is in the data centre of this one.
+func (t *Table) Near(ref machine.Ref) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, known := t.byID[ref.ID]
+	return known && s.Incarnation == ref.Incarnation && !s.Leaving && !s.Stopping &&
+		s.DataCentre == t.dataCentre && time.Since(s.at) <= NearWithin
+}
+
 // Rank returns this instance's position among the living ones in an order that depends on key
 // and is the same at all instances.
 func (t *Table) Rank(key string) int {
--- /dev/null
+++ b/versions/plan.go
@@ -0,0 +1,70 @@
+package versions
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cicadasill/cicadasill/backends"
+)
+
+// load is a version that an engine should take.
+type load struct {
+	engine  backends.Candidate
+	model   string
+	version int64
+	// usable is the part of the model's engines that serve the current step.
+	usable float64
+	// stale states that the engine cannot serve the current step.
+	stale bool
+}
+
+// due returns the loads to order, the most urgent first. Engines that are too old for the current
+// step come before the others, those of the model with the smallest usable part first. Of the
+// engines that still serve the step only as many load as the next step needs at its start, so that
+// a new version does not stop all of a model's engines at once.
+func due(list []backends.Candidate, models []string, targets map[string]int64) []load {
+	var loads []load
+	for i, model := range models {
+		loads = append(loads, dueForModel(Share(list, model, i, len(models)), model, targets[model])...)
+	}
+	slices.SortStableFunc(loads, func(a, b load) int {
+		if a.stale != b.stale {
+			if a.stale {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.usable, b.usable)
+	})
+	return loads
+}
+
+func dueForModel(share []backends.Candidate, model string, target int64) []load {
+	newest, usable := 0, 0
+	for _, c := range share {
+		if c.Versions[model] >= target {
+			newest++
+		}
+		if c.Versions[model] >= target-1 {
+			usable++
+		}
+	}
+	part := float64(usable) / float64(max(1, len(share)))
+	fresh := int(math.Ceil(freshPart * float64(len(share))))
+	var stale, others []load
+	for _, c := range share {
+		version := c.Versions[model]
+		if version >= target {
+			continue
+		}
+		l := load{engine: c, model: model, version: target, usable: part, stale: version < target-1}
+		if l.stale {
+			stale = append(stale, l)
+		} else {
+			others = append(others, l)
+		}
+	}
+	missing := max(0, fresh-newest-len(stale))
+	return append(stale, others[:min(missing, len(others))]...)
+}
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -90,6 +90,9 @@
 	leastLoads = 2
 	// loadTime is about how long an engine takes no requests for a model that it loads.
 	loadTime = 900 * time.Millisecond
+	// freshPart is the part of a model's engines that take each new version. The others take
+	// every second one: a trainer's step accepts the version before the one that it is named by.
+	freshPart = 0.5
 )
 
 // Options configure a Mover.
@@ -182,19 +185,16 @@
 		mode = Finish
 	}
 	models := slices.Sorted(slices.Values(config.Services[service].Models))
-	for i, model := range models {
-		target := targets[model]
-		for _, c := range Share(list, model, i, len(models)) {
-			if loading >= most {
-				return
-			}
-			e := m.engine(c.Backend)
-			if c.Versions[model] >= target || e.calling || e.model != "" || time.Now().Before(e.waitTill) {
-				continue
-			}
-			loading++
-			m.send(ctx, c.Backend, e, Order{Model: model, Version: target, Mode: mode, Fence: fence})
+	for _, l := range due(list, models, targets) {
+		if loading >= most {
+			return
+		}
+		e := m.engine(l.engine.Backend)
+		if e.calling || e.model != "" || time.Now().Before(e.waitTill) {
+			continue
 		}
+		loading++
+		m.send(ctx, l.engine.Backend, e, Order{Model: l.model, Version: l.version, Mode: mode, Fence: fence})
 	}
 }
 
