A model's share is twice an equal part of the engines, loaded by halves

Cause: with an equal part for each model and every second engine taking a version, a step began with half of the part: 34 slots for 144 items on the grown deployment. Change: the share doubles; a version still loads on an equal part, which is the number of free loads.

--- a/versions/versions.go
+++ b/versions/versions.go
@@ -93,6 +93,8 @@
 	// freshPart is the part of a model's engines that take each new version. The others take
 	// every second one: a trainer's step accepts the version before the one that it is named by.
 	freshPart = 0.5
+	// partsPerShare keeps the loads of a version at an equal part of the engines for each model.
+	partsPerShare = 2
 )
 
 // Options configure a Mover.
@@ -198,11 +200,12 @@
 	}
 }
 
-// Share returns the engines that serve a model: an equal part of the list for each model. Engines
-// with the newest version come first, so a share keeps its engines; among equals every model
-// starts at another place of the list.
+// Share returns the engines that serve a model: twice an equal part of the list, because every
+// second one takes each new version. Engines with the newest version come first, so a share keeps
+// its engines; among equals every model starts at another place of the list, so that the engines
+// that are ready for the next step of one model rarely are for another.
 func Share(list []backends.Candidate, model string, index, models int) []backends.Candidate {
-	size := (len(list) + models - 1) / models
+	size := (partsPerShare*len(list) + models - 1) / models
 	position := map[string]int{}
 	for i, c := range list {
 		position[c.ID] = (i%models - index + models) % models
