Runs leave slow engines; a job's driver is not its acceptor; heartbeats by size

Cause: a run at an engine that is three times slower held its group for seconds; the loss of one instance cost a client both its connection and its job's progress. Change: a run moves when its engine's pace is 1.8 times the median; drivers are picked among the other instances of the data centre; heartbeats are 0.4 s for nine instances instead of 0.7 s.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -265,11 +265,18 @@
 	b.dir.notify()
 }
 
-// paceWeight is the weight of a new observation in the smoothed pace.
-const paceWeight = 0.2
+const (
+	// paceWeight is the weight of a new observation in the smoothed pace.
+	paceWeight = 0.2
+	// longestPace bounds the observations: longer gaps come from loads of weights.
+	longestPace = 600 * time.Millisecond
+)
 
 // Paced records the time between two events of a stream.
 func (b *Backend) Paced(d time.Duration) {
+	if d > longestPace {
+		return
+	}
 	b.dir.mu.Lock()
 	defer b.dir.mu.Unlock()
 	if b.pace == 0 {
--- a/job/place.go
+++ b/job/place.go
@@ -16,8 +16,8 @@
 	groupBonus = 0.25
 	// farPenalty is the price of an engine in another data centre.
 	farPenalty = 0.05
-	// slowRatio is the pace, relative to the fastest candidate, from which an engine gets
-	// fewer items than its slots.
+	// slowRatio is the pace, relative to the median, from which an engine gets fewer items than
+	// its slots, and from which its runs move to faster engines.
 	slowRatio = 1.8
 	// pumpPeriod bounds how long a waiting item misses the end of an engine's avoidance.
 	pumpPeriod = 50 * time.Millisecond
@@ -146,12 +146,7 @@
 
 // choose returns the index of the engine for w, or -1 if none has a free slot.
 func choose(list []backends.Candidate, w *want, mate *backends.Backend, zone string, share float64) int {
-	fastest := time.Duration(0)
-	for _, c := range list {
-		if c.Pace > 0 && (fastest == 0 || c.Pace < fastest) {
-			fastest = c.Pace
-		}
-	}
+	typical := typicalPace(list)
 	best, bestCost := -1, 0.0
 	for i, c := range list {
 		if c.Avoid || c.Versions[w.model] < w.minVersion {
@@ -162,8 +157,8 @@
 		}
 		slots := max(1, float64(c.Slots)*share)
 		relative := 1.0
-		if fastest > 0 && c.Pace > time.Duration(slowRatio*float64(fastest)) {
-			relative = float64(c.Pace) / float64(fastest)
+		if typical > 0 && c.Pace > time.Duration(slowRatio*float64(typical)) {
+			relative = float64(c.Pace) / float64(typical)
 		}
 		if float64(c.InFlight)+1 > max(1, slots/relative) {
 			continue
@@ -181,3 +176,45 @@
 	}
 	return best
 }
+
+// typicalPace returns the median of the known paces; 0 if there are fewer than two.
+func typicalPace(list []backends.Candidate) time.Duration {
+	var paces []time.Duration
+	for _, c := range list {
+		if c.Pace > 0 {
+			paces = append(paces, c.Pace)
+		}
+	}
+	if len(paces) < 2 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
+}
+
+// slow reports whether an engine's pace is far behind the median of its service.
+func (p *placer) slow(b *backends.Backend) bool {
+	list := p.dir.Candidates(b.Service, "")
+	typical := typicalPace(list)
+	for _, c := range list {
+		if c.Backend == b {
+			return typical > 0 && c.Pace > time.Duration(slowRatio*float64(typical))
+		}
+	}
+	return false
+}
+
+// faster reports whether an engine with a normal pace has a free slot for the model.
+func (p *placer) faster(service, model string, minVersion int64, than *backends.Backend) bool {
+	list := p.dir.Candidates(service, model)
+	typical := typicalPace(list)
+	for _, c := range list {
+		if c.Backend == than || c.Avoid || c.Versions[model] < minVersion || float64(c.InFlight) >= float64(c.Slots)*p.share {
+			continue
+		}
+		if c.Pace > 0 && c.Pace <= time.Duration(slowRatio*float64(typical)) {
+			return true
+		}
+	}
+	return false
+}
--- a/job/registry.go
+++ b/job/registry.go
@@ -47,8 +47,10 @@
 	// Retention is how long after its submission a job's results can be asked for.
 	Retention time.Duration
 	Logger    *log.Logger
-	// Near reports whether an instance lives and is in the data centre of this one.
+	// Near reports whether an instance lives and is in the data centre of this one. Peer returns
+	// such an instance for a key, another one than this if there is one.
 	Near func(machine.Ref) bool
+	Peer func(key string) machine.Ref
 	// IndexRead is called after each read of the index, with its error.
 	IndexRead func(error)
 }
@@ -163,8 +165,9 @@
 	return err
 }
 
-// driverFor returns the instance that drives a new job: the one that drove the latest job of the
-// same trainer, because it has connections to the engines, if it lives and is in this data centre.
+// driverFor returns the instance that drives a new job. It is not this one, so that the loss of
+// one instance costs a client its connection or its job's progress, not both. A trainer's jobs
+// stay with one driver, which has connections to the engines, while it lives.
 func (g *Registry) driverFor(spec *Spec) machine.Ref {
 	var latest *Summary
 	g.index.View(func() {
@@ -174,10 +177,10 @@
 			}
 		}
 	})
-	if latest == nil || spec.Step < 0 || !g.opts.Near(latest.Driver) {
-		return g.opts.Self
+	if latest != nil && spec.Step >= 0 && latest.Driver != g.opts.Self && g.opts.Near(latest.Driver) {
+		return latest.Driver
 	}
-	return latest.Driver
+	return g.opts.Peer(spec.Host + "/" + spec.Model)
 }
 
 // update replaces a job's summary by what change makes of it; nil leaves it. It reports whether
--- a/job/run.go
+++ b/job/run.go
@@ -23,6 +23,10 @@
 	refusalPause = 350 * time.Millisecond
 	// brokenPause spaces the attempts of an item that fails everywhere.
 	brokenPause = 20 * time.Millisecond
+	// moveEvery is the number of events after which a run may leave a slow engine.
+	moveEvery = 4
+	// maxMoves bounds how often an item leaves a slow engine: each time its text is read in again.
+	maxMoves = 3
 	// routePause spaces the looks for a configuration that is not there yet.
 	routePause = 50 * time.Millisecond
 )
@@ -43,6 +47,9 @@
 	single  bool
 	timer   *time.Timer
 	eventAt time.Time
+	events  int
+	// move reports whether the run should go on at a faster engine; asked from time to time.
+	move func() bool
 }
 
 // errMixedVersions ends an attempt whose text must not have two versions.
@@ -67,6 +74,7 @@
 		r.backend.Paced(now.Sub(r.eventAt))
 	}
 	r.eventAt = now
+	r.events++
 	r.timer.Reset(eventTimeout)
 	t := r.text
 	if e.ID <= t.last {
@@ -86,9 +94,15 @@
 	}
 	t.data = append(t.data, e.Data)
 	t.last = e.ID
+	if r.events%moveEvery == 0 && r.move() {
+		return errSlow
+	}
 	return nil
 }
 
+// errSlow ends an attempt at a slow engine while a faster one is free.
+var errSlow = errors.New("the engine is slow and a faster one is free")
+
 // gapError reports a missing event.
 type gapError struct{ want, got int64 }
 
@@ -103,7 +117,7 @@
 func (d *Driver) runItem(ctx context.Context, job *driven, at int) (Result, bool) {
 	item := &job.items[at]
 	t := &text{}
-	failures := 0
+	failures, moves := 0, 0
 	var except *backends.Backend
 	for attempt := 1; ; attempt++ {
 		route, service, ok := d.routeOf(ctx, job, item)
@@ -128,7 +142,7 @@
 		}
 		start := time.Now()
 		d.metrics.wait.Observe(start.Sub(waitFrom).Seconds())
-		err = d.attempt(ctx, job, item, route, b, t)
+		err = d.attempt(ctx, job, item, route, b, t, moves < maxMoves)
 		b.End()
 		if err == nil {
 			d.metrics.run.Observe(time.Since(start).Seconds())
@@ -148,8 +162,12 @@
 				return Result{Item: item.ID, State: Errored}, true
 			}
 		}
-		if errors.Is(err, errMixedVersions) {
+		switch {
+		case errors.Is(err, errMixedVersions):
 			t.reset()
+		case errors.Is(err, errSlow):
+			moves++
+			continue
 		}
 		timing.Sleep(ctx, brokenPause)
 	}
@@ -176,7 +194,7 @@
 }
 
 // attempt runs an item at one engine and judges the engine by the outcome.
-func (d *Driver) attempt(ctx context.Context, job *driven, item *Item, route *routes.Route, b *backends.Backend, t *text) error {
+func (d *Driver) attempt(ctx context.Context, job *driven, item *Item, route *routes.Route, b *backends.Backend, t *text, mayMove bool) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(firstEventTimeout, func() { cancel(errSilent) })
@@ -184,6 +202,9 @@
 	r := &run{
 		text: t, backend: b, model: item.Model, least: job.MinVersion,
 		single: route.SingleVersion, timer: timer,
+		move: func() bool {
+			return mayMove && route.Resumable && d.placer.slow(b) && d.placer.faster(b.Service, item.Model, job.MinVersion, b)
+		},
 	}
 	err := d.opts.Engine.Generate(ctx, b, Call{Host: job.Host, Item: item, After: t.last}, r)
 	var (
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,15 +22,21 @@
 
 // Periods of presence.
 const (
-	// Heartbeat spaces an instance's records.
-	Heartbeat = 700 * time.Millisecond
-	// DeadAfter is almost three heartbeats: one may be lost and the next one late.
-	DeadAfter = 2 * time.Second
-	// NearWithin is the age of a heartbeat up to which an instance is given new work.
-	NearWithin = 1300 * time.Millisecond
+	// leastPeriod spaces the records of an instance in a small deployment.
+	leastPeriod = 400 * time.Millisecond
+	// periodPerInstance keeps all instances together at a hundred records a second: the records
+	// share a partition that takes one append every 4 ms.
+	periodPerInstance = 10 * time.Millisecond
+	// deadPeriods is how many periods an instance is silent before it counts as dead: one record
+	// may be lost and the next one late.
+	deadPeriods = 3
+	// nearPeriods is the age of a record, in periods, up to which an instance is given new work.
+	nearPeriods = 2
+	// readDelay is added to all ages: records are read some time after they were written.
+	readDelay = 300 * time.Millisecond
 	// readPeriod spaces the reads of all records.
-	readPeriod = 350 * time.Millisecond
-	// appendTimeout bounds one heartbeat's append.
+	readPeriod = 300 * time.Millisecond
+	// appendTimeout bounds the append of a record.
 	appendTimeout = time.Second
 	// freshRead is the age of the last read up to which its contents count as current.
 	freshRead = 900 * time.Millisecond
@@ -45,6 +50,8 @@
 	Sequence    uint64 `cbor:"4,keyasint"`
 	// Stopping instances finish their work but take no new one.
 	Stopping bool `cbor:"5,keyasint"`
+	// Period is the time until the next record.
+	Period time.Duration `cbor:"6,keyasint"`
 }
 
 // seen is an instance's newest record with the time at which it arrived here.
@@ -53,6 +60,11 @@
 	at time.Time
 }
 
+// silentFor reports whether no record has come for a number of periods.
+func (s *seen) silentFor(periods int) bool {
+	return time.Since(s.at) > time.Duration(periods)*s.Period+readDelay
+}
+
 // Table is this instance's view of all instances.
 type Table struct {
 	self       machine.Ref
@@ -88,23 +100,27 @@
 		t.replica.Follow(ctx, 0, readPeriod, t.noteRead)
 	}()
 	for {
-		t.beat(ctx)
-		if !timing.Sleep(ctx, Heartbeat) {
+		if !timing.Sleep(ctx, t.beat(ctx)) {
 			break
 		}
 	}
 	<-done
 }
 
-func (t *Table) beat(ctx context.Context) {
+// beat writes a record and returns the time until the next one.
+func (t *Table) beat(ctx context.Context) time.Duration {
 	t.mu.Lock()
 	t.sequence++
-	r := record{Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Leaving: t.leaving, Stopping: t.stopping, Sequence: t.sequence}
+	period := max(leastPeriod, time.Duration(len(t.byID))*periodPerInstance)
+	r := record{
+		Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Leaving: t.leaving, Stopping: t.stopping,
+		Sequence: t.sequence, Period: period,
+	}
 	t.mu.Unlock()
 	data, err := cbor.Marshal(r)
 	if err != nil {
 		t.log.Error("heartbeat not encoded", "err", err)
-		return
+		return period
 	}
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
@@ -113,11 +129,12 @@
 	records := []changelog.Record{{Key: t.self.ID, Value: data}}
 	if _, err := t.store.Append(ctx, at, records, changelog.Unconditional); err != nil {
 		t.log.Debug("heartbeat not written", "err", err)
-		return
+		return period
 	}
 	t.mu.Lock()
 	t.beatAt = start
 	t.mu.Unlock()
+	return period
 }
 
 // Stopping tells the others to give this instance no new work.
@@ -190,12 +207,34 @@
 	if age > freshRead {
 		return false
 	}
+	own := t.byID[t.self.ID]
 	s, known := t.byID[ref.ID]
 	if known && (s.Incarnation != ref.Incarnation || s.Leaving) {
 		return true
 	}
-	silent := !known || time.Since(s.at) > DeadAfter
-	return silent && time.Since(t.outageAt) > DeadAfter
+	if !known {
+		s.Period = own.Period
+	}
+	// Records that do not get through for this instance may not for others either.
+	return s.silentFor(deadPeriods) && !own.silentFor(nearPeriods) &&
+		time.Since(t.outageAt) > deadPeriods*s.Period+readDelay
+}
+
+// Peer returns a living instance of this data centre other than this one, the same for equal
+// keys as long as the instances stay; this instance if it is the only one.
+func (t *Table) Peer(key string) machine.Ref {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, bestHash := t.self, uint64(0)
+	for id, s := range t.byID {
+		if id == t.self.ID || s.Leaving || s.Stopping || s.DataCentre != t.dataCentre || s.silentFor(nearPeriods) {
+			continue
+		}
+		if h := xxhash.Sum64String(key + "/" + id); best == t.self || h < bestHash {
+			best, bestHash = machine.Ref{ID: id, Incarnation: s.Incarnation}, h
+		}
+	}
+	return best
 }
 
 // Near reports whether an instance lives, takes work and is in the data centre of this one.
@@ -204,7 +243,7 @@
 	defer t.mu.Unlock()
 	s, known := t.byID[ref.ID]
 	return known && s.Incarnation == ref.Incarnation && !s.Leaving && !s.Stopping &&
-		s.DataCentre == t.dataCentre && time.Since(s.at) <= NearWithin
+		s.DataCentre == t.dataCentre && !s.silentFor(nearPeriods)
 }
 
 // Rank returns this instance's position among the living ones in an order that depends on key
@@ -215,7 +254,7 @@
 	own := xxhash.Sum64String(key + "/" + t.self.ID)
 	rank := 0
 	for id, s := range t.byID {
-		if id == t.self.ID || s.Leaving || time.Since(s.at) > DeadAfter {
+		if id == t.self.ID || s.Leaving || s.silentFor(deadPeriods) {
 			continue
 		}
 		if cmp.Compare(xxhash.Sum64String(key+"/"+id), own) < 0 {
@@ -224,17 +263,3 @@
 	}
 	return rank
 }
-
-// Live returns the ids of the living instances, this one included.
-func (t *Table) Live() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	ids := []string{t.self.ID}
-	for id, s := range t.byID {
-		if id != t.self.ID && !s.Leaving && time.Since(s.at) <= DeadAfter {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
