A trainer's jobs stay with their driver; engines with a free connection first

Cause: the driver changed whenever the trainer's client reached it directly, so each of several instances opened connections to all engines. Change: the latest driver stays, also as the acceptor; a free connection is worth half an engine.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -32,6 +32,8 @@
 	outageWindow = 3 * time.Second
 	// firstPenalty is how long a back end is avoided after its first failure; each further
 	// failure doubles it up to maxPenalty.
+	// warmFor is how long an idle connection is kept, less a margin.
+	warmFor      = 7 * time.Second
 	firstPenalty = 300 * time.Millisecond
 	maxPenalty   = 4 * time.Second
 )
@@ -50,6 +52,8 @@
 	versions     map[string]int64 // replaced, never changed
 	goneAt       time.Time        // zero while the entry exists
 	inFlight     int
+	peak         int       // most requests in flight at once since peakAt
+	peakAt       time.Time // when inFlight last was at peak
 	failures     int
 	avoidUntil   time.Time
 	loadingUntil map[string]time.Time // by model
@@ -165,6 +169,8 @@
 	Versions map[string]int64
 	// InFlight counts this instance's requests at the back end.
 	InFlight int
+	// Warm is about the number of connections that this instance has to the back end.
+	Warm int
 	// Avoid states that the back end failed recently or is loading the model.
 	Avoid bool
 	// Pace is the smoothed time between two events of a stream; 0 if unknown.
@@ -185,7 +191,7 @@
 			continue
 		}
 		list = append(list, Candidate{
-			Backend: b, Slots: b.slots, Versions: b.versions, InFlight: b.inFlight, Pace: b.pace,
+			Backend: b, Slots: b.slots, Versions: b.versions, InFlight: b.inFlight, Pace: b.pace, Warm: b.warm(now),
 			Avoid: now.Before(b.avoidUntil) || now.Before(b.loadingUntil[model]),
 		})
 	}
@@ -197,6 +203,19 @@
 	b.dir.mu.Lock()
 	defer b.dir.mu.Unlock()
 	b.inFlight++
+	now := time.Now()
+	if b.inFlight >= b.warm(now) {
+		b.peak, b.peakAt = b.inFlight, now
+	}
+}
+
+// warm returns about how many connections this instance has to b: the most requests that were
+// in flight at once until those connections have been idle for too long. The caller holds the lock.
+func (b *Backend) warm(now time.Time) int {
+	if now.Sub(b.peakAt) > warmFor {
+		return b.inFlight
+	}
+	return b.peak
 }
 
 // End counts a request to b that has ended.
--- a/job/place.go
+++ b/job/place.go
@@ -14,6 +14,8 @@
 const (
 	// groupBonus keeps the items of a group together, so that their prompt is read once.
 	groupBonus = 0.25
+	// warmBonus prefers an engine to which a connection is free over a new connection.
+	warmBonus = 0.5
 	// farPenalty is the price of an engine in another data centre.
 	farPenalty = 0.05
 	// slowRatio is the pace, relative to the median, from which an engine gets fewer items than
@@ -167,6 +169,9 @@
 		if c.Zone != zone {
 			cost += farPenalty
 		}
+		if c.InFlight < c.Warm {
+			cost -= warmBonus
+		}
 		if c.Backend == mate {
 			cost -= groupBonus
 		}
--- a/job/registry.go
+++ b/job/registry.go
@@ -165,9 +165,9 @@
 	return err
 }
 
-// driverFor returns the instance that drives a new job. It is not this one, so that the loss of
-// one instance costs a client its connection or its job's progress, not both. A trainer's jobs
-// stay with one driver, which has connections to the engines, while it lives.
+// driverFor returns the instance that drives a new job. A trainer's jobs stay with one driver,
+// which has connections to the engines, while it lives. The first one is not this instance, so
+// that the loss of one instance rarely costs a client both its connection and its job's progress.
 func (g *Registry) driverFor(spec *Spec) machine.Ref {
 	var latest *Summary
 	g.index.View(func() {
@@ -177,7 +177,7 @@
 			}
 		}
 	})
-	if latest != nil && spec.Step >= 0 && latest.Driver != g.opts.Self && g.opts.Near(latest.Driver) {
+	if latest != nil && spec.Step >= 0 && (latest.Driver == g.opts.Self || g.opts.Near(latest.Driver)) {
 		return latest.Driver
 	}
 	return g.opts.Peer(spec.Host + "/" + spec.Model)
