--- a/instance/daemon.go
+++ b/instance/daemon.go
@@ -36,6 +36,9 @@
 		}, func() float64 { return float64(lines.Dropped()) }),
 	)
 	i := New(settings, logger, registry)
+	if err := i.Listen(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var tasks conc.WaitGroup
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -85,8 +85,10 @@
 	driver    *job.Driver
 	mover     *versions.Mover
 
-	server *http.Server
-	ready  *http.Server
+	clients   net.Listener
+	readiness net.Listener
+	server    *http.Server
+	ready     *http.Server
 }
 
 // New connects the parts of an instance.
@@ -210,17 +212,24 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Err }
 
-// Run runs the instance until ctx ends; Stop precedes a planned end.
-func (i *Instance) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryPart * i.settings.Limits.MemoryMB * (1 << 20)))
+// Listen opens the addresses of the clients and of the readiness questions.
+func (i *Instance) Listen() error {
 	clients, err := net.Listen("tcp", i.settings.Listen.Clients)
 	if err != nil {
 		return &ListenError{Addr: i.settings.Listen.Clients, Err: err}
 	}
 	ready, err := net.Listen("tcp", i.settings.Listen.Ready)
 	if err != nil {
+		_ = clients.Close()
 		return &ListenError{Addr: i.settings.Listen.Ready, Err: err}
 	}
+	i.clients, i.readiness = clients, ready
+	return nil
+}
+
+// Run runs the instance after Listen until ctx ends; Stop precedes a planned end.
+func (i *Instance) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryPart * i.settings.Limits.MemoryMB * (1 << 20)))
 	i.log.Info("instance started", "incarnation", i.self.Incarnation, "clients", i.settings.Listen.Clients, "store", i.settings.Store.Addr)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -230,8 +239,8 @@
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
-	tasks.Go(func() { i.serve(i.server, clients) })
-	tasks.Go(func() { i.serve(i.ready, ready) })
+	tasks.Go(func() { i.serve(i.server, i.clients) })
+	tasks.Go(func() { i.serve(i.ready, i.readiness) })
 	tasks.Go(func() { i.serveMetrics(ctx) })
 	<-ctx.Done()
 	_ = i.server.Close()
--- /dev/null
+++ b/job/place_test.go
@@ -0,0 +1,147 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/backends"
+)
+
+// directoryOf returns a directory with engines of a service "llm" in the data centre "a".
+func directoryOf(n, slots int, version int64) *backends.Directory {
+	dir := backends.New()
+	for i := range n {
+		dir.Put(backends.Entry{
+			ID: fmt.Sprintf("e%d", i), Service: "llm", Addr: fmt.Sprintf("127.0.0.1:%d", 1000+i), Zone: "a",
+			Slots: slots, Versions: map[string]int64{"m": version},
+		})
+	}
+	return dir
+}
+
+func wantFor(order int64) *want {
+	return &want{order: order, service: "llm", model: "m", minVersion: 1}
+}
+
+// Guards against sending more items to an engine than it runs at once while others are free.
+func TestBurstFillsAllEnginesToTheirSlots(t *testing.T) {
+	is := is.New(t)
+	dir := directoryOf(3, 4, 1)
+	p := newPlacer(dir, "a", 1)
+	perEngine := map[string]int{}
+	for i := range 12 {
+		b, err := p.acquire(context.Background(), wantFor(int64(i)))
+		is.NoErr(err)
+		perEngine[b.ID]++
+	}
+	is.Equal(perEngine, map[string]int{"e0": 4, "e1": 4, "e2": 4})
+}
+
+// Guards against a new step's items that overtake those of the step before while slots are short.
+func TestOlderStepIsServedFirst(t *testing.T) {
+	is := is.New(t)
+	dir := directoryOf(1, 1, 1)
+	p := newPlacer(dir, "a", 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	busy, err := p.acquire(ctx, wantFor(0))
+	is.NoErr(err)
+	placed := make(chan int64, 2)
+	for n, order := range []int64{9, 5} { // the younger one waits first
+		go func() {
+			b, err := p.acquire(ctx, wantFor(order))
+			if err == nil {
+				placed <- order
+				b.End()
+				p.pump()
+			}
+		}()
+		waitFor(t, func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.waiting) == n+1
+		})
+	}
+	busy.End()
+	p.pump()
+	is.Equal(<-placed, int64(5))
+	is.Equal(<-placed, int64(9))
+}
+
+// Guards against samples that are older than their bound.
+func TestEngineWithOldWeightsGetsNoItem(t *testing.T) {
+	is := is.New(t)
+	dir := directoryOf(2, 4, 3)
+	w := wantFor(0)
+	w.minVersion = 4
+	is.Equal(choose(dir.Candidates("llm", "m"), w, nil, "a", 1), -1)
+}
+
+// Guards against reading the prompt of a group at several engines.
+func TestItemsOfAGroupStayTogether(t *testing.T) {
+	is := is.New(t)
+	dir := directoryOf(3, 8, 1)
+	p := newPlacer(dir, "a", 1)
+	ids := map[string]bool{}
+	for i := range 4 {
+		w := wantFor(int64(i))
+		w.group = "g"
+		b, err := p.acquire(context.Background(), w)
+		is.NoErr(err)
+		ids[b.ID] = true
+	}
+	is.True(len(ids) <= 2)
+}
+
+// Guards against slots of a slow engine that hold back whole groups.
+func TestSlowEngineGetsFewItems(t *testing.T) {
+	is := is.New(t)
+	dir := directoryOf(4, 8, 1)
+	for i := range 4 {
+		b, _ := dir.Backend(fmt.Sprintf("e%d", i))
+		pace := 40 * time.Millisecond
+		if i == 0 {
+			pace *= 4
+		}
+		b.Paced(pace)
+	}
+	p := newPlacer(dir, "a", 1)
+	perEngine := map[string]int{}
+	for i := range 24 {
+		b, err := p.acquire(context.Background(), wantFor(int64(i)))
+		is.NoErr(err)
+		perEngine[b.ID]++
+	}
+	is.True(perEngine["e0"] <= 2)
+	slow, _ := dir.Backend("e0")
+	is.True(p.slow(slow))
+	fast, _ := dir.Backend("e1")
+	is.True(!p.slow(fast))
+}
+
+// Guards against new connections where one is free.
+func TestFreeConnectionIsPreferred(t *testing.T) {
+	is := is.New(t)
+	dir := directoryOf(2, 8, 1)
+	warm, _ := dir.Backend("e1")
+	warm.Begin()
+	warm.End()
+	list := dir.Candidates("llm", "m")
+	is.Equal(list[choose(list, wantFor(0), nil, "a", 1)].ID, "e1")
+}
+
+// waitFor fails the test unless f holds soon.
+func waitFor(t *testing.T, f func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !f() {
+		if time.Now().After(deadline) {
+			t.Fatal("condition does not come to hold")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/job/registry.go
+++ b/job/registry.go
@@ -100,8 +100,8 @@
 	return int(xxhash.Sum64String(string(id)) % uint64(len(g.shelfs)))
 }
 
-// summary returns what this instance knows of a job.
-func (g *Registry) summary(id ID) (Summary, bool) {
+// Summary returns what this instance knows of a job.
+func (g *Registry) Summary(id ID) (Summary, bool) {
 	var (
 		s  Summary
 		ok bool
@@ -116,13 +116,13 @@
 
 // find returns a job's summary, from the store if this instance does not know the job.
 func (g *Registry) find(ctx context.Context, id ID) (Summary, error) {
-	if s, ok := g.summary(id); ok {
+	if s, ok := g.Summary(id); ok {
 		return s, nil
 	}
 	if err := g.index.Sync(ctx); err != nil {
 		return Summary{}, &UnavailableError{Err: err}
 	}
-	if s, ok := g.summary(id); ok {
+	if s, ok := g.Summary(id); ok {
 		return s, nil
 	}
 	return Summary{}, &NotFoundError{Job: id}
@@ -132,7 +132,7 @@
 // store, also if it was accepted before. After *UnavailableError the job was not accepted and
 // will not be; after *UncertainError it may have been.
 func (g *Registry) Submit(ctx context.Context, spec *Spec) error {
-	if _, ok := g.summary(spec.ID); ok {
+	if _, ok := g.Summary(spec.ID); ok {
 		return nil
 	}
 	at := g.partitionOf(spec.ID)
@@ -256,7 +256,7 @@
 const storePatience = 800 * time.Millisecond
 
 func (g *Registry) latest(id ID, old Summary) (Summary, bool) {
-	if s, ok := g.summary(id); ok {
+	if s, ok := g.Summary(id); ok {
 		return s, true
 	}
 	return old, false
--- /dev/null
+++ b/versions/plan_test.go
@@ -0,0 +1,101 @@
+package versions
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/backends"
+)
+
+// engines returns candidates with the given versions of the models a and b.
+func engines(versions ...[2]int64) []backends.Candidate {
+	var list []backends.Candidate
+	for i, v := range versions {
+		list = append(list, backends.Candidate{
+			Backend:  &backends.Backend{ID: fmt.Sprintf("e%02d", i)},
+			Versions: map[string]int64{"a": v[0], "b": v[1]}, Slots: 4,
+		})
+	}
+	return list
+}
+
+var both = []string{"a", "b"}
+
+// Guards against a model that gets no loads because another one's come first, which left steps
+// without a usable engine.
+func TestStaleModelComesFirst(t *testing.T) {
+	is := is.New(t)
+	// Model a is due on engines that still serve; those of b serve no longer.
+	list := engines([2]int64{6, 3}, [2]int64{6, 3}, [2]int64{6, 3}, [2]int64{6, 3})
+	loads := due(list, both, map[string]int64{"a": 7, "b": 6})
+	is.True(len(loads) > 0)
+	is.Equal(loads[0].model, "b")
+	is.True(loads[0].stale)
+}
+
+// Guards against a new version that stops all engines of a model at once.
+func TestHalfOfTheEnginesKeepTheServingVersion(t *testing.T) {
+	is := is.New(t)
+	list := engines([2]int64{1, 1}, [2]int64{1, 1}, [2]int64{1, 1}, [2]int64{1, 1})
+	loads := due(list, both, map[string]int64{"a": 2})
+	is.Equal(len(loads), 2)
+	for _, l := range loads {
+		is.True(!l.stale)
+	}
+}
+
+// Guards against more loads for a version than an equal part of the engines.
+func TestLoadsOfAVersionAreAnEqualPart(t *testing.T) {
+	for _, size := range []int{9, 45} {
+		for models := 1; models <= 4; models++ {
+			t.Run(fmt.Sprintf("%d engines %d models", size, models), func(t *testing.T) {
+				is := is.New(t)
+				names := []string{"a", "b", "c", "d"}[:models]
+				var list []backends.Candidate
+				versions := make([]map[string]int64, size)
+				for i := range size {
+					versions[i] = map[string]int64{}
+					for _, m := range names {
+						versions[i][m] = 1
+					}
+					list = append(list, backends.Candidate{Backend: &backends.Backend{ID: fmt.Sprintf("e%02d", i)}, Versions: versions[i]})
+				}
+				for target := int64(2); target < 12; target++ {
+					targets := map[string]int64{}
+					for _, m := range names {
+						targets[m] = target
+					}
+					perModel := map[string]int{}
+					for _, l := range due(list, names, targets) {
+						perModel[l.model]++
+						l.engine.Versions[l.model] = target
+					}
+					for _, m := range names {
+						is.True(perModel[m] <= (size+models-1)/models) // free loads of the version
+						usable := 0
+						for _, v := range versions {
+							if v[m] >= target-1 {
+								usable++
+							}
+						}
+						is.True(usable >= size/models) // engines for the step that the version allows
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against models whose engines for the next step are the same, so that their steps compete.
+func TestFreshEnginesOfModelsDiffer(t *testing.T) {
+	is := is.New(t)
+	list := engines([2]int64{1, 1}, [2]int64{1, 1}, [2]int64{1, 1}, [2]int64{1, 1})
+	taken := map[string]string{}
+	for _, l := range due(list, both, map[string]int64{"a": 2, "b": 2}) {
+		is.Equal(taken[l.engine.ID], "")
+		taken[l.engine.ID] = l.model
+	}
+	is.Equal(len(taken), 4)
+}
