--- a/cli/root.go
+++ b/cli/root.go
@@ -110,6 +110,7 @@
 	root.AddCommand(
 		a.settingsCommand(), a.noteCommand(), a.serviceCommand(), a.samplerCommand(),
 		a.instanceCommand(), a.statusCommand(), a.drainCommand(), a.demoCommand(), a.platformCommand(), a.capacityCommand(), a.measureCommand(),
+		a.explainCommand(),
 	)
 	return root
 }
