Engines with a pace near the median are never slow

Cause: TestJobIsAcceptedOnce failed in 5 of 30 runs: with paces of microseconds, noise made an engine look slow, and a run moved behind its last event. Change: a slow engine's pace is at least 10 ms behind the median.

--- a/job/place.go
+++ b/job/place.go
@@ -21,6 +21,8 @@
 	// slowRatio is the pace, relative to the median, from which an engine gets fewer items than
 	// its slots, and from which its runs move to faster engines.
 	slowRatio = 1.8
+	// slowLead is the least difference of a slow engine's pace to the median: less is noise.
+	slowLead = 10 * time.Millisecond
 	// pumpPeriod bounds how long a waiting item misses the end of an engine's avoidance.
 	pumpPeriod = 50 * time.Millisecond
 )
@@ -159,7 +161,7 @@
 		}
 		slots := max(1, float64(c.Slots)*share)
 		relative := 1.0
-		if typical > 0 && c.Pace > time.Duration(slowRatio*float64(typical)) {
+		if isSlow(c.Pace, typical) {
 			relative = float64(c.Pace) / float64(typical)
 		}
 		if float64(c.InFlight)+1 > max(1, slots/relative) {
@@ -197,13 +199,18 @@
 	return paces[(len(paces)-1)/2]
 }
 
+// isSlow reports whether a pace is far behind the median; nothing is slow while that is unknown.
+func isSlow(pace, typical time.Duration) bool {
+	return typical > 0 && pace > typical+slowLead && pace > time.Duration(slowRatio*float64(typical))
+}
+
 // slow reports whether an engine's pace is far behind the median of its service.
 func (p *placer) slow(b *backends.Backend) bool {
 	list := p.dir.Candidates(b.Service, "")
 	typical := typicalPace(list)
 	for _, c := range list {
 		if c.Backend == b {
-			return typical > 0 && c.Pace > time.Duration(slowRatio*float64(typical))
+			return isSlow(c.Pace, typical)
 		}
 	}
 	return false
@@ -217,7 +224,7 @@
 		if c.Backend == than || c.Avoid || c.Versions[model] < minVersion || float64(c.InFlight) >= float64(c.Slots)*p.share {
 			continue
 		}
-		if c.Pace > 0 && c.Pace <= time.Duration(slowRatio*float64(typical)) {
+		if c.Pace > 0 && !isSlow(c.Pace, typical) {
 			return true
 		}
 	}
