Store calls go through a peer while the store does not answer this instance

Cause: an instance that the store turns away stands still for as long as that lasts; its jobs are taken over after two seconds and what it had not listed runs again. Change: relay, over link: a call that was not done goes through the nearest living instance, an append with an unknown outcome is read back first. Conditions make repeats harmless.

--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -83,7 +83,7 @@
 	c.t.Helper()
 	s := &Settings{
 		Instance: InstanceSettings{ID: id, Region: "r", DataCentre: "a"},
-		Listen:   ListenSettings{Clients: "127.0.0.1:0", Ready: "127.0.0.1:0"},
+		Listen:   ListenSettings{Clients: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
 		Store:    StoreSettings{Addr: c.store.Addr(), Partitions: 2, WritesPerS: 4000, ReadsPerS: 8000},
 		Jobs:     JobSettings{RetentionS: 120, SlotShare: 1},
 		Limits:   LimitSettings{MemoryMB: 1000},
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -24,12 +24,15 @@
 	"github.com/cicadasill/cicadasill/duty"
 	"github.com/cicadasill/cicadasill/forward"
 	"github.com/cicadasill/cicadasill/job"
+	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform/hosted"
 	"github.com/cicadasill/cicadasill/presence"
+	"github.com/cicadasill/cicadasill/relay"
 	"github.com/cicadasill/cicadasill/routes"
 	"github.com/cicadasill/cicadasill/timing"
 	"github.com/cicadasill/cicadasill/versions"
+	"github.com/cicadasill/cicadasill/zone"
 )
 
 // Periods of an instance.
@@ -48,6 +51,8 @@
 	storePart = 0.25
 	// memoryPart is the part of the memory limit that the runtime's heap keeps to.
 	memoryPart = 0.6
+	// peerIdleTimeout closes connections to peers that have carried nothing.
+	peerIdleTimeout = 10 * time.Second
 	// ordersDuty is the right to give orders to engines.
 	ordersDuty = "orders"
 )
@@ -75,7 +80,8 @@
 	mu      sync.Mutex // guards targets
 	targets map[string]int64
 
-	store     *hosted.Store
+	store     *relay.Log
+	node      *link.Node
 	operators *changelog.Replica
 	entries   *changelog.Replica
 	directory *backends.Directory
@@ -87,6 +93,7 @@
 
 	clients   net.Listener
 	readiness net.Listener
+	peers     net.Listener
 	server    *http.Server
 	ready     *http.Server
 }
@@ -98,19 +105,34 @@
 		self:      machine.Ref{ID: s.Instance.ID, Incarnation: uint64(time.Now().UnixNano())},
 		directory: backends.New(),
 	}
-	i.store = hosted.NewStore(hosted.StoreOptions{
+	return i
+}
+
+// connect builds the parts once the address of this instance is known.
+func (i *Instance) connect() {
+	s, logger := i.settings, i.log
+	self := machine.Instance{
+		ID: i.self.ID, Incarnation: i.self.Incarnation, PeerAddr: i.peers.Addr().String(),
+		Zone: zone.Zone{Region: s.Instance.Region, DataCentre: s.Instance.DataCentre},
+	}
+	direct := hosted.NewStore(hosted.StoreOptions{
 		Addr: s.Store.Addr, WritesPerS: storePart * s.Store.WritesPerS, ReadsPerS: storePart * s.Store.ReadsPerS,
 	})
+	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout})
+	i.node.Handle(relay.Method, relay.Handler(direct))
+	i.store = relay.New(relay.Options{
+		Direct: direct, Caller: i.node, Logger: logger, Registerer: i.registry,
+		Peers: func() []machine.Instance { return i.present.Peers() },
+	})
 	i.operators = changelog.NewReplica(i.store, hosted.OperatorPartition, &hosted.Operator{
 		Logger: logger, OnConfig: i.takeConfig, OnVersion: i.takeVersion,
 	})
 	i.entries = changelog.NewReplica(i.store, hosted.EntryPartition, &hosted.Entries{
 		Logger: logger, Backends: i.directory,
 	})
-	i.present = presence.New(i.self, s.Instance.DataCentre, i.store, logger)
+	i.present = presence.New(self, i.store, logger)
 	i.orders = duty.New(ordersDuty, i.self, i.store, i.present, logger)
 	i.buildWork()
-	return i
 }
 
 // buildWork connects what serves clients and engines.
@@ -212,7 +234,7 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Err }
 
-// Listen opens the addresses of the clients and of the readiness questions.
+// Listen opens the addresses of the clients, the readiness questions and the peers.
 func (i *Instance) Listen() error {
 	clients, err := net.Listen("tcp", i.settings.Listen.Clients)
 	if err != nil {
@@ -223,7 +245,14 @@
 		_ = clients.Close()
 		return &ListenError{Addr: i.settings.Listen.Ready, Err: err}
 	}
-	i.clients, i.readiness = clients, ready
+	peers, err := net.Listen("tcp", i.settings.Listen.Peers)
+	if err != nil {
+		_ = clients.Close()
+		_ = ready.Close()
+		return &ListenError{Addr: i.settings.Listen.Peers, Err: err}
+	}
+	i.clients, i.readiness, i.peers = clients, ready, peers
+	i.connect()
 	return nil
 }
 
@@ -242,6 +271,11 @@
 	tasks.Go(func() { i.serve(i.server, i.clients) })
 	tasks.Go(func() { i.serve(i.ready, i.readiness) })
 	tasks.Go(func() { i.serveMetrics(ctx) })
+	tasks.Go(func() {
+		if err := i.node.Serve(ctx, i.peers); err != nil {
+			i.log.Error("peers not served", "err", err)
+		}
+	})
 	<-ctx.Done()
 	_ = i.server.Close()
 	_ = i.ready.Close()
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -33,6 +33,8 @@
 	Clients string `json:"clients" validate:"required,hostname_port"`
 	// Ready answers whether the instance takes new connections.
 	Ready string `json:"ready" validate:"required,hostname_port"`
+	// Peers serves the other instances.
+	Peers string `json:"peers" validate:"required,hostname_port"`
 	// Metrics serves counters and histograms.
 	Metrics string `json:"metrics" validate:"omitempty,hostname_port"`
 }
--- a/link/account.go
+++ b/link/account.go
@@ -22,6 +22,7 @@
 	CauseWeights Cause = "weights"
 	CauseKV      Cause = "kv"
 	CauseClaim   Cause = "claim"
+	CauseStore   Cause = "store"
 	Overhead     Cause = "overhead"
 	// causeOther stands for causes that a peer names and this version does not know; it bounds
 	// the number of metric labels.
@@ -30,7 +31,7 @@
 
 func knownCause(c Cause) Cause {
 	switch c {
-	case CauseProbe, CauseFeed, CauseForward, CauseRollout, CauseWeights, CauseKV, CauseClaim, Overhead:
+	case CauseProbe, CauseFeed, CauseForward, CauseRollout, CauseWeights, CauseKV, CauseClaim, CauseStore, Overhead:
 		return c
 	}
 	return causeOther
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/timing"
+	"github.com/cicadasill/cicadasill/zone"
 )
 
 const topic = "instances"
@@ -52,6 +54,9 @@
 	Stopping bool `cbor:"5,keyasint"`
 	// Period is the time until the next record.
 	Period time.Duration `cbor:"6,keyasint"`
+	// Region and PeerAddr tell other instances where to reach this one.
+	Region   string `cbor:"7,keyasint"`
+	PeerAddr string `cbor:"8,keyasint"`
 }
 
 // seen is an instance's newest record with the time at which it arrived here.
@@ -68,6 +73,7 @@
 // Table is this instance's view of all instances.
 type Table struct {
 	self       machine.Ref
+	instance   machine.Instance
 	dataCentre string
 	log        *log.Logger
 	store      changelog.Log
@@ -83,9 +89,9 @@
 }
 
 // New returns a table that has read nothing yet.
-func New(self machine.Ref, dataCentre string, store changelog.Log, logger *log.Logger) *Table {
+func New(self machine.Instance, store changelog.Log, logger *log.Logger) *Table {
 	t := &Table{
-		self: self, dataCentre: dataCentre, log: logger, store: store,
+		self: self.Ref(), instance: self, dataCentre: self.Zone.DataCentre, log: logger, store: store,
 		byID: map[string]seen{}, outageAt: time.Now(),
 	}
 	t.replica = changelog.NewReplica(store, changelog.Partition{Topic: topic}, t)
@@ -115,6 +121,7 @@
 	r := record{
 		Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Leaving: t.leaving, Stopping: t.stopping,
 		Sequence: t.sequence, Period: period,
+		Region: t.instance.Zone.Region, PeerAddr: t.instance.PeerAddr,
 	}
 	t.mu.Unlock()
 	data, err := cbor.Marshal(r)
@@ -237,6 +244,30 @@
 	return best
 }
 
+// Peers returns the other living instances, the nearest first.
+func (t *Table) Peers() []machine.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var peers []machine.Instance
+	for id, s := range t.byID {
+		if id == t.self.ID || s.Leaving || s.PeerAddr == "" || s.silentFor(deadPeriods) {
+			continue
+		}
+		peers = append(peers, machine.Instance{
+			ID: id, Incarnation: s.Incarnation, PeerAddr: s.PeerAddr,
+			Zone: zone.Zone{Region: s.Region, DataCentre: s.DataCentre},
+		})
+	}
+	slices.SortFunc(peers, func(a, b machine.Instance) int {
+		own := t.instance.Zone
+		return cmp.Or(
+			cmp.Compare(own.DistanceTo(a.Zone), own.DistanceTo(b.Zone)),
+			cmp.Compare(xxhash.Sum64String(t.self.ID+"/"+a.ID), xxhash.Sum64String(t.self.ID+"/"+b.ID)),
+		)
+	})
+	return peers
+}
+
 // Near reports whether an instance lives, takes work and is in the data centre of this one.
 func (t *Table) Near(ref machine.Ref) bool {
 	t.mu.Lock()
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/changelog"
+	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/telemetry"
+)
+
+var partition = changelog.Partition{Topic: "t"}
+
+// fakeStore answers every call in the same way and counts the calls.
+type fakeStore struct {
+	err   error
+	calls int
+}
+
+func (f *fakeStore) Append(context.Context, changelog.Partition, []changelog.Record, int64) (int64, error) {
+	f.calls++
+	return 7, f.err
+}
+
+func (f *fakeStore) Read(context.Context, changelog.Partition, int64, time.Duration) (changelog.Batch, error) {
+	f.calls++
+	return changelog.Batch{End: 7, Records: []changelog.Record{{Offset: 6, Key: "k", Value: []byte("v")}}}, f.err
+}
+
+func (f *fakeStore) Newest(context.Context, changelog.Partition, string) (changelog.Page, error) {
+	f.calls++
+	return changelog.Page{End: 7, More: true}, f.err
+}
+
+// peerCaller hands exchanges to the handler of one peer.
+type peerCaller struct {
+	handler link.Handler
+	err     error
+}
+
+func (p peerCaller) Call(ctx context.Context, _ machine.Instance, _ link.Cause, _ string, payload []byte) ([]byte, error) {
+	if p.err != nil {
+		return nil, p.err
+	}
+	return p.handler(ctx, payload)
+}
+
+func newLog(direct, peer *fakeStore, callErr error) *Log {
+	return New(Options{
+		Direct: direct, Caller: peerCaller{handler: Handler(peer), err: callErr},
+		Peers:  func() []machine.Instance { return []machine.Instance{{ID: "peer"}} },
+		Logger: telemetry.Discard(),
+	})
+}
+
+var (
+	errRefused = &changelog.NotDoneError{Call: "append", Err: errors.New("busy")}
+	errSilent  = &changelog.UnknownError{Call: "append", Err: errors.New("no answer")}
+)
+
+// Guards against an instance that stands still because the store turns it away.
+func TestCallsGoThroughAPeer(t *testing.T) {
+	is := is.New(t)
+	direct, peer := &fakeStore{err: errRefused}, &fakeStore{}
+	l := newLog(direct, peer, nil)
+	for range 3 {
+		end, err := l.Append(context.Background(), partition, []changelog.Record{{Key: "k"}}, 6)
+		is.NoErr(err)
+		is.Equal(end, int64(7))
+	}
+	batch, err := l.Read(context.Background(), partition, 6, 0)
+	is.NoErr(err)
+	is.Equal(batch.Records, []changelog.Record{{Offset: 6, Key: "k", Value: []byte("v")}})
+	page, err := l.Newest(context.Background(), partition, "")
+	is.NoErr(err)
+	is.True(page.More)
+	is.Equal(direct.calls, 1) // the store is left alone for a while
+	is.Equal(peer.calls, 5)
+}
+
+// Guards against repeating an append through a peer whose outcome is unknown: it must be read back.
+func TestUnknownOutcomeIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	direct, peer := &fakeStore{err: errSilent}, &fakeStore{}
+	l := newLog(direct, peer, nil)
+	_, err := l.Append(context.Background(), partition, nil, 6)
+	var unknown *changelog.UnknownError
+	is.True(errors.As(err, &unknown))
+	is.Equal(peer.calls, 0)
+	_, err = l.Read(context.Background(), partition, 6, 0)
+	is.NoErr(err)
+	is.Equal(peer.calls, 1)
+}
+
+// Guards against an exchange with a peer that breaks off and is taken for one that did nothing.
+func TestBrokenExchangeIsUnknown(t *testing.T) {
+	for code, wantUnknown := range map[link.Code]bool{link.NotSent: false, link.Unknown: true} {
+		t.Run(string(code), func(t *testing.T) {
+			is := is.New(t)
+			l := newLog(&fakeStore{err: errRefused}, &fakeStore{}, &link.Error{Code: code})
+			_, err := l.Append(context.Background(), partition, nil, 6)
+			var unknown *changelog.UnknownError
+			is.Equal(errors.As(err, &unknown), wantUnknown)
+		})
+	}
+}
+
+// Guards against errors that lose their meaning on the way through a peer.
+func TestAnswersOfTheStoreKeepTheirMeaning(t *testing.T) {
+	is := is.New(t)
+	conflictErr := &changelog.ConflictError{Partition: partition, End: 9}
+	l := newLog(&fakeStore{err: errRefused}, &fakeStore{err: conflictErr}, nil)
+	_, err := l.Append(context.Background(), partition, nil, 6)
+	var c *changelog.ConflictError
+	is.True(errors.As(err, &c))
+	is.Equal(c.End, int64(9))
+	trimmedErr := &changelog.TrimmedError{Partition: partition, First: 5}
+	l = newLog(&fakeStore{err: errRefused}, &fakeStore{err: trimmedErr}, nil)
+	_, err = l.Read(context.Background(), partition, 6, 0)
+	var tr *changelog.TrimmedError
+	is.True(errors.As(err, &tr))
+	is.Equal(tr.First, int64(5))
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -26,7 +26,7 @@
 
 const settingsText = `{
   "instance": {"id": %q, "region": "r", "data_centre": "a"},
-  "listen": {"clients": %q, "ready": %q},
+  "listen": {"clients": %q, "ready": %q, "peers": %q},
   "store": {"addr": %q, "partitions": 4, "writes_per_s": 4000, "reads_per_s": 8000},
   "jobs": {"retention_s": 300, "slot_share": 1},
   "limits": {"memory_mb": 300},
@@ -183,8 +183,12 @@
 	if err != nil {
 		return nil, err
 	}
+	peers, err := freeAddr()
+	if err != nil {
+		return nil, err
+	}
 	path := filepath.Join(f.dir, id+".jsonc")
-	text := fmt.Sprintf(settingsText, id, addr, ready, store.addr())
+	text := fmt.Sprintf(settingsText, id, addr, ready, peers, store.addr())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
