--- a/instance/instance.go
+++ b/instance/instance.go
@@ -119,11 +119,11 @@
 		Addr: s.Store.Addr, WritesPerS: storePart * s.Store.WritesPerS, ReadsPerS: storePart * s.Store.ReadsPerS,
 	})
 	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout})
-	i.node.Handle(relay.Method, relay.Handler(direct))
 	i.store = relay.New(relay.Options{
 		Direct: direct, Caller: i.node, Logger: logger, Registerer: i.registry,
 		Peers: func() []machine.Instance { return i.present.Peers() },
 	})
+	i.node.Handle(relay.Method, i.store.Handle)
 	i.operators = changelog.NewReplica(i.store, hosted.OperatorPartition, &hosted.Operator{
 		Logger: logger, OnConfig: i.takeConfig, OnVersion: i.takeVersion,
 	})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,7 +27,7 @@
 	// directPause is how long the store is not asked directly after it has failed to answer.
 	directPause = 1500 * time.Millisecond
 	// peerPause is how long a peer is not asked after it has failed.
-	peerPause = 2 * time.Second
+	peerPause = 500 * time.Millisecond
 	// callTimeout bounds a call through a peer besides its wait for records.
 	callTimeout = 1200 * time.Millisecond
 	// maxPeers bounds the peers that are asked for one call: if two do not reach the store, it is down.
@@ -133,24 +133,17 @@
 	return changelog.Page{Records: r.Records, End: r.End, More: r.More}, err
 }
 
-// call asks the store directly unless that has just failed, and then through peers.
+// call asks the store directly. While that fails it asks through peers first, and directly again
+// if none of them reaches the store.
 func (l *Log) call(ctx context.Context, r *request) (response, error) {
-	directErr := error(&changelog.NotDoneError{Call: r.Op, Err: errPaused})
-	if l.mayAskDirectly() {
-		answer, err := perform(ctx, l.opts.Direct, r)
-		if err == nil || answered(err) {
-			l.noteDirect(true)
-			return answer, err
-		}
-		if ctx.Err() != nil {
+	direct := l.mayAskDirectly()
+	if direct {
+		answer, err := l.askDirectly(ctx, r)
+		if final(r, err) || ctx.Err() != nil {
 			return answer, err
 		}
-		l.noteDirect(false)
-		directErr = err
-		if r.Op == opAppend && !isNotDone(err) {
-			return answer, err // the outcome must be read back before the next attempt
-		}
 	}
+	lastErr := error(&changelog.NotDoneError{Call: r.Op, Err: errPaused})
 	for _, peer := range l.peersToAsk() {
 		answer, err := l.ask(ctx, peer, r)
 		if err == nil || answered(err) {
@@ -159,12 +152,30 @@
 		}
 		l.notePeer(peer)
 		l.relayed.WithLabelValues("failed").Inc()
-		directErr = err
-		if r.Op == opAppend && !isNotDone(err) {
+		if final(r, err) || ctx.Err() != nil {
 			return answer, err
 		}
+		lastErr = err
+	}
+	if direct {
+		return response{}, lastErr
+	}
+	return l.askDirectly(ctx, r)
+}
+
+// askDirectly performs a call and notes whether the store has answered.
+func (l *Log) askDirectly(ctx context.Context, r *request) (response, error) {
+	answer, err := perform(ctx, l.opts.Direct, r)
+	if err == nil || answered(err) || ctx.Err() == nil {
+		l.noteDirect(err == nil || answered(err))
 	}
-	return response{}, directErr
+	return answer, err
+}
+
+// final reports whether a call must not be repeated elsewhere: it was answered, or it is an append
+// whose outcome must be read back first.
+func final(r *request, err error) bool {
+	return err == nil || answered(err) || (r.Op == opAppend && !isNotDone(err))
 }
 
 // errPaused is the cause while the store is not asked directly and no peer reaches it.
@@ -267,17 +278,28 @@
 	}
 }
 
-// Handler returns the handler of Method: it performs calls of peers on the store.
-func Handler(direct changelog.Log) link.Handler {
-	return func(ctx context.Context, payload []byte) ([]byte, error) {
-		var r request
-		if err := cbor.Unmarshal(payload, &r); err != nil {
-			return nil, fmt.Errorf("relayed call: %w", err)
-		}
-		answer, err := perform(ctx, direct, &r)
-		answer.describe(err)
-		return cbor.Marshal(answer)
+// Handle is the handler of Method: it performs calls of peers on the store. It refuses them at
+// once while the store does not answer this instance either.
+func (l *Log) Handle(ctx context.Context, payload []byte) ([]byte, error) {
+	var r request
+	if err := cbor.Unmarshal(payload, &r); err != nil {
+		return nil, fmt.Errorf("relayed call: %w", err)
+	}
+	if !l.answers() {
+		var refusal response
+		refusal.describe(&changelog.NotDoneError{Call: r.Op, Err: errPaused})
+		return cbor.Marshal(refusal)
 	}
+	answer, err := l.askDirectly(ctx, &r)
+	answer.describe(err)
+	return cbor.Marshal(answer)
+}
+
+// answers reports whether the store has answered the latest direct call.
+func (l *Log) answers() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.until.IsZero()
 }
 
 // describe sets the outcome for an error.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -51,8 +51,9 @@
 }
 
 func newLog(direct, peer *fakeStore, callErr error) *Log {
+	remote := New(Options{Direct: peer, Peers: func() []machine.Instance { return nil }, Logger: telemetry.Discard()})
 	return New(Options{
-		Direct: direct, Caller: peerCaller{handler: Handler(peer), err: callErr},
+		Direct: direct, Caller: peerCaller{handler: remote.Handle, err: callErr},
 		Peers:  func() []machine.Instance { return []machine.Instance{{ID: "peer"}} },
 		Logger: telemetry.Discard(),
 	})
@@ -126,3 +127,17 @@
 	is.True(errors.As(err, &tr))
 	is.Equal(tr.First, int64(5))
 }
+
+// Guards against calls that wait for peers, or for a pause, when the store returns after an outage
+// of which all instances know.
+func TestStoreIsAskedAgainWhenNoPeerReachesIt(t *testing.T) {
+	is := is.New(t)
+	direct, peer := &fakeStore{err: errRefused}, &fakeStore{err: errRefused}
+	l := newLog(direct, peer, nil)
+	_, err := l.Read(context.Background(), partition, 6, 0)
+	is.True(err != nil)
+	direct.err = nil
+	_, err = l.Read(context.Background(), partition, 6, 0)
+	is.NoErr(err)
+	is.Equal(peer.calls, 1) // a peer that knows of the outage refuses at once
+}
