--- a/backends/backends.go
+++ b/backends/backends.go
@@ -97,6 +97,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	b := d.byID[e.ID]
+	if b != nil && e.Born < b.Born {
+		return false // a late record of an earlier start
+	}
 	if b == nil || b.Born != e.Born || b.Addr != e.Addr || b.Service != e.Service {
 		d.byID[e.ID] = &Backend{
 			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, Born: e.Born,
