platform/ holds the users' platform only; the product's own clients move to standalone/

What speaks to the users' platform stays in one folder. The interfaces and clients of the product's own deployments are unchanged but for their paths.

--- a/capacity/boot.go
+++ b/capacity/boot.go
@@ -10,8 +10,8 @@
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/entry"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
 	"github.com/cicadasill/cicadasill/standin/list"
 	"github.com/cicadasill/cicadasill/standin/logserver"
 )
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/claim"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 const seed = 11
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -14,7 +14,7 @@
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/membership"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // askMethod is the exchange by which an instance asks the claimer of a key.
--- a/claim/fakes_test.go
+++ b/claim/fakes_test.go
@@ -17,7 +17,7 @@
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/link/faultnet"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/claim/load.go
+++ b/claim/load.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 const (
--- a/claim/read.go
+++ b/claim/read.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // readToEnd folds all records that the stream holds now.
--- a/claim/stream.go
+++ b/claim/stream.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // stream is one claim stream at an instance that uses it. Claims.mu guards its fields.
--- a/cli/platform.go
+++ b/cli/platform.go
@@ -6,8 +6,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/settings"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin/list"
 	"github.com/cicadasill/cicadasill/standin/logserver"
 )
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/zone"
 )
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -15,8 +15,8 @@
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 func apply(t *testing.T, s *control.State, records ...control.Record) *control.State {
--- a/control/state.go
+++ b/control/state.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cicadasill/cicadasill/lease"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // State is the immutable fold of the control stream up to Offset. It depends only on the
--- a/demo/backends.go
+++ b/demo/backends.go
@@ -6,7 +6,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin/engine"
 	"github.com/cicadasill/cicadasill/standin/list"
 	"github.com/cicadasill/cicadasill/standin/logserver"
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -12,7 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin/engine"
 	"github.com/cicadasill/cicadasill/standin/plain"
 	"github.com/cicadasill/cicadasill/timing"
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -15,8 +15,8 @@
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/jsonc"
 	"github.com/cicadasill/cicadasill/operator"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // maxNoteBytes bounds a release note.
--- a/entry/build.go
+++ b/entry/build.go
@@ -17,9 +17,9 @@
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/membership"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
 	"github.com/cicadasill/cicadasill/rollout"
 	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
 	"github.com/cicadasill/cicadasill/weights"
 )
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/operator"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Guards against a doubled run when callers send the same key to several instances at once,
--- a/entry/list.go
+++ b/entry/list.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // listPeriod is how often the instance list is read. The list lags by itself; what must be
--- a/feed/apply.go
+++ b/feed/apply.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"github.com/cicadasill/cicadasill/control"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // chained is one applied record with the chain hash after it.
--- a/feed/boot.go
+++ b/feed/boot.go
@@ -14,7 +14,7 @@
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/link/wire"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -16,8 +16,8 @@
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Feed is an instance's view of the control stream.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -19,8 +19,8 @@
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/link/wire"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/release"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/feed/feedsim/log.go
+++ b/feed/feedsim/log.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 type stream struct {
--- a/feed/logread.go
+++ b/feed/logread.go
@@ -7,7 +7,7 @@
 
 	"github.com/cicadasill/cicadasill/control"
 	"github.com/cicadasill/cicadasill/membership"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
--- a/feed/push.go
+++ b/feed/push.go
@@ -9,7 +9,7 @@
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/link/wire"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Methods of the exchanges between feeds.
--- a/gateway/claims.go
+++ b/gateway/claims.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/claim"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Ticket is the right to dispatch a request once, as *claim.Ticket gives it.
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -16,8 +16,8 @@
 	"github.com/cicadasill/cicadasill/health"
 	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Headers of the callers' interface.
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/limit"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Code is the type of an error given to a caller.
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -10,7 +10,7 @@
 	claims "github.com/cicadasill/cicadasill/claim"
 	"github.com/cicadasill/cicadasill/gateway"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin"
 )
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/contract"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Engine priorities.
--- a/gateway/measure/backend.go
+++ b/gateway/measure/backend.go
@@ -12,8 +12,8 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 
-	"github.com/cicadasill/cicadasill/platform"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // server is an HTTP server on a loopback port.
--- a/gateway/measure/speed.go
+++ b/gateway/measure/speed.go
@@ -14,7 +14,7 @@
 
 	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
 )
 
 // Target is where a Speed sends its requests.
--- a/gateway/measure/wakeup.go
+++ b/gateway/measure/wakeup.go
@@ -17,7 +17,7 @@
 
 	"github.com/cicadasill/cicadasill/gateway"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // WakeupConfig is the load after a power cut: all callers come back at once and repeat
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -11,8 +11,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/routing"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // result is the end of one attempt.
--- a/gateway/standin_test.go
+++ b/gateway/standin_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/gateway"
-	"github.com/cicadasill/cicadasill/platform"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin/engine"
 	"github.com/cicadasill/cicadasill/standin/plain"
 )
--- a/health/backend.go
+++ b/health/backend.go
@@ -8,7 +8,7 @@
 
 	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Estimates before the first observation.
--- a/health/doc.go
+++ b/health/doc.go
@@ -12,7 +12,7 @@
 
 	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 	"github.com/cicadasill/cicadasill/zone"
 )
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/cicadasill/cicadasill/health"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // engines answers polls; a nil report makes them fail.
--- a/health/observe.go
+++ b/health/observe.go
@@ -5,7 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // notSentWeight counts a request that could not be sent as more than one failure: a back
--- a/health/poll.go
+++ b/health/poll.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
--- a/health/tracker.go
+++ b/health/tracker.go
@@ -12,7 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Tracker observes the back ends of an instance's catalog.
--- a/lease/campaign.go
+++ b/lease/campaign.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 const (
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 const ttl = 10 * time.Second
--- a/membership/fabric_test.go
+++ b/membership/fabric_test.go
@@ -15,7 +15,7 @@
 	"github.com/cicadasill/cicadasill/link/faultnet"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/membership"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/zone"
 )
 
--- a/membership/members.go
+++ b/membership/members.go
@@ -12,7 +12,7 @@
 
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // View is what other packages see of the membership.
--- a/membership/run.go
+++ b/membership/run.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // entryKind is the kind of entry instances in the instance list.
--- a/rollout/attempt.go
+++ b/rollout/attempt.go
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // attempt is one generation of a sample on one engine. Fields below mu are guarded by the step's mutex.
--- a/rollout/compare/run.go
+++ b/rollout/compare/run.go
@@ -9,9 +9,9 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/contract"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/rollout"
 	"github.com/cicadasill/cicadasill/rollout/enginesim"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Variant is a set of mechanisms.
--- a/rollout/compare/workload.go
+++ b/rollout/compare/workload.go
@@ -7,9 +7,9 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/rollout"
 	"github.com/cicadasill/cicadasill/rollout/enginesim"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/zone"
 )
 
--- a/rollout/enginesim/order.go
+++ b/rollout/enginesim/order.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // SetStore makes the weight store unavailable or slow.
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -10,7 +10,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
--- a/rollout/plainscorer_test.go
+++ b/rollout/plainscorer_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
 	"github.com/cicadasill/cicadasill/rollout"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
 	"github.com/cicadasill/cicadasill/standin/plain"
 )
 
--- a/rollout/score.go
+++ b/rollout/score.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/cicadasill/cicadasill/contract"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
--- a/rollout/scorer_test.go
+++ b/rollout/scorer_test.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 
 	"github.com/cicadasill/cicadasill/contract"
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/rollout"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // flakyScorer loses its first answers, then scores a sample with its length.
--- a/rollout/tail_test.go
+++ b/rollout/tail_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/rollout"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Guards against a step that waits for an engine that went silent with open streams.
--- a/routing/compare/engine.go
+++ b/routing/compare/engine.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // engine is a model of an engine: slots, a queue, a least-recently-used prefix cache and
--- a/routing/hints.go
+++ b/routing/hints.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/health"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // holdersPerPrefix bounds the back ends remembered for a prefix.
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -7,7 +7,7 @@
 
 	"github.com/cicadasill/cicadasill/health"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // prefillUnits is the fixed part of an engine request's work in tokens. It makes the
--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -41,7 +41,7 @@
 check P1 rollout/sample.go 's/p\.ranges\[n-1\]\.Version == version/true/' rollout TestAttributionThroughSwapAndResume
 check P2 rollout/take.go 's/lag > svc\.Rollout\.MaxVersionLag/lag > svc.Rollout.MaxVersionLag+1000/; s/lag <= softLag\(svc\.Rollout\)/lag <= softLag(svc.Rollout)+1000/' rollout TestAgeBoundAtHandOver
 check P3 rollout/take.go 's/if have\.Get\(s\.position\) \{\n\t\t\tcontinue/if false {\n\t\t\tcontinue/' rollout 'TestTrainerRestartsWithOlderBitmap|TestTwoOwners|TestAnySequenceDeliversExactlyOnce'
-check P4 platform/httpplatform/exchange.go 's/got != in\.requestID/false/' gateway TestPlainFaultsOverHTTP
+check P4 standalone/httpplatform/exchange.go 's/got != in\.requestID/false/' gateway TestPlainFaultsOverHTTP
 check P5 entry/ready.go 's/outcome = gateway\.Unknown/outcome = gateway.NotRun/' entry TestInstanceWithoutStateRefuses
 check P6 claim/fold.go 's/if offset > f\.next \{/if offset > f.next+1000 {/' claim 'TestConcurrentBeginsRunOnce|TestAtMostOnceUnderFaults'
 check P7 health/backend.go 's/b\.pollLeaving \|\| b\.listLeaving \|\| /b.pollLeaving || /' entry TestListedLeavingBackendGetsNoWork
--- a/soak/checks.go
+++ b/soak/checks.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cicadasill/cicadasill/platform/hosted"
 )
 
 // result is a listed result as a client sees it.
@@ -157,7 +159,7 @@
 
 // read reads a job's results from the start and checks them against what was read before.
 func (c *client) read(s *submitted, addr string) {
-	status, body := c.call(addr, http.MethodGet, "/api/lots/"+s.id+"?after=0", "read", nil)
+	status, body := c.call(addr, http.MethodGet, hosted.ResultsPath+s.id+"?after=0", "read", nil)
 	if status != http.StatusOK {
 		return
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -130,7 +130,7 @@
 
 func newFleet(dir, binary string, instances, engines int) (*fleet, error) {
 	f := &fleet{dir: dir, store: hostedtest.NewStore()}
-	f.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, 1))
+	f.store.PutConfig(fmt.Appendf(nil, configuration, 1))
 	for i := range engines {
 		e := hostedtest.NewEngine(fmt.Sprintf("engine-%d", i), "llm", "a", "m")
 		e.EventGap = 15 * time.Millisecond
@@ -166,7 +166,7 @@
 // beat writes the entries of the back ends, with the addresses of their proxies.
 func (f *fleet) beat() {
 	for i, e := range f.backends() {
-		f.store.Put("keyed.servers", e.ID, e.EntryAt("ready", f.links[i].addr()))
+		f.store.PutEntry(e.ID, e.EntryAt("ready", f.links[i].addr()))
 	}
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -76,7 +76,7 @@
 	work.Go(func() { runRequests(f, seen, opts.Seed, faultsOver) })
 	work.Go(func() {
 		every(faultsOver, 3*time.Second, func() {
-			f.store.Put("keyed.op", "version/m", fmt.Appendf(nil, `{"model":"m","version":%d}`, version.Add(1)))
+			f.store.PutVersion("m", version.Add(1))
 		})
 	})
 	injectFaults(f, seen, opts)
--- a/platform/httpplatform/conn_test.go
+++ b/standalone/httpplatform/conn_test.go
@@ -15,8 +15,8 @@
 	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/cicadasill/cicadasill/platform"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin/plain"
 )
 
--- a/platform/httpplatform/engine.go
+++ b/standalone/httpplatform/engine.go
@@ -14,7 +14,7 @@
 
 	jsonv2 "github.com/go-json-experiment/json"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // maxEventBytes bounds one line of an engine's answer.
--- a/platform/httpplatform/exchange.go
+++ b/standalone/httpplatform/exchange.go
@@ -18,10 +18,10 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
-const tracerName = "github.com/cicadasill/cicadasill/platform/httpplatform"
+const tracerName = "github.com/cicadasill/cicadasill/standalone/httpplatform"
 
 var propagator = propagation.TraceContext{}
 
--- a/platform/httpplatform/list.go
+++ b/standalone/httpplatform/list.go
@@ -7,7 +7,7 @@
 	"slices"
 	"sync"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // InstanceList is the client of the instance list. It implements platform.InstanceList. It
--- a/platform/httpplatform/log.go
+++ b/standalone/httpplatform/log.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // ErrorBody is the body of a refusal.
--- a/platform/httpplatform/plain.go
+++ b/standalone/httpplatform/plain.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // PlainService is the client of plain services. It implements platform.PlainService.
--- a/platform/platform.go
+++ b/standalone/platform/platform.go
@@ -1,5 +1,5 @@
-// Package platform declares what the system uses of the platform that hosts it: the
-// append-only log, the instance list, model engines, plain services and the weight store.
+// Package platform declares what the product's own interface (cicadasilld without the hosted
+// command) uses of the platform that hosts it: the append-only log, the instance list, model engines, plain services and the weight store.
 // Package httpplatform implements each interface over HTTP.
 package platform
 
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // maxCacheEvents bounds the cache events that can still be read.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -14,7 +14,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin/serve"
 	"github.com/cicadasill/cicadasill/zone"
 )
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cicadasill/cicadasill/platform"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin"
 	"github.com/cicadasill/cicadasill/standin/engine"
 	"github.com/cicadasill/cicadasill/standin/store"
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin"
 )
 
--- a/standin/engine/schedule.go
+++ b/standin/engine/schedule.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin"
 )
 
--- a/standin/list/list.go
+++ b/standin/list/list.go
@@ -11,7 +11,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin"
 	"github.com/cicadasill/cicadasill/standin/serve"
 )
--- a/standin/logserver/logserver.go
+++ b/standin/logserver/logserver.go
@@ -12,7 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 	"golang.org/x/time/rate"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin/serve"
 )
 
--- a/standin/plain/fault.go
+++ b/standin/plain/fault.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/cicadasill/cicadasill/platform"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin/serve"
 )
 
--- a/standin/plain/keys.go
+++ b/standin/plain/keys.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // maxKeys bounds the keys whose results are kept; requests with further keys are not run.
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -12,8 +12,8 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"github.com/cicadasill/cicadasill/platform"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/standin"
 	"github.com/cicadasill/cicadasill/standin/serve"
 )
--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -15,8 +15,8 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/cicadasill/cicadasill/platform"
-	"github.com/cicadasill/cicadasill/platform/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/httpplatform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // processingPeriod is how often a server that works on a request shows that it is alive. It
--- a/weights/deadline_test.go
+++ b/weights/deadline_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/rollout/compare"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/weights"
 )
 
--- a/weights/driver.go
+++ b/weights/driver.go
@@ -11,7 +11,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // sampler is what the lease holder knows of one sampler.
--- a/weights/errors.go
+++ b/weights/errors.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"net/http"
 
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Code says why a request about versions was refused or an order was not given.
--- a/weights/handlers.go
+++ b/weights/handlers.go
@@ -13,7 +13,7 @@
 
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // AnnounceRequest is the body of an announcement.
--- a/weights/options.go
+++ b/weights/options.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadasill/cicadasill/contract"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
--- a/weights/order.go
+++ b/weights/order.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/platform"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cicadasill/cicadasill/platform"
 	"github.com/cicadasill/cicadasill/rollout/compare"
+	"github.com/cicadasill/cicadasill/standalone/platform"
 )
 
 // Guards against a version that crosses the link between regions more than once per region, and
