--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
