--- a/changelog/changelog_test.go
+++ b/changelog/changelog_test.go
@@ -65,6 +65,18 @@
 	return run()
 }
 
+// inTurn returns the faults one after the other, and none after the last.
+func inTurn(faults ...appendFault) func() appendFault {
+	return func() appendFault {
+		if len(faults) == 0 {
+			return noFault
+		}
+		f := faults[0]
+		faults = faults[1:]
+		return f
+	}
+}
+
 // runLate executes the appends that were delayed.
 func (l *memoryLog) runLate() {
 	l.mu.Lock()
@@ -149,15 +161,7 @@
 // Guards against writing again after an append whose answer was lost.
 func TestLostAnswerIsNotWrittenTwice(t *testing.T) {
 	is := is.New(t)
-	faults := []appendFault{doneUnanswered}
-	log := &memoryLog{fault: func() appendFault {
-		if len(faults) == 0 {
-			return noFault
-		}
-		f := faults[0]
-		faults = faults[1:]
-		return f
-	}}
+	log := &memoryLog{fault: inTurn(doneUnanswered)}
 	state := mapState{}
 	r := NewReplica(log, testPartition, state)
 	_, err := claim(context.Background(), r, state, "job", "a")
@@ -168,15 +172,7 @@
 // Guards against an append that is executed after its writer has tried again.
 func TestLateAppendChangesNothing(t *testing.T) {
 	is := is.New(t)
-	faults := []appendFault{doneLater}
-	log := &memoryLog{fault: func() appendFault {
-		if len(faults) == 0 {
-			return noFault
-		}
-		f := faults[0]
-		faults = faults[1:]
-		return f
-	}}
+	log := &memoryLog{fault: inTurn(doneLater)}
 	state := mapState{}
 	r := NewReplica(log, testPartition, state)
 	_, err := claim(context.Background(), r, state, "job", "a")
@@ -231,14 +227,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		log := &memoryLog{}
 		faults := rapid.SliceOfN(rapid.SampledFrom([]appendFault{noFault, notDone, doneUnanswered, doneLater}), 0, 12).Draw(t, "faults")
-		log.fault = func() appendFault {
-			if len(faults) == 0 {
-				return noFault
-			}
-			f := faults[0]
-			faults = faults[1:]
-			return f
-		}
+		log.fault = inTurn(faults...)
 		states := []mapState{{}, {}, {}}
 		var replicas []*Replica
 		for _, s := range states {
--- a/job/index.go
+++ b/job/index.go
@@ -134,6 +134,15 @@
 	delete(s.jobs, id)
 }
 
+// itemDrops returns the records that delete the items of a job.
+func (l *listing) itemDrops() []changelog.Record {
+	var drops []changelog.Record
+	for key := range l.chunks {
+		drops = append(drops, changelog.Record{Key: key})
+	}
+	return drops
+}
+
 // items returns the items of a job in the order of submission.
 func (l *listing) items() []Item {
 	keys := make([]string, 0, len(l.chunks))
--- a/job/list.go
+++ b/job/list.go
@@ -123,11 +123,7 @@
 		if l == nil {
 			return nil
 		}
-		var drops []changelog.Record
-		for key := range l.chunks {
-			drops = append(drops, changelog.Record{Key: key})
-		}
-		return drops
+		return l.itemDrops()
 	})
 	return err
 }
--- a/job/registry.go
+++ b/job/registry.go
@@ -370,10 +370,7 @@
 		if l == nil {
 			return nil
 		}
-		var drops []changelog.Record
-		for key := range l.chunks {
-			drops = append(drops, changelog.Record{Key: key})
-		}
+		drops := l.itemDrops()
 		for _, key := range l.keys {
 			drops = append(drops, changelog.Record{Key: key})
 		}
