--- a/instance/instance.go
+++ b/instance/instance.go
@@ -44,9 +44,10 @@
 	// contactLimit is how long the store may not answer before the instance reports that it is
 	// not ready: others may be served.
 	contactLimit = 2 * time.Second
-	// headerTimeout and idleTimeout apply while no configuration has been read.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 20 * time.Second
+	// headerTimeout and idleTimeout are longer than the limits that operators set for clients, so
+	// that a request does not cross the close of its connection.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
 	// storePart is the part of the store's limits that one instance may use at once.
 	storePart = 0.25
 	// memoryPart is the part of the memory limit that the runtime's heap keeps to.
