--- a/job/driver.go
+++ b/job/driver.go
@@ -272,7 +272,7 @@
 
 // loadJob reads a job's items that have no result yet.
 func (d *Driver) loadJob(ctx context.Context, s *Summary) (*driven, error) {
-	p := d.opts.Registry.shelfs[s.Partition]
+	p := d.opts.Registry.partitions[s.Partition]
 	job := &driven{Summary: *s, order: s.SubmittedMs << 12}
 	if err := p.Sync(ctx); err != nil {
 		return nil, &UnavailableError{Err: err}
@@ -300,7 +300,7 @@
 // close waits until the store lists all results of a job, or the job is no longer this
 // instance's, and records that it is complete. It deletes the items of a closed job.
 func (d *Driver) close(ctx context.Context, s *Summary) {
-	p := d.opts.Registry.shelfs[s.Partition]
+	p := d.opts.Registry.partitions[s.Partition]
 	listed := 0
 	for {
 		changed := p.Changed()
--- a/job/index.go
+++ b/job/index.go
@@ -55,18 +55,18 @@
 	keys     []string       // of results, for deletion
 }
 
-// shelf is the state of a data partition.
-type shelf struct {
+// partitionState is the state of a data partition.
+type partitionState struct {
 	log  *log.Logger
 	jobs map[ID]*listing
 }
 
-func newShelf(logger *log.Logger) *shelf { return &shelf{log: logger, jobs: map[ID]*listing{}} }
+func newPartitionState(logger *log.Logger) *partitionState { return &partitionState{log: logger, jobs: map[ID]*listing{}} }
 
 // Reset implements changelog.State.
-func (s *shelf) Reset() { s.jobs = map[ID]*listing{} }
+func (s *partitionState) Reset() { s.jobs = map[ID]*listing{} }
 
-func (s *shelf) listing(id ID) *listing {
+func (s *partitionState) listing(id ID) *listing {
 	l := s.jobs[id]
 	if l == nil {
 		l = &listing{chunks: map[string][]Item{}, position: map[string]int{}}
@@ -82,7 +82,7 @@
 }
 
 // Apply implements changelog.State.
-func (s *shelf) Apply(r changelog.Record) {
+func (s *partitionState) Apply(r changelog.Record) {
 	prefix, rest := r.Key[:min(2, len(r.Key))], r.Key[min(2, len(r.Key)):]
 	name, _, _ := strings.Cut(rest, "/")
 	id := ID(name)
@@ -121,7 +121,7 @@
 	}
 }
 
-func (s *shelf) drop(id ID, prefix, key string) {
+func (s *partitionState) drop(id ID, prefix, key string) {
 	l := s.jobs[id]
 	if l == nil {
 		return
--- a/job/list.go
+++ b/job/list.go
@@ -17,7 +17,7 @@
 
 // list queues a result for its partition. It is listed as soon as the store takes it.
 func (g *Registry) list(ctx context.Context, s *Summary, r Result) {
-	p := g.shelfs[s.Partition]
+	p := g.partitions[s.Partition]
 	p.mu.Lock()
 	p.pending[s.ID] = append(p.pending[s.ID], r)
 	start := !p.flushing
@@ -117,7 +117,7 @@
 
 // dropItems deletes the items of a closed job, whose bodies nobody may ask for.
 func (g *Registry) dropItems(ctx context.Context, s *Summary) error {
-	p := g.shelfs[s.Partition]
+	p := g.partitions[s.Partition]
 	_, err := p.Commit(ctx, func() []changelog.Record {
 		l := p.state.jobs[s.ID]
 		if l == nil {
--- a/job/registry.go
+++ b/job/registry.go
@@ -61,14 +61,14 @@
 	log    *log.Logger
 	index  *changelog.Replica
 	jobs   *index
-	shelfs []*partition
+	partitions []*partition
 	tasks  conc.WaitGroup
 }
 
 // partition is one data partition. It is read when a job in it is asked for.
 type partition struct {
 	*changelog.Replica
-	state *shelf
+	state *partitionState
 
 	mu       sync.Mutex // guards pending and flushing
 	pending  map[ID][]Result
@@ -80,9 +80,9 @@
 	g := &Registry{opts: opts, log: opts.Logger, jobs: newIndex(opts.Logger)}
 	g.index = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.jobs)
 	for i := range opts.Partitions {
-		state := newShelf(opts.Logger)
+		state := newPartitionState(opts.Logger)
 		at := changelog.Partition{Topic: dataTopic, Index: i}
-		g.shelfs = append(g.shelfs, &partition{
+		g.partitions = append(g.partitions, &partition{
 			Replica: changelog.NewReplica(opts.Log, at, state), state: state, pending: map[ID][]Result{},
 		})
 	}
@@ -97,7 +97,7 @@
 }
 
 func (g *Registry) partitionOf(id ID) int {
-	return int(xxhash.Sum64String(string(id)) % uint64(len(g.shelfs)))
+	return int(xxhash.Sum64String(string(id)) % uint64(len(g.partitions)))
 }
 
 // Summary returns what this instance knows of a job.
@@ -136,14 +136,14 @@
 		return nil
 	}
 	at := g.partitionOf(spec.ID)
-	shelf := g.shelfs[at]
+	p := g.partitions[at]
 	records, err := itemRecords(spec.ID, spec.Items)
 	if err != nil {
 		return fmt.Errorf("items of batch job %s: %w", spec.ID, err)
 	}
 	// The items alone start nothing, so an unknown outcome of this append is no acceptance.
-	_, err = shelf.Commit(ctx, func() []changelog.Record {
-		if l := shelf.state.jobs[spec.ID]; l != nil && len(l.chunks) == len(records) {
+	_, err = p.Commit(ctx, func() []changelog.Record {
+		if l := p.state.jobs[spec.ID]; l != nil && len(l.chunks) == len(records) {
 			return nil
 		}
 		return records
@@ -224,7 +224,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	p := g.shelfs[s.Partition]
+	p := g.partitions[s.Partition]
 	ctx, cancel := context.WithTimeout(ctx, wait+storePatience)
 	defer cancel()
 	deadline := time.Now().Add(wait)
@@ -288,7 +288,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := g.shelfs[s.Partition]
+	p := g.partitions[s.Partition]
 	if body, ok := p.body(id, item); ok {
 		return body, nil
 	}
@@ -364,7 +364,7 @@
 }
 
 func (g *Registry) delete(ctx context.Context, s *Summary) error {
-	p := g.shelfs[s.Partition]
+	p := g.partitions[s.Partition]
 	_, err := p.Commit(ctx, func() []changelog.Record {
 		l := p.state.jobs[s.ID]
 		if l == nil {
