--- a/job/index.go
+++ b/job/index.go
@@ -61,7 +61,9 @@
 	jobs map[ID]*listing
 }
 
-func newPartitionState(logger *log.Logger) *partitionState { return &partitionState{log: logger, jobs: map[ID]*listing{}} }
+func newPartitionState(logger *log.Logger) *partitionState {
+	return &partitionState{log: logger, jobs: map[ID]*listing{}}
+}
 
 // Reset implements changelog.State.
 func (s *partitionState) Reset() { s.jobs = map[ID]*listing{} }
--- a/job/registry.go
+++ b/job/registry.go
@@ -57,12 +57,12 @@
 
 // Registry accepts batch jobs and answers for them.
 type Registry struct {
-	opts   RegistryOptions
-	log    *log.Logger
-	index  *changelog.Replica
-	jobs   *index
+	opts       RegistryOptions
+	log        *log.Logger
+	index      *changelog.Replica
+	jobs       *index
 	partitions []*partition
-	tasks  conc.WaitGroup
+	tasks      conc.WaitGroup
 }
 
 // partition is one data partition. It is read when a job in it is asked for.
