--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -33,7 +33,8 @@
   fi
 fi
 echo "== go test"
-go test -race -count=1 -timeout 20m "${skip[@]}" ./...
+# Two packages at a time: the cluster tests of several packages starve one another otherwise.
+go test -race -count=1 -p 2 -timeout 20m "${skip[@]}" ./...
 if [ -x spec/check.sh ]; then
   echo "== model check"
   spec/check.sh
