--- a/instance/instance.go
+++ b/instance/instance.go
@@ -154,7 +154,7 @@
 		Targets: i.newestVersions, Logger: i.log,
 	})
 	ingress := &hosted.Ingress{
-		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load,
+		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, Logger: i.log,
 		Forwarder: forward.New(forward.Options{
 			Backends: i.directory, Client: client, DataCentre: s.Instance.DataCentre,
 			Logger: i.log, Registerer: i.registry,
