spec: conditional appends of batch jobs, with two mutations that break them

joblog: exhaustive, no error; without the condition the record stands twice, with a refusal after an unknown outcome a refused record appears.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -34,6 +34,9 @@
 notes LAST_WRITER_WINS
 notes FORGET_IDS
 notes TRUST_ANSWER
+joblog
+joblog UNCONDITIONAL
+joblog REFUSE_UNKNOWN
 spread
 spread ADOPT_OLDER
 spread BOOT_EMPTY
