Jobs are spread over eight topics, and accepting one reads no results

Each instance that accepts, drives or answers for a job loads the newest records of its whole data partition first; with 8 partitions that is about 5 MB of other jobs' results over links of 60 Mbit/s. Ruled out: conflicts of conditional appends (few per job), time to boot (instances were ready 1.3 s after power returned).

Change: data lives in 8 topics of as many partitions as the store gives. The acceptor puts a job's items unconditionally, since their keys depend on the job alone, and reads the partition only after a lost answer. TestAcceptanceReadsNoResults failed before (2 reads of data partitions).

What remains after a power failure is the long texts that start anew.

--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -270,6 +270,22 @@
 	}
 }
 
+// Put appends records wherever their partition ends, without reading it, and tries again until ctx
+// ends or the outcome is unknown. The records may be appended late, so they must mean the same then.
+// After an error other than *NotDoneError they may still be appended.
+func Put(ctx context.Context, log Log, p Partition, records []Record) error {
+	for {
+		_, err := log.Append(ctx, p, records, Unconditional)
+		var notDone *NotDoneError
+		if err == nil || !errors.As(err, &notDone) {
+			return err
+		}
+		if !timing.Sleep(ctx, retryPause) {
+			return err
+		}
+	}
+}
+
 func (r *Replica) tryCommit(ctx context.Context, build func() []Record) (int64, error) {
 	if err := r.ensureLoaded(ctx); err != nil {
 		return 0, &NotDoneError{Call: "load of " + r.partition.String(), Err: err}
--- a/job/registry.go
+++ b/job/registry.go
@@ -20,6 +20,9 @@
 const (
 	indexTopic = "jobs"
 	dataTopic  = "job-data"
+	// dataTopics is the number of topics over which jobs are spread. An instance reads whole
+	// partitions, so small ones spare it the results of other jobs; the store has at most 100 topics.
+	dataTopics = 8
 )
 
 // Periods of the registry.
@@ -42,7 +45,7 @@
 type RegistryOptions struct {
 	Self machine.Ref
 	Log  changelog.Log
-	// Partitions is the number of data partitions; it is the same at all instances.
+	// Partitions is the number of partitions of a topic; it is the same at all instances.
 	Partitions int
 	// Retention is how long after its submission a job's results can be asked for.
 	Retention time.Duration
@@ -68,6 +71,7 @@
 // partition is one data partition. It is read when a job in it is asked for.
 type partition struct {
 	*changelog.Replica
+	at    changelog.Partition
 	state *partitionState
 
 	mu       sync.Mutex // guards pending and flushing
@@ -79,11 +83,11 @@
 func NewRegistry(opts RegistryOptions) *Registry {
 	g := &Registry{opts: opts, log: opts.Logger, jobs: newIndex(opts.Logger)}
 	g.index = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.jobs)
-	for i := range opts.Partitions {
+	for i := range dataTopics * opts.Partitions {
 		state := newPartitionState(opts.Logger)
-		at := changelog.Partition{Topic: dataTopic, Index: i}
+		at := changelog.Partition{Topic: fmt.Sprintf("%s-%d", dataTopic, i/opts.Partitions), Index: i % opts.Partitions}
 		g.partitions = append(g.partitions, &partition{
-			Replica: changelog.NewReplica(opts.Log, at, state), state: state, pending: map[ID][]Result{},
+			Replica: changelog.NewReplica(opts.Log, at, state), at: at, state: state, pending: map[ID][]Result{},
 		})
 	}
 	return g
@@ -136,19 +140,11 @@
 		return nil
 	}
 	at := g.partitionOf(spec.ID)
-	p := g.partitions[at]
 	records, err := itemRecords(spec.ID, spec.Items)
 	if err != nil {
 		return fmt.Errorf("items of batch job %s: %w", spec.ID, err)
 	}
-	// The items alone start nothing, so an unknown outcome of this append is no acceptance.
-	_, err = p.Commit(ctx, func() []changelog.Record {
-		if l := p.state.jobs[spec.ID]; l != nil && len(l.chunks) == len(records) {
-			return nil
-		}
-		return records
-	})
-	if err != nil {
+	if err := g.putItems(ctx, g.partitions[at], spec.ID, records); err != nil {
 		return &UnavailableError{Err: err}
 	}
 	summary := Summary{
@@ -165,6 +161,24 @@
 	return err
 }
 
+// putItems stores the items of a job. They alone start nothing, so an unknown outcome is no acceptance.
+// Their keys depend on the job alone, so they may be appended twice. The partition is read only
+// after a lost answer.
+func (g *Registry) putItems(ctx context.Context, p *partition, id ID, records []changelog.Record) error {
+	err := changelog.Put(ctx, g.opts.Log, p.at, records)
+	var unknown *changelog.UnknownError
+	if !errors.As(err, &unknown) {
+		return err
+	}
+	_, err = p.Commit(ctx, func() []changelog.Record {
+		if l := p.state.jobs[id]; l != nil && len(l.chunks) == len(records) {
+			return nil
+		}
+		return records
+	})
+	return err
+}
+
 // driverFor returns the instance that drives a new job. A trainer's jobs stay with one driver,
 // which has connections to the engines, while it lives. The first one is not this instance, so
 // that the loss of one instance rarely costs a client both its connection and its job's progress.
--- /dev/null
+++ b/job/submit_test.go
@@ -0,0 +1,91 @@
+package job
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/changelog"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/telemetry"
+)
+
+// countingLog is a Log in memory that counts the reads of each topic.
+type countingLog struct {
+	mu      sync.Mutex
+	records map[changelog.Partition][]changelog.Record
+	reads   map[string]int
+}
+
+func newCountingLog() *countingLog {
+	return &countingLog{records: map[changelog.Partition][]changelog.Record{}, reads: map[string]int{}}
+}
+
+func (l *countingLog) Append(_ context.Context, p changelog.Partition, records []changelog.Record, expectEnd int64) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := int64(len(l.records[p]))
+	if expectEnd != changelog.Unconditional && expectEnd != end {
+		return 0, &changelog.ConflictError{Partition: p, End: end}
+	}
+	for _, r := range records {
+		r.Offset = int64(len(l.records[p]))
+		l.records[p] = append(l.records[p], r)
+	}
+	return int64(len(l.records[p])), nil
+}
+
+func (l *countingLog) Read(_ context.Context, p changelog.Partition, from int64, _ time.Duration) (changelog.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads[p.Topic]++
+	records := l.records[p]
+	return changelog.Batch{Records: append([]changelog.Record(nil), records[from:]...), End: int64(len(records))}, nil
+}
+
+func (l *countingLog) Newest(_ context.Context, p changelog.Partition, _ string) (changelog.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads[p.Topic]++
+	records := l.records[p]
+	return changelog.Page{Records: append([]changelog.Record(nil), records...), End: int64(len(records))}, nil
+}
+
+// dataReads returns the number of reads of data partitions.
+func (l *countingLog) dataReads() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for topic, reads := range l.reads {
+		if strings.HasPrefix(topic, dataTopic) {
+			n += reads
+		}
+	}
+	return n
+}
+
+func testRegistry(log changelog.Log) *Registry {
+	self := machine.Ref{ID: "self", Incarnation: 1}
+	return NewRegistry(RegistryOptions{
+		Self: self, Log: log, Partitions: 2, Logger: telemetry.Discard(),
+		Near: func(machine.Ref) bool { return true }, Peer: func(string) machine.Ref { return self },
+	})
+}
+
+// Guards against an acceptance that waits until this instance has read the results of earlier
+// jobs: after a restart of all instances each of them would read megabytes first.
+func TestAcceptanceReadsNoResults(t *testing.T) {
+	is := is.New(t)
+	log := newCountingLog()
+	g := testRegistry(log)
+	spec := &Spec{ID: "job-1", Host: "h", Path: "/p", Model: "m", Items: []Item{{ID: "a", Body: []byte("x")}, {ID: "b"}}}
+	is.NoErr(g.Submit(context.Background(), spec))
+	is.Equal(log.dataReads(), 0)
+	body, err := testRegistry(log).Body(context.Background(), "job-1", "a") // another instance finds the items
+	is.NoErr(err)
+	is.Equal(string(body), "x")
+}
