Long texts are stored in part, and a new driver goes on after them

Change: a driver stores the part of a text that has run for a second, once a second, beside its results; the next driver resumes after the last event. Parts are deleted with the job's items. They are conditional appends by the driver, so they do not make its own results conflict. TestTakeoverGoesOnWithTheTextSoFar failed before (0 of 2 texts resumed).

Steps are still slow where items wait for slots.

--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -325,3 +325,30 @@
 	<-stopped
 	c.checkWhole(c.readAll(other, "job-1", 16), 16, 4)
 }
+
+// Guards against long texts that start anew when their job's driver has lost power.
+func TestTakeoverGoesOnWithTheTextSoFar(t *testing.T) {
+	is := is.New(t)
+	const events = 40
+	c := newCluster(t, 2, 1)
+	c.engines[0].Events, c.engines[0].EventGap = events, 100*time.Millisecond
+	is.Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", "job-1", nil, jobBody(2, 1)).status, http.StatusAccepted)
+	summary, _ := c.members[0].jobs.Summary("job-1")
+	driver, other := c.members[0], c.members[1]
+	if summary.Driver == other.self {
+		driver, other = other, driver
+	}
+	c.eventually("half of each text is made", func() bool {
+		runs := c.engines[0].Runs()
+		return len(runs) == 2 && time.Since(runs[1].At) > events/2*c.engines[0].EventGap
+	})
+	driver.kill()
+	c.checkWhole(c.readAll(other, "job-1", 2), 2, events)
+	resumed := 0
+	for _, r := range c.engines[0].Runs() {
+		if r.After > 0 {
+			resumed++
+		}
+	}
+	is.Equal(resumed, 2)
+}
--- a/job/driver.go
+++ b/job/driver.go
@@ -102,6 +102,8 @@
 type driven struct {
 	Summary
 	items []Item
+	// parts holds what earlier drivers have kept of the items' texts.
+	parts map[string]Part
 	// order puts the items of older jobs first.
 	order int64
 }
@@ -243,7 +245,7 @@
 		timing.Sleep(ctx, scanPeriod)
 		return
 	}
-	d.log.Info("job started", "job", s.ID, "items", len(job.items), "total", s.Total, "step", s.Step,
+	d.log.Info("job started", "job", s.ID, "items", len(job.items), "total", s.Total, "begun", len(job.parts), "step", s.Step,
 		"model", s.Model, "min_version", s.MinVersion, "age", time.Since(s.SubmittedAt()))
 	var group conc.WaitGroup
 	for i := range job.items {
@@ -273,7 +275,7 @@
 // loadJob reads a job's items that have no result yet.
 func (d *Driver) loadJob(ctx context.Context, s *Summary) (*driven, error) {
 	p := d.opts.Registry.partitions[s.Partition]
-	job := &driven{Summary: *s, order: s.SubmittedMs << 12}
+	job := &driven{Summary: *s, order: s.SubmittedMs << 12, parts: map[string]Part{}}
 	if err := p.Sync(ctx); err != nil {
 		return nil, &UnavailableError{Err: err}
 	}
@@ -286,8 +288,12 @@
 		items := l.items()
 		found = len(items)
 		for i := range items {
-			if _, listed := l.position[items[i].ID]; !listed {
-				job.items = append(job.items, items[i])
+			if _, listed := l.position[items[i].ID]; listed {
+				continue
+			}
+			job.items = append(job.items, items[i])
+			if part, ok := l.parts[items[i].ID]; ok {
+				job.parts[items[i].ID] = part
 			}
 		}
 	})
--- a/job/index.go
+++ b/job/index.go
@@ -41,9 +41,11 @@
 	return changelog.Record{Key: string(s.ID), Value: data}, err
 }
 
-// Keys in a data partition: "j/JOB/CHUNK" holds items, "r/JOB/POSITION" results.
+// Keys in a data partition: "j/JOB/CHUNK" holds items, "p/JOB/ITEM" what an item has generated so
+// far, "r/JOB/POSITION" results.
 const (
 	itemsPrefix   = "j/"
+	partsPrefix   = "p/"
 	resultsPrefix = "r/"
 )
 
@@ -51,8 +53,9 @@
 type listing struct {
 	chunks   map[string][]Item // by key
 	results  []Result
-	position map[string]int // by item
-	keys     []string       // of results, for deletion
+	position map[string]int  // by item
+	keys     []string        // of results, for deletion
+	parts    map[string]Part // by item
 }
 
 // partitionState is the state of a data partition.
@@ -71,7 +74,7 @@
 func (s *partitionState) listing(id ID) *listing {
 	l := s.jobs[id]
 	if l == nil {
-		l = &listing{chunks: map[string][]Item{}, position: map[string]int{}}
+		l = &listing{chunks: map[string][]Item{}, position: map[string]int{}, parts: map[string]Part{}}
 		s.jobs[id] = l
 	}
 	return l
@@ -86,10 +89,10 @@
 // Apply implements changelog.State.
 func (s *partitionState) Apply(r changelog.Record) {
 	prefix, rest := r.Key[:min(2, len(r.Key))], r.Key[min(2, len(r.Key)):]
-	name, _, _ := strings.Cut(rest, "/")
+	name, item, _ := strings.Cut(rest, "/")
 	id := ID(name)
 	if r.Value == nil {
-		s.drop(id, prefix, r.Key)
+		s.drop(id, prefix, r.Key, item)
 		return
 	}
 	switch prefix {
@@ -100,6 +103,13 @@
 			return
 		}
 		s.listing(id).chunks[r.Key] = items
+	case partsPrefix:
+		var part Part
+		if err := cbor.Unmarshal(r.Value, &part); err != nil {
+			s.log.Error("record of a text's part not readable", "key", r.Key, "offset", r.Offset, "err", err)
+			return
+		}
+		s.listing(id).parts[item] = part
 	case resultsPrefix:
 		var record resultsRecord
 		if err := cbor.Unmarshal(r.Value, &record); err != nil {
@@ -123,25 +133,31 @@
 	}
 }
 
-func (s *partitionState) drop(id ID, prefix, key string) {
+func (s *partitionState) drop(id ID, prefix, key, item string) {
 	l := s.jobs[id]
 	if l == nil {
 		return
 	}
-	if prefix == itemsPrefix {
+	switch prefix {
+	case itemsPrefix:
 		delete(l.chunks, key)
-		return
+	case partsPrefix:
+		delete(l.parts, item)
+	default:
+		// Results are deleted all together, when nobody may ask for them any more.
+		delete(s.jobs, id)
 	}
-	// Results are deleted all together, when nobody may ask for them any more.
-	delete(s.jobs, id)
 }
 
-// itemDrops returns the records that delete the items of a job.
-func (l *listing) itemDrops() []changelog.Record {
+// itemDrops returns the records that delete the items of a job and the parts of their texts.
+func (l *listing) itemDrops(id ID) []changelog.Record {
 	var drops []changelog.Record
 	for key := range l.chunks {
 		drops = append(drops, changelog.Record{Key: key})
 	}
+	for item := range l.parts {
+		drops = append(drops, changelog.Record{Key: partKey(id, item)})
+	}
 	return drops
 }
 
--- a/job/list.go
+++ b/job/list.go
@@ -123,7 +123,7 @@
 		if l == nil {
 			return nil
 		}
-		return l.itemDrops()
+		return l.itemDrops(s.ID)
 	})
 	return err
 }
--- a/job/registry.go
+++ b/job/registry.go
@@ -74,9 +74,10 @@
 	at    changelog.Partition
 	state *partitionState
 
-	mu       sync.Mutex // guards pending and flushing
+	mu       sync.Mutex // guards the fields below
 	pending  map[ID][]Result
 	flushing bool
+	parts    map[itemRef]Part
 }
 
 // NewRegistry returns a registry that has read nothing yet.
@@ -87,7 +88,8 @@
 		state := newPartitionState(opts.Logger)
 		at := changelog.Partition{Topic: fmt.Sprintf("%s-%d", dataTopic, i/opts.Partitions), Index: i % opts.Partitions}
 		g.partitions = append(g.partitions, &partition{
-			Replica: changelog.NewReplica(opts.Log, at, state), at: at, state: state, pending: map[ID][]Result{},
+			Replica: changelog.NewReplica(opts.Log, at, state), at: at, state: state,
+			pending: map[ID][]Result{}, parts: map[itemRef]Part{},
 		})
 	}
 	return g
@@ -96,6 +98,7 @@
 // Run follows the index until ctx ends.
 func (g *Registry) Run(ctx context.Context) {
 	g.tasks.Go(func() { g.deleteOld(ctx) })
+	g.tasks.Go(func() { g.keepParts(ctx) })
 	g.index.Follow(ctx, indexWait, indexPause, g.opts.IndexRead)
 	g.tasks.Wait()
 }
@@ -384,7 +387,7 @@
 		if l == nil {
 			return nil
 		}
-		drops := l.itemDrops()
+		drops := l.itemDrops(s.ID)
 		for _, key := range l.keys {
 			drops = append(drops, changelog.Record{Key: key})
 		}
--- a/job/run.go
+++ b/job/run.go
@@ -36,6 +36,11 @@
 	data     [][]byte
 	last     int64
 	versions []int64
+	keptAt   time.Time // when the text began or was last kept
+}
+
+func (t *text) part() Part {
+	return Part{Last: t.last, Data: slices.Clip(t.data), Versions: slices.Clone(t.versions)}
 }
 
 // run is one attempt; it implements Receiver.
@@ -50,6 +55,8 @@
 	events  int
 	// move reports whether the run should go on at a faster engine; asked from time to time.
 	move func() bool
+	// keep stores the text for another driver; nil for texts that cannot be resumed.
+	keep func()
 }
 
 // errMixedVersions ends an attempt whose text must not have two versions.
@@ -94,6 +101,10 @@
 	}
 	t.data = append(t.data, e.Data)
 	t.last = e.ID
+	if r.keep != nil && now.Sub(t.keptAt) >= partPeriod {
+		t.keptAt = now
+		r.keep()
+	}
 	if r.events%moveEvery == 0 && r.move() {
 		return errSlow
 	}
@@ -116,7 +127,8 @@
 // runItem runs an item until it has a result or ctx ends.
 func (d *Driver) runItem(ctx context.Context, job *driven, at int) (Result, bool) {
 	item := &job.items[at]
-	t := &text{}
+	begun := job.parts[item.ID]
+	t := &text{data: begun.Data, last: begun.Last, versions: begun.Versions}
 	failures, moves := 0, 0
 	var except *backends.Backend
 	for attempt := 1; ; attempt++ {
@@ -199,6 +211,7 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(firstEventTimeout, func() { cancel(errSilent) })
 	defer timer.Stop()
+	t.keptAt = time.Now()
 	r := &run{
 		text: t, backend: b, model: item.Model, least: job.MinVersion,
 		single: route.SingleVersion, timer: timer,
@@ -206,6 +219,9 @@
 			return mayMove && route.Resumable && d.placer.slow(b) && d.placer.faster(b.Service, item.Model, job.MinVersion, b)
 		},
 	}
+	if route.Resumable {
+		r.keep = func() { d.opts.Registry.keep(&job.Summary, item.ID, t.part()) }
+	}
 	err := d.opts.Engine.Generate(ctx, b, Call{Host: job.Host, Item: item, After: t.last}, r)
 	var (
 		notRun *NotRunError
