A stop does not wait for the store; records of dead drivers' jobs are deleted

On reading the same code: records of an old job were deleted by its driver alone, so those of a dead driver's jobs stayed for good and would fill the store's 400 MB.

Change: such work ends 0.4 s after the instance's context. A job's records are deleted by its driver, or by one living instance once the driver is dead.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -142,7 +142,8 @@
 	client := hosted.NewBackends(s.Instance.ID)
 	i.jobs = job.NewRegistry(job.RegistryOptions{
 		Self: i.self, Log: i.store, Partitions: s.Store.Partitions,
-		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, Near: i.present.Near, Peer: i.present.Peer, IndexRead: i.contact("index"),
+		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, Near: i.present.Near, Peer: i.present.Peer, Peers: i.present,
+		IndexRead: i.contact("index"),
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -352,3 +352,26 @@
 	}
 	is.Equal(resumed, 2)
 }
+
+// Guards against a process that outlasts its grace time because it waits for a store that does not answer.
+func TestStopDoesNotWaitForTheStore(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	c.engines[0].EventGap = 50 * time.Millisecond
+	is.Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", "job-1", nil, jobBody(8, 1)).status, http.StatusAccepted)
+	c.eventually("items run", func() bool { return len(c.engines[0].Runs()) > 0 })
+	c.store.SetFault(hostedtest.AllBusy)
+	c.eventually("results wait for the store", func() bool {
+		runs := c.engines[0].Runs()
+		return time.Since(runs[0].At) > 500*time.Millisecond
+	})
+	ended := make(chan struct{})
+	go func() { c.members[0].kill(); close(ended) }()
+	select {
+	case <-ended:
+	case <-time.After(exitMargin):
+		t.Error("the process does not end within what is left of its grace time")
+		c.store.SetFault(nil)
+		<-ended
+	}
+}
--- a/job/driver.go
+++ b/job/driver.go
@@ -255,7 +255,7 @@
 				return
 			}
 			d.metrics.results.WithLabelValues(result.State.String()).Inc()
-			d.opts.Registry.list(context.WithoutCancel(ctx), s, result)
+			d.opts.Registry.list(s, result)
 		})
 	}
 	group.Wait()
@@ -323,12 +323,11 @@
 		case <-ctx.Done():
 		}
 	}
-	ctx = context.WithoutCancel(ctx)
 	now, _ := d.opts.Registry.latest(s.ID, *s)
 	if now.Driver != d.opts.Self {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, closePatience)
+	ctx, cancel := context.WithTimeout(d.opts.Registry.life, closePatience)
 	defer cancel()
 	if listed == s.Total {
 		if err := d.opts.Registry.finish(ctx, s); err != nil {
--- a/job/list.go
+++ b/job/list.go
@@ -13,10 +13,13 @@
 	listPause = 40 * time.Millisecond
 	// listBytes bounds the outputs in one append, below the store's limit for a call.
 	listBytes = 1 << 20
+	// stopPatience bounds how long a stopping instance waits for the store to take its last results:
+	// a part of the second that a planned stop leaves of its grace time.
+	stopPatience = 400 * time.Millisecond
 )
 
 // list queues a result for its partition. It is listed as soon as the store takes it.
-func (g *Registry) list(ctx context.Context, s *Summary, r Result) {
+func (g *Registry) list(s *Summary, r Result) {
 	p := g.partitions[s.Partition]
 	p.mu.Lock()
 	p.pending[s.ID] = append(p.pending[s.ID], r)
@@ -24,12 +27,13 @@
 	p.flushing = true
 	p.mu.Unlock()
 	if start {
-		g.tasks.Go(func() { g.flush(ctx, p) })
+		g.tasks.Go(func() { g.flush(p) })
 	}
 }
 
 // flush appends pending results until there are none.
-func (g *Registry) flush(ctx context.Context, p *partition) {
+func (g *Registry) flush(p *partition) {
+	ctx := g.life
 	for timing.Sleep(ctx, listPause) {
 		batch := p.takeBatch()
 		if batch == nil {
--- a/job/registry.go
+++ b/job/registry.go
@@ -54,6 +54,8 @@
 	// such an instance for a key, another one than this if there is one.
 	Near func(machine.Ref) bool
 	Peer func(key string) machine.Ref
+	// Peers tells who deletes the records of jobs whose driver is dead.
+	Peers Peers
 	// IndexRead is called after each read of the index, with its error.
 	IndexRead func(error)
 }
@@ -66,6 +68,9 @@
 	jobs       *index
 	partitions []*partition
 	tasks      conc.WaitGroup
+	// life ends stopPatience after Run's context, so that the last results are listed.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // partition is one data partition. It is read when a job in it is asked for.
@@ -83,6 +88,7 @@
 // NewRegistry returns a registry that has read nothing yet.
 func NewRegistry(opts RegistryOptions) *Registry {
 	g := &Registry{opts: opts, log: opts.Logger, jobs: newIndex(opts.Logger)}
+	g.life, g.end = context.WithCancel(context.Background())
 	g.index = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.jobs)
 	for i := range dataTopics * opts.Partitions {
 		state := newPartitionState(opts.Logger)
@@ -100,6 +106,7 @@
 	g.tasks.Go(func() { g.deleteOld(ctx) })
 	g.tasks.Go(func() { g.keepParts(ctx) })
 	g.index.Follow(ctx, indexWait, indexPause, g.opts.IndexRead)
+	time.AfterFunc(stopPatience, g.end)
 	g.tasks.Wait()
 }
 
@@ -363,23 +370,32 @@
 // deleteOld deletes the records of jobs for which nobody may ask any more.
 func (g *Registry) deleteOld(ctx context.Context) {
 	for timing.Sleep(ctx, deletePeriod) {
-		var old []Summary
-		g.index.View(func() {
-			for _, s := range g.jobs.jobs {
-				age := time.Since(s.SubmittedAt())
-				if !s.Open() && s.Driver == g.opts.Self && age > g.opts.Retention+deleteAfter {
-					old = append(old, *s)
-				}
-			}
-		})
-		for i := range old {
-			if err := g.delete(ctx, &old[i]); err != nil && ctx.Err() == nil {
-				g.log.Warn("old batch job not deleted", "job", old[i].ID, "err", err)
+		g.deleteDue(ctx, time.Now())
+	}
+}
+
+func (g *Registry) deleteDue(ctx context.Context, now time.Time) {
+	var old []Summary
+	g.index.View(func() {
+		for _, s := range g.jobs.jobs {
+			if !s.Open() && now.Sub(s.SubmittedAt()) > g.opts.Retention+deleteAfter && g.deletes(s) {
+				old = append(old, *s)
 			}
 		}
+	})
+	for i := range old {
+		if err := g.delete(ctx, &old[i]); err != nil && ctx.Err() == nil {
+			g.log.Warn("old batch job not deleted", "job", old[i].ID, "err", err)
+		}
 	}
 }
 
+// deletes reports whether this instance deletes a job's records: its driver does, or one of the
+// others once the driver is dead.
+func (g *Registry) deletes(s *Summary) bool {
+	return s.Driver == g.opts.Self || (g.opts.Peers.Dead(s.Driver) && g.opts.Peers.Rank(string(s.ID)) == 0)
+}
+
 func (g *Registry) delete(ctx context.Context, s *Summary) error {
 	p := g.partitions[s.Partition]
 	_, err := p.Commit(ctx, func() []changelog.Record {
--- a/job/submit_test.go
+++ b/job/submit_test.go
@@ -89,3 +89,37 @@
 	is.NoErr(err)
 	is.Equal(string(body), "x")
 }
+
+// fixedPeers is a Peers in which all other instances are dead, or none.
+type fixedPeers struct {
+	dead bool
+	rank int
+}
+
+func (p fixedPeers) Dead(machine.Ref) bool { return p.dead }
+func (p fixedPeers) Rank(string) int       { return p.rank }
+
+// Guards against records that stay in the store for good because the job's driver has ended.
+func TestOldJobOfADeadDriverIsDeleted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		peers fixedPeers
+		left  bool
+	}{
+		"driver lives":       {fixedPeers{dead: false}, true},
+		"another deletes it": {fixedPeers{dead: true, rank: 1}, true},
+		"driver is dead":     {fixedPeers{dead: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			g := testRegistry(newCountingLog())
+			g.opts.Peers = tc.peers
+			g.opts.Peer = func(string) machine.Ref { return machine.Ref{ID: "other", Incarnation: 1} }
+			is.NoErr(g.Submit(ctx, &Spec{ID: "job-1", Host: "h", Step: -1, Items: []Item{{ID: "a"}}}))
+			is.NoErr(g.End(ctx, "job-1"))
+			g.deleteDue(ctx, time.Now().Add(deleteAfter+time.Second))
+			_, left := g.Summary("job-1")
+			is.Equal(left, tc.left)
+		})
+	}
+}
