demo: the report tells how late timers fired

Cause: demo.TestInterruptedRequestsAreSeen fails beside load, and nothing in its report told whether the process had processor time.

--- a/demo/report.go
+++ b/demo/report.go
@@ -24,6 +24,7 @@
 	Weights    Weights    `json:"weights"`
 	Control    Control    `json:"control"`
 	Link       Link       `json:"link"`
+	Host       Host       `json:"host"`
 	// BrokenPromises lists the promises that the run saw broken.
 	BrokenPromises []Promise `json:"broken"`
 	// Groups are the outcomes of each group of callers; Trainer is the trainer's ledger.
@@ -117,6 +118,14 @@
 	BytesByCause map[string]int64 `json:"bytes_by_cause"`
 }
 
+// Host tells how late timers fired in the process that runs all instances. If they fire late, the
+// machine has too little processor time for the demonstration.
+type Host struct {
+	TimerP50Ms float64 `json:"timer_late_p50_ms"`
+	TimerP99Ms float64 `json:"timer_late_p99_ms"`
+	TimerMaxMs float64 `json:"timer_late_max_ms"`
+}
+
 // Broken reports whether the run saw a broken promise.
 func (r *Report) Broken() bool { return len(r.BrokenPromises) > 0 }
 
@@ -149,6 +158,7 @@
 	row("control", "per node without load: %.2f%% of a core, %.0f B/s (peers %.0f, log %.0f, list %.0f), and %.0f B/s to poll back ends",
 		100*k.CoreFractionPerNode, k.BytesPerSPerNode, k.PeerBytesPerS, k.LogBytesPerS, k.ListBytesPerS, k.BackendPollBytesPerS)
 	row("link", "%s", listCounts(r.Link.BytesByCause))
+	row("host", "timers late by p50 %.1f ms, p99 %.1f ms, at most %.1f ms", r.Host.TimerP50Ms, r.Host.TimerP99Ms, r.Host.TimerMaxMs)
 	if len(r.BrokenPromises) == 0 {
 		row("promises", "none broken")
 	}
--- a/demo/run.go
+++ b/demo/run.go
@@ -34,6 +34,7 @@
 	began     time.Time
 	loaded    time.Duration // length of the load, with the wait for its last outcomes
 	control   Control
+	lag       *timing.Lag
 }
 
 // Run runs a deployment and returns what its callers, trainers and operators saw. An error
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &run{opts: opts, d: deploymentOf(opts.Deployment), net: newNetwork()}
+	r := &run{opts: opts, d: deploymentOf(opts.Deployment), net: newNetwork(), lag: timing.NewLag()}
 	fmt.Fprintf(opts.Out, "deployment %s, seed %d, %s\n", opts.Deployment, opts.Seed, opts.Duration)
 	if r.st, err = startStands(r.d, r.net); err != nil {
 		r.st.close()
@@ -90,6 +91,7 @@
 	defer cancel()
 	var wg conc.WaitGroup
 	defer wg.Wait()
+	wg.Go(func() { r.lag.Run(ctx) })
 	for _, g := range r.groups {
 		wg.Go(func() { g.Run(ctx) })
 	}
@@ -138,7 +140,7 @@
 func (r *run) report() *Report {
 	out := &Report{
 		Deployment: r.d.name, Seed: r.opts.Seed, DurationS: round(r.loaded.Seconds()),
-		Weights: r.weights.result(), Control: r.control, Link: r.linkBytes(), Groups: map[string]callers.Counts{},
+		Weights: r.weights.result(), Control: r.control, Link: r.linkBytes(), Host: r.host(), Groups: map[string]callers.Counts{},
 		BrokenPromises: []Promise{},
 	}
 	r.addRequests(out)
@@ -156,6 +158,12 @@
 	return out
 }
 
+// host tells how late the timers of the demonstration's process fired.
+func (r *run) host() Host {
+	ms := func(percent float64) float64 { return round(r.lag.Quantile(percent).Seconds() * 1e3) }
+	return Host{TimerP50Ms: ms(50), TimerP99Ms: ms(99), TimerMaxMs: ms(100)}
+}
+
 func (r *run) addRequests(out *Report) {
 	q := &out.Requests
 	q.Reasons = map[string]int64{}
--- /dev/null
+++ b/timing/lag_test.go
@@ -0,0 +1,23 @@
+package timing_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/timing"
+)
+
+// Guards against a measure of lateness that reports nothing, or the period itself.
+func TestLagIsMeasured(t *testing.T) {
+	is := is.New(t)
+	l := timing.NewLag()
+	is.Equal(l.Quantile(100), time.Duration(0))
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	l.Run(ctx)
+	is.True(l.Quantile(100) > 0)
+	is.True(l.Quantile(0) <= l.Quantile(100))
+}
