--- a/job/job.go
+++ b/job/job.go
@@ -106,6 +106,17 @@
 	return fmt.Sprintf("there is no batch job %s", e.Job)
 }
 
+// TooLargeError reports an item that does not fit into a record of the store.
+type TooLargeError struct {
+	Item  string
+	Bytes int
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("item %s has %d bytes, more than a record of the store holds", e.Item, e.Bytes)
+}
+
 // UnavailableError reports that the store does not answer, so this instance cannot be sure.
 type UnavailableError struct{ Err error }
 
--- a/job/records.go
+++ b/job/records.go
@@ -12,6 +12,9 @@
 // the smallest record size of the platform's stores, 256 KiB.
 const recordBytes = 160 << 10
 
+// largestItem is the largest item that fits into a record by itself, with its encoding.
+const largestItem = 255 << 10
+
 // itemSize estimates the encoded size of an item.
 func itemSize(i *Item) int {
 	n := len(i.ID) + len(i.Path) + len(i.Body) + len(i.Group) + len(i.Model) + 32
@@ -21,7 +24,7 @@
 	return n
 }
 
-// itemRecords returns the records that store the items of a job.
+// itemRecords returns the records that store the items of a job, or *TooLargeError.
 func itemRecords(id ID, items []Item) ([]changelog.Record, error) {
 	var records []changelog.Record
 	for len(items) > 0 {
@@ -34,6 +37,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(data) > largestItem {
+			return nil, &TooLargeError{Item: items[0].ID, Bytes: len(data)}
+		}
 		key := fmt.Sprintf("%s%s/%06d", itemsPrefix, id, len(records))
 		records = append(records, changelog.Record{Key: key, Value: data})
 		items = items[n:]
--- a/job/registry.go
+++ b/job/registry.go
@@ -33,6 +33,8 @@
 	indexPause = 20 * time.Millisecond
 	// readPoll spaces the reads of a data partition while a client waits for results.
 	readPoll = 150 * time.Millisecond
+	// itemBytes bounds the items in one call, below the store's limit.
+	itemBytes = 1 << 20
 	// pageBytes bounds the results in one answer.
 	pageBytes = 900 << 10
 	// deleteAfter is how long a closed job is kept beyond the time for which clients may ask.
@@ -171,20 +173,43 @@
 	return err
 }
 
-// putItems stores the items of a job. They alone start nothing, so an unknown outcome is no acceptance.
-// Their keys depend on the job alone, so they may be appended twice. The partition is read only
-// after a lost answer.
+// putItems stores the items of a job, in as many calls as they need. They alone start nothing, so an
+// unknown outcome is no acceptance. Their keys depend on the job alone, so they may be appended twice.
+// The partition is read only after a lost answer.
 func (g *Registry) putItems(ctx context.Context, p *partition, id ID, records []changelog.Record) error {
+	for len(records) > 0 {
+		n, size := 0, 0
+		for n < len(records) && (n == 0 || size+len(records[n].Value) <= itemBytes) {
+			size += len(records[n].Value)
+			n++
+		}
+		if err := g.putCall(ctx, p, id, records[:n]); err != nil {
+			return err
+		}
+		records = records[n:]
+	}
+	return nil
+}
+
+// putCall stores items that fit into one call.
+func (g *Registry) putCall(ctx context.Context, p *partition, id ID, records []changelog.Record) error {
 	err := changelog.Put(ctx, g.opts.Log, p.at, records)
 	var unknown *changelog.UnknownError
 	if !errors.As(err, &unknown) {
 		return err
 	}
 	_, err = p.Commit(ctx, func() []changelog.Record {
-		if l := p.state.jobs[id]; l != nil && len(l.chunks) == len(records) {
-			return nil
+		l := p.state.jobs[id]
+		if l == nil {
+			return records
+		}
+		var missing []changelog.Record
+		for _, r := range records {
+			if _, stored := l.chunks[r.Key]; !stored {
+				missing = append(missing, r)
+			}
 		}
-		return records
+		return missing
 	})
 	return err
 }
--- a/job/submit_test.go
+++ b/job/submit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +21,7 @@
 	mu      sync.Mutex
 	records map[changelog.Partition][]changelog.Record
 	reads   map[string]int
+	largest int // bytes of an append
 }
 
 func newCountingLog() *countingLog {
@@ -32,6 +35,11 @@
 	if expectEnd != changelog.Unconditional && expectEnd != end {
 		return 0, &changelog.ConflictError{Partition: p, End: end}
 	}
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	l.largest = max(l.largest, size)
 	for _, r := range records {
 		r.Offset = int64(len(l.records[p]))
 		l.records[p] = append(l.records[p], r)
@@ -90,6 +98,35 @@
 	is.Equal(string(body), "x")
 }
 
+// Guards against a job that is refused because its items do not fit into one call to the store.
+func TestLargeJobIsStoredInSeveralCalls(t *testing.T) {
+	is := is.New(t)
+	const items, callLimit = 50, 2_000_000
+	log := newCountingLog()
+	spec := &Spec{ID: "job-1", Host: "h", Step: -1}
+	for i := range items {
+		spec.Items = append(spec.Items, Item{ID: fmt.Sprint(i), Body: make([]byte, 100_000)})
+	}
+	is.NoErr(testRegistry(log).Submit(context.Background(), spec))
+	is.True(log.largest < callLimit)
+	other := testRegistry(log)
+	for i := range items {
+		body, err := other.Body(context.Background(), "job-1", fmt.Sprint(i))
+		is.NoErr(err)
+		is.Equal(len(body), 100_000)
+	}
+}
+
+// Guards against a client that waits until its deadline for a job that no store can take.
+func TestTooLargeItemIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	log := newCountingLog()
+	err := testRegistry(log).Submit(context.Background(), &Spec{ID: "job-1", Items: []Item{{ID: "a", Body: make([]byte, 300_000)}}})
+	var tooLarge *TooLargeError
+	is.True(errors.As(err, &tooLarge))
+	is.Equal(log.largest, 0)
+}
+
 // fixedPeers is a Peers in which all other instances are dead, or none.
 type fixedPeers struct {
 	dead bool
