--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -47,4 +47,22 @@
 check P7 health/backend.go 's/b\.pollLeaving \|\| b\.listLeaving \|\| /b.pollLeaving || /' entry TestListedLeavingBackendGetsNoWork
 check P8 entry/stop.go 's/if err := i\.gateway\.Drain\(ctx\); err != nil \{.*?\n\t\}\n.*?return i\.awaitIdle\(ctx\)/return nil/s' entry TestPlannedStopFinishesRequestsInFlight
 check P9 release/catalog.go 's/last > n\.Base/last > n.Base \&\& false/' entry TestRacingOperatorsGetOneWinner
+# The hosted program (docs/design/platform.md).
+check H1 changelog/replica.go 's/r\.log\.Append\(ctx, r\.partition, records, asOf\)/r.log.Append(ctx, r.partition, records, Unconditional)/' changelog 'TestOnlyOneOfTwoWritersWins|TestClaimsAgreeUnderFaults'
+check H2 changelog/replica.go 's/errors\.As\(err, &trimmed\)/false \&\& errors.As(err, \&trimmed)/' changelog TestReloadAfterExpiry
+check H3 job/driver.go 's/if !dead \|\| d\.retired/if true || !dead || d.retired/' instance TestJobOfADeadDriverIsTakenOver
+check H4 job/run.go 's/r\.keep\(\)/_ = r.keep/' instance TestTakeoverGoesOnWithTheTextSoFar
+check H5 platform/hosted/stream.go 's/case len\(rest\) > 0 \|\| event\.begun\(\):/case false:/' platform/hosted TestIncompleteStreams
+check H6 platform/hosted/stream.go 's/strings\.EqualFold\(string\(name\), headerVersions\)/false/; s/default:\n\t\treturn false, &EventError\{Line: string\(line\)\}/default:/' platform/hosted TestVersionsFollowTheChangeLines
+check H7 platform/hosted/backend.go 's/if promisesNotRun\(response\.StatusCode\)/if false \&\& promisesNotRun(response.StatusCode)/' platform/hosted TestStatusAloneIsNoRefusal
+check H8 forward/forward.go 's/if e\.route\.Kind == routes\.Idempotent/if e.route.Kind == routes.Idempotent || true/; s/attempts = max\(1, e\.route\.Attempts\)/attempts = 3/' instance TestNonIdempotentRequests
+check H9 backends/backends.go 's/b\.Service != service \|\| b\.leaving/b.Service != service/' backends TestLeavingAndGoneBackendsAreNoCandidates
+check H10 instance/instance.go 's/old\.Version >= c\.Version/false/' instance TestConfigurationNeverGoesBack
+check H11 duty/duty.go 's/timing\.SinceBoot\(\)-d\.heldAt > validity/false/' duty TestHolderWithoutRenewalStopsActing
+check H12 job/driver.go 's/if !own\[id\] \{/if false {/' instance TestEndedJobStartsNoItem
+check H13 instance/instance.go 's/i\.server\.Shutdown\(ctx\)/i.server.Close()/' instance TestPlannedStopHandsJobsOver
+check H14 job/list.go 's/ctx := g\.life/ctx := context.Background()/' instance TestStopDoesNotWaitForTheStore
+check H15 job/registry.go 's/ \|\| \(g\.opts\.Peers\.Dead\(s\.Driver\) && g\.opts\.Peers\.Rank\(string\(s\.ID\)\) == 0\)//' job TestOldJobOfADeadDriverIsDeleted
+check H16 job/registry.go 's/err := changelog\.Put\(ctx, g\.opts\.Log, p\.at, records\)/err := error(&changelog.UnknownError{})/' job TestAcceptanceReadsNoResults
+check H17 job/order.go 's/submittedMs-expected\.Milliseconds\(\)/submittedMs/' job TestLongTextsBeginFirst
 exit "$status"
