versions: a load that should have ended makes room for the next

Load pattern: all trainers name a version about every four seconds or faster, and only a fifth of the engines may load at once.

What binds is the loads: about ten a second for all models together, whatever their number at once.

--- a/versions/plan.go
+++ b/versions/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cicadasill/cicadasill/backends"
 )
@@ -40,6 +41,19 @@
 	return loads
 }
 
+// room returns how many loads may begin, given the ages of those that were ordered. A load of which the
+// engine's entry does not tell yet takes no room once it should have ended: entries come up to a
+// quarter of a second late, and every step waits for loads.
+func room(engines int, running []time.Duration) int {
+	free := max(leastLoads, int(loadsPart*float64(engines)+0.5))
+	for _, age := range running {
+		if age < loadTime {
+			free--
+		}
+	}
+	return free
+}
+
 func dueForModel(share []backends.Candidate, model string, target int64) []load {
 	newest, usable := 0, 0
 	for _, c := range share {
--- a/versions/plan_test.go
+++ b/versions/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -99,3 +100,13 @@
 	}
 	is.Equal(len(taken), 4)
 }
+
+// Guards against a loader that stands still while it waits for the entries of engines that have ended
+// their loads.
+func TestEndedLoadsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	is.Equal(room(10, nil), 2)
+	is.Equal(room(10, []time.Duration{0, loadTime - time.Millisecond}), 0)
+	is.Equal(room(10, []time.Duration{0, loadTime}), 1)
+	is.Equal(room(3, []time.Duration{loadTime, 2 * loadTime}), leastLoads)
+}
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -173,29 +173,32 @@
 func (m *Mover) moveService(ctx context.Context, config *routes.Config, service string, targets map[string]int64, fence int64) {
 	list := m.opts.Backends.Candidates(service, "")
 	slices.SortFunc(list, func(a, b backends.Candidate) int { return cmp.Compare(a.ID, b.ID) })
-	loading := 0
+	var running []time.Duration
 	for _, c := range list {
 		e := m.engine(c.Backend)
 		m.settle(c, e)
-		if e.calling || e.model != "" {
-			loading++
+		switch {
+		case e.calling:
+			running = append(running, 0)
+		case e.model != "":
+			running = append(running, time.Since(e.since))
 		}
 	}
-	most := max(leastLoads, int(loadsPart*float64(len(list))+0.5))
+	free := room(len(list), running)
 	mode := Continue
 	if config.SingleVersionService(service) {
 		mode = Finish
 	}
 	models := slices.Sorted(slices.Values(config.Services[service].Models))
 	for _, l := range due(list, models, targets) {
-		if loading >= most {
+		if free <= 0 {
 			return
 		}
 		e := m.engine(l.engine.Backend)
 		if e.calling || e.model != "" || time.Now().Before(e.waitTill) {
 			continue
 		}
-		loading++
+		free--
 		m.send(ctx, l.engine.Backend, e, Order{Model: l.model, Version: l.version, Mode: mode, Fence: fence})
 	}
 }
