Reads of the store are spaced by the number of instances

Cause: arithmetic from the constants: six followed partitions at 18 reads a second an instance are 6,000 at 331 instances, the store's limit, and a change of the jobs' index or of the operators' records wakes every instance at once. Change: records of instances are read twice in the time between two; instances that are not next in line for the duty read it every 1.2 s; reads that a change wakes pause 0.6 ms an instance, reads of entries 1 ms an instance.

--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -115,16 +115,16 @@
 
 // Follow keeps the replica current until ctx ends: it reads, waits up to wait for records, and
 // pauses between reads. failed is called with each failed read and with nil after a successful one.
-func (r *Replica) Follow(ctx context.Context, wait, pause time.Duration, failed func(error)) {
+func (r *Replica) Follow(ctx context.Context, wait time.Duration, pause func() time.Duration, failed func(error)) {
 	for ctx.Err() == nil {
 		err := r.catchUp(ctx, wait)
 		if ctx.Err() != nil {
 			return
 		}
 		failed(err)
-		delay := pause
+		delay := pause()
 		if err != nil {
-			delay = max(pause, retryPause)
+			delay = max(delay, retryPause)
 		}
 		if delay > 0 && !timing.Sleep(ctx, delay) {
 			return
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -36,6 +36,9 @@
 	// commitTimeout bounds one attempt to renew or take.
 	commitTimeout = 1200 * time.Millisecond
 	readPeriod    = 300 * time.Millisecond
+	// FarPeriod spaces the reads of instances that are not next in line: below takeAfter, so that
+	// they can still take the duty.
+	FarPeriod = 1200 * time.Millisecond
 )
 
 // record names the holder.
@@ -133,7 +136,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		d.replica.Follow(ctx, 0, readPeriod, func(error) {})
+		d.replica.Follow(ctx, 0, d.readPause, func(error) {})
 	}()
 	for timing.Sleep(ctx, renewPeriod) {
 		if d.wanted() {
@@ -143,6 +146,15 @@
 	<-done
 }
 
+// readPause spaces this instance's reads. Only those that are next in line need to see at once that
+// the holder has gone.
+func (d *Duty) readPause() time.Duration {
+	if _, err := d.Fence(); err == nil || d.peers.Rank(d.name) < maxRank {
+		return readPeriod
+	}
+	return FarPeriod
+}
+
 // wanted reports whether this instance should renew or take the duty now.
 func (d *Duty) wanted() bool {
 	if d.replica.Age() > takeAfter {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -39,8 +39,12 @@
 const (
 	// operatorWait is how long a read of the operators' records waits for new ones.
 	operatorWait = time.Second
+	// indexPause spaces the reads of the jobs' index in a small deployment.
+	indexPause = 20 * time.Millisecond
 	// entriesPause spaces the reads of the back ends' entries, each of which changes about once a second.
 	entriesPause = 250 * time.Millisecond
+	// entriesPerInstance keeps the reads of the entries at a thousand a second.
+	entriesPerInstance = time.Millisecond
 	// contactLimit is how long the store may not answer before the instance reports that it is
 	// not ready: others may be served.
 	contactLimit = 2 * time.Second
@@ -143,7 +147,7 @@
 	i.jobs = job.NewRegistry(job.RegistryOptions{
 		Self: i.self, Log: i.store, Partitions: s.Store.Partitions,
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, Near: i.present.Near, Peer: i.present.Peer, Peers: i.present,
-		IndexRead: i.contact("index"),
+		IndexPause: func() time.Duration { return presence.WakePause(indexPause, i.present.Count()) }, IndexRead: i.contact("index"),
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
@@ -287,12 +291,16 @@
 }
 
 func (i *Instance) followOperators(ctx context.Context) {
-	i.operators.Follow(ctx, operatorWait, 0, i.contact("operators"))
+	i.operators.Follow(ctx, operatorWait, func() time.Duration { return presence.WakePause(0, i.present.Count()) }, i.contact("operators"))
+}
+
+func entriesPauseOf(instances int) time.Duration {
+	return max(entriesPause, time.Duration(instances)*entriesPerInstance)
 }
 
 func (i *Instance) followEntries(ctx context.Context) {
 	report := i.contact("entries")
-	i.entries.Follow(ctx, 0, entriesPause, func(err error) {
+	i.entries.Follow(ctx, 0, func() time.Duration { return entriesPauseOf(i.present.Count()) }, func(err error) {
 		if err != nil {
 			i.directory.NoteOutage()
 		}
--- a/job/registry.go
+++ b/job/registry.go
@@ -29,8 +29,6 @@
 const (
 	// indexWait is how long a read of the index waits for records.
 	indexWait = time.Second
-	// indexPause spaces reads of the index; it bounds the calls when many jobs arrive.
-	indexPause = 20 * time.Millisecond
 	// readPoll spaces the reads of a data partition while a client waits for results.
 	readPoll = 150 * time.Millisecond
 	// itemBytes bounds the items in one call, below the store's limit.
@@ -58,6 +56,8 @@
 	Peer func(key string) machine.Ref
 	// Peers tells who deletes the records of jobs whose driver is dead.
 	Peers Peers
+	// IndexPause returns the pause between reads of the index.
+	IndexPause func() time.Duration
 	// IndexRead is called after each read of the index, with its error.
 	IndexRead func(error)
 }
@@ -107,7 +107,7 @@
 func (g *Registry) Run(ctx context.Context) {
 	g.tasks.Go(func() { g.deleteOld(ctx) })
 	g.tasks.Go(func() { g.keepParts(ctx) })
-	g.index.Follow(ctx, indexWait, indexPause, g.opts.IndexRead)
+	g.index.Follow(ctx, indexWait, g.opts.IndexPause, g.opts.IndexRead)
 	time.AfterFunc(stopPatience, g.end)
 	g.tasks.Wait()
 }
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -34,10 +34,14 @@
 	deadPeriods = 3
 	// nearPeriods is the age of a record, in periods, up to which an instance is given new work.
 	nearPeriods = 2
-	// readDelay is added to all ages: records are read some time after they were written.
+	// readDelay is added to all ages: records are read some time after they were written, up to half
+	// the time between records.
 	readDelay = 300 * time.Millisecond
-	// readPeriod spaces the reads of all records.
+	// readPeriod spaces the reads of all records, at least by half the time between records.
 	readPeriod = 300 * time.Millisecond
+	// wakePerInstance keeps the reads of a partition whose changes wake all instances at 1,700 a
+	// second, under a third of the smallest limit of a store for a deployment of this size.
+	wakePerInstance = 600 * time.Microsecond
 	// appendTimeout bounds the append of a record.
 	appendTimeout = 2 * time.Second
 	// freshRead is the age of the last read up to which its contents count as current.
@@ -67,7 +71,7 @@
 
 // silentFor reports whether no record has come for a number of periods.
 func (s *seen) silentFor(periods int) bool {
-	return time.Since(s.at) > time.Duration(periods)*s.Period+readDelay
+	return time.Since(s.at) > time.Duration(periods)*s.Period+max(readDelay, s.Period/2)
 }
 
 // Table is this instance's view of all instances.
@@ -105,7 +109,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		t.replica.Follow(ctx, 0, readPeriod, t.noteRead)
+		t.replica.Follow(ctx, 0, func() time.Duration { return ReadPause(t.Count()) }, t.noteRead)
 	}()
 	for {
 		if !timing.Sleep(ctx, t.beat(ctx)) {
@@ -115,11 +119,31 @@
 	<-done
 }
 
+// Count returns the number of instances that have written a record, this one included.
+func (t *Table) Count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(1, len(t.byID))
+}
+
+// WakePause returns the pause after a read that waited for a change, and that every other instance
+// has made for the same change.
+func WakePause(least time.Duration, instances int) time.Duration {
+	return max(least, time.Duration(instances)*wakePerInstance)
+}
+
+func beatPeriod(instances int) time.Duration {
+	return max(leastPeriod, time.Duration(instances)*periodPerInstance)
+}
+
+// ReadPause returns the pause between reads of the instances' records.
+func ReadPause(instances int) time.Duration { return max(readPeriod, beatPeriod(instances)/2) }
+
 // beat writes a record and returns the time until the next one.
 func (t *Table) beat(ctx context.Context) time.Duration {
 	t.mu.Lock()
 	t.sequence++
-	period := max(leastPeriod, time.Duration(len(t.byID))*periodPerInstance)
+	period := beatPeriod(len(t.byID))
 	r := record{
 		Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Leaving: t.leaving, Stopping: t.stopping,
 		Sequence: t.sequence, Period: period + t.appendTook,
@@ -213,7 +237,7 @@
 	age := t.replica.Age()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if age > freshRead {
+	if age > freshRead+ReadPause(len(t.byID))-readPeriod {
 		return false
 	}
 	own := t.byID[t.self.ID]
