versions: a model's share is no larger than its steps can use

Change: a share is bounded by the engines that run three steps' items at once (two steps of a trainer overlap, and some slots run items of other models). Step sizes come from the jobs' index. TestShareIsNoLargerThanStepsUse.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -156,7 +156,7 @@
 	})
 	i.mover = versions.New(versions.Options{
 		Backends: i.directory, Engine: client, Duty: i.orders, Config: i.config.Load,
-		Targets: i.newestVersions, Logger: i.log,
+		Targets: i.newestVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
 	ingress := &hosted.Ingress{
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, Logger: i.log,
--- a/job/registry.go
+++ b/job/registry.go
@@ -267,6 +267,19 @@
 	Results []Result
 }
 
+// StepSize returns the number of items of a model's newest step; 0 if there has been none.
+func (g *Registry) StepSize(model string) int {
+	size, newest := 0, int64(0)
+	g.index.View(func() {
+		for _, s := range g.jobs.jobs {
+			if s.Model == model && s.Step >= 0 && s.SubmittedMs > newest {
+				size, newest = s.Total, s.SubmittedMs
+			}
+		}
+	})
+	return size
+}
+
 // Results returns the results from position after on. It waits up to wait for the first.
 func (g *Registry) Results(ctx context.Context, id ID, after int, wait time.Duration) (Page, error) {
 	s, err := g.find(ctx, id)
--- a/versions/plan.go
+++ b/versions/plan.go
@@ -24,10 +24,10 @@
 // step come before the others, those of the model with the smallest usable part first. Of the
 // engines that still serve the step only as many load as the next step needs at its start, so that
 // a new version does not stop all of a model's engines at once.
-func due(list []backends.Candidate, models []string, targets map[string]int64) []load {
+func due(list []backends.Candidate, models []string, targets map[string]int64, stepSize func(string) int) []load {
 	var loads []load
 	for i, model := range models {
-		loads = append(loads, dueForModel(Share(list, model, i, len(models)), model, targets[model])...)
+		loads = append(loads, dueForModel(share(list, model, i, len(models), stepSize(model)), model, targets[model])...)
 	}
 	slices.SortStableFunc(loads, func(a, b load) int {
 		if a.stale != b.stale {
@@ -41,6 +41,38 @@
 	return loads
 }
 
+// share returns the engines that serve a model: twice an equal part of the list, because every
+// second one takes each new version, but no more than its steps can use: each load costs an order and
+// an engine's time. Engines with the newest version come first, so a share keeps its engines; among
+// equals every model starts at another place of the list, so that the engines that are ready for the
+// next step of one model rarely are for another.
+func share(list []backends.Candidate, model string, index, models, stepSize int) []backends.Candidate {
+	size := (partsPerShare*len(list) + models - 1) / models
+	if stepSize > 0 {
+		slots := 0
+		for _, c := range list {
+			slots += c.Slots
+		}
+		useful := stepsPerShare * stepSize * len(list) / max(1, slots)
+		size = min(size, max(leastShare, useful))
+	}
+	position := map[string]int{}
+	for i, c := range list {
+		position[c.ID] = (i%models - index + models) % models
+	}
+	ordered := slices.Clone(list)
+	slices.SortStableFunc(ordered, func(a, b backends.Candidate) int {
+		if n := cmp.Compare(b.Versions[model], a.Versions[model]); n != 0 {
+			return n
+		}
+		return cmp.Compare(position[a.ID], position[b.ID])
+	})
+	return ordered[:min(size, len(ordered))]
+}
+
+// leastShare leaves a model an engine while another one loads or is lost.
+const leastShare = 4
+
 // room returns how many loads may begin, given the ages of those that were ordered. A load of which the
 // engine's entry does not tell yet takes no room once it should have ended: entries come up to a
 // quarter of a second late, and every step waits for loads.
--- a/versions/plan_test.go
+++ b/versions/plan_test.go
@@ -10,6 +10,9 @@
 	"github.com/cicadasill/cicadasill/backends"
 )
 
+// unknownSteps is the size of steps before the first.
+func unknownSteps(string) int { return 0 }
+
 // engines returns candidates with the given versions of the models a and b.
 func engines(versions ...[2]int64) []backends.Candidate {
 	var list []backends.Candidate
@@ -30,7 +33,7 @@
 	is := is.New(t)
 	// Model a is due on engines that still serve; those of b serve no longer.
 	list := engines([2]int64{6, 3}, [2]int64{6, 3}, [2]int64{6, 3}, [2]int64{6, 3})
-	loads := due(list, both, map[string]int64{"a": 7, "b": 6})
+	loads := due(list, both, map[string]int64{"a": 7, "b": 6}, unknownSteps)
 	is.True(len(loads) > 0)
 	is.Equal(loads[0].model, "b")
 	is.True(loads[0].stale)
@@ -40,7 +43,7 @@
 func TestHalfOfTheEnginesKeepTheServingVersion(t *testing.T) {
 	is := is.New(t)
 	list := engines([2]int64{1, 1}, [2]int64{1, 1}, [2]int64{1, 1}, [2]int64{1, 1})
-	loads := due(list, both, map[string]int64{"a": 2})
+	loads := due(list, both, map[string]int64{"a": 2}, unknownSteps)
 	is.Equal(len(loads), 2)
 	for _, l := range loads {
 		is.True(!l.stale)
@@ -69,7 +72,7 @@
 						targets[m] = target
 					}
 					perModel := map[string]int{}
-					for _, l := range due(list, names, targets) {
+					for _, l := range due(list, names, targets, unknownSteps) {
 						perModel[l.model]++
 						l.engine.Versions[l.model] = target
 					}
@@ -94,7 +97,7 @@
 	is := is.New(t)
 	list := engines([2]int64{1, 1}, [2]int64{1, 1}, [2]int64{1, 1}, [2]int64{1, 1})
 	taken := map[string]string{}
-	for _, l := range due(list, both, map[string]int64{"a": 2, "b": 2}) {
+	for _, l := range due(list, both, map[string]int64{"a": 2, "b": 2}, unknownSteps) {
 		is.Equal(taken[l.engine.ID], "")
 		taken[l.engine.ID] = l.model
 	}
@@ -110,3 +113,20 @@
 	is.Equal(room(10, []time.Duration{0, loadTime}), 1)
 	is.Equal(room(3, []time.Duration{loadTime, 2 * loadTime}), leastLoads)
 }
+
+// Guards against loads, and orders, of which no step has a use: in a large deployment a step's items
+// need few of the engines.
+func TestShareIsNoLargerThanStepsUse(t *testing.T) {
+	is := is.New(t)
+	versions := make([][2]int64, 300)
+	for i := range versions {
+		versions[i] = [2]int64{1, 1}
+	}
+	list := engines(versions...) // of 4 slots
+	step := func(items int) func(string) int { return func(string) int { return items } }
+	targets := map[string]int64{"a": 2}
+	is.Equal(len(due(list, []string{"a"}, targets, unknownSteps)), 150)
+	is.Equal(len(due(list, []string{"a"}, targets, step(40))), 15) // half of the engines that run three steps
+	is.Equal(len(due(list, []string{"a"}, targets, step(1))), leastShare/2)
+	is.Equal(len(due(list, []string{"a"}, targets, step(100_000))), 150)
+}
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -95,6 +95,9 @@
 	freshPart = 0.5
 	// partsPerShare keeps the loads of a version at an equal part of the engines for each model.
 	partsPerShare = 2
+	// stepsPerShare is how many steps' items a model's engines can run at once, if there are as many
+	// engines. Two steps of a trainer overlap, and some slots run items of other models.
+	stepsPerShare = 3
 )
 
 // Options configure a Mover.
@@ -105,7 +108,9 @@
 	Config   func() *routes.Config
 	// Targets returns the newest version of each model that a trainer has named.
 	Targets func() map[string]int64
-	Logger  *log.Logger
+	// StepSize returns the number of items of a model's newest step; 0 if it is not known.
+	StepSize func(model string) int
+	Logger   *log.Logger
 }
 
 // Mover gives the orders while this instance holds the duty.
@@ -190,7 +195,7 @@
 		mode = Finish
 	}
 	models := slices.Sorted(slices.Values(config.Services[service].Models))
-	for _, l := range due(list, models, targets) {
+	for _, l := range due(list, models, targets, m.opts.StepSize) {
 		if free <= 0 {
 			return
 		}
@@ -203,26 +208,6 @@
 	}
 }
 
-// Share returns the engines that serve a model: twice an equal part of the list, because every
-// second one takes each new version. Engines with the newest version come first, so a share keeps
-// its engines; among equals every model starts at another place of the list, so that the engines
-// that are ready for the next step of one model rarely are for another.
-func Share(list []backends.Candidate, model string, index, models int) []backends.Candidate {
-	size := (partsPerShare*len(list) + models - 1) / models
-	position := map[string]int{}
-	for i, c := range list {
-		position[c.ID] = (i%models - index + models) % models
-	}
-	ordered := slices.Clone(list)
-	slices.SortStableFunc(ordered, func(a, b backends.Candidate) int {
-		if n := cmp.Compare(b.Versions[model], a.Versions[model]); n != 0 {
-			return n
-		}
-		return cmp.Compare(position[a.ID], position[b.ID])
-	})
-	return ordered[:min(size, len(ordered))]
-}
-
 func (m *Mover) engine(b *backends.Backend) *engine {
 	e := m.engines[b]
 	if e == nil {
