Mutations of the hosted program; two tests that were blind to them

Cause: docs/promises.md said that no promise of the hosted program is shown by a mutation. Two tests passed with their code removed and are stricter now: TestNonIdempotentRequests had one back end, so a repeat had nowhere to go (now two, runs of both are counted); TestPlannedStopHandsJobsOver had no request in flight when connections are closed (now one of 0.5 s).

--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -243,10 +243,16 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCluster(t, 1, 1)
-			c.desk.SetAnswer(func(string, int) hostedtest.Answer { return tc.answer })
+			second := hostedtest.NewEngine("desk-2", "desk", "a", "")
+			t.Cleanup(second.Close)
+			c.register(second) // a repeat would go to the other back end
+			c.eventually("both back ends are known", func() bool { return len(c.members[0].directory.Candidates("desk", "")) == 2 })
+			for _, desk := range []*hostedtest.Engine{c.desk, second} {
+				desk.SetAnswer(func(string, int) hostedtest.Answer { return tc.answer })
+			}
 			r := c.call(c.members[0], http.MethodPost, "/once/1?a=b%20c", "r-1", http.Header{"X-Deadline-Ms": {"600"}}, "x")
 			is.Equal(r.status, tc.status)
-			is.Equal(len(c.desk.Runs()), tc.runs)
+			is.Equal(len(c.desk.Runs())+len(second.Runs()), tc.runs)
 			if tc.answer == hostedtest.Whole {
 				is.Equal(string(r.body), "answer to POST at /once/1?a=b%20c")
 				is.Equal(r.header.Get("X-Server-Stamp"), "stamp")
@@ -313,7 +319,8 @@
 	if summary.Driver == other.self {
 		stopping, other = other, stopping
 	}
-	stopped := make(chan struct{})
+	c.desk.Delay = 500 * time.Millisecond
+	stopped, start := make(chan struct{}), time.Now()
 	go func() {
 		defer close(stopped)
 		stopping.Stop(context.Background())
@@ -322,6 +329,8 @@
 	c.eventually("not ready", func() bool { return !stopping.isReady() })
 	is.Equal(c.call(stopping, http.MethodPost, "/jobs/x", "job-2", nil, jobBody(2, 1)).status, http.StatusServiceUnavailable)
 	is.Equal(c.call(stopping, http.MethodPost, "/plain/1", "r-1", http.Header{"X-Deadline-Ms": {"900"}}, "x").status, http.StatusOK)
+	c.eventually("connections are about to be closed", func() bool { return time.Since(start) > balancerDelay-200*time.Millisecond })
+	is.Equal(c.call(stopping, http.MethodPost, "/plain/2", "r-2", http.Header{"X-Deadline-Ms": {"900"}}, "x").status, http.StatusOK)
 	<-stopped
 	c.checkWhole(c.readAll(other, "job-1", 16), 16, 4)
 }
--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -59,7 +59,7 @@
 check H9 backends/backends.go 's/b\.Service != service \|\| b\.leaving/b.Service != service/' backends TestLeavingAndGoneBackendsAreNoCandidates
 check H10 instance/instance.go 's/old\.Version >= c\.Version/false/' instance TestConfigurationNeverGoesBack
 check H11 duty/duty.go 's/timing\.SinceBoot\(\)-d\.heldAt > validity/false/' duty TestHolderWithoutRenewalStopsActing
-check H12 job/driver.go 's/if !own\[id\] \{/if false {/' instance TestEndedJobStartsNoItem
+check H12 job/driver.go 's/if !own\[id\] \{/if false \&\& !own[id] {/' instance TestEndedJobStartsNoItem
 check H13 instance/instance.go 's/i\.server\.Shutdown\(ctx\)/i.server.Close()/' instance TestPlannedStopHandsJobsOver
 check H14 job/list.go 's/ctx := g\.life/ctx := context.Background()/' instance TestStopDoesNotWaitForTheStore
 check H15 job/registry.go 's/ \|\| \(g\.opts\.Peers\.Dead\(s\.Driver\) && g\.opts\.Peers\.Rank\(string\(s\.ID\)\) == 0\)//' job TestOldJobOfADeadDriverIsDeleted
