job: a resumed text does not append into the stored part's memory

Cause: found on reading the change: a run that goes on after a stored part appended to the slice of the partition's state, whose spare capacity a second run of the same job in the same process could write as well. Change: the run takes the slices without their spare capacity. Comments of orderOf and of versions say what holds now. Measured: tests of job and instance with the race detector.

--- a/job/order.go
+++ b/job/order.go
@@ -61,9 +61,9 @@
 // orderBits leaves room for the position within the job behind the milliseconds.
 const orderBits = 12
 
-// orderOf returns the place of an item in the queue; lower is served first. It is the time of day
-// at which the item must start to end within longestLead of its job's submission, and for equal
-// times the position within the job.
+// orderOf returns the place of an item in the queue; lower is served first. Up to a constant it is the
+// time of day at which the item must start to end in time, and for equal times the position within
+// the job.
 func orderOf(submittedMs int64, expected time.Duration, at int) int64 {
 	return (submittedMs-expected.Milliseconds())<<orderBits + int64(at)
 }
--- a/job/run.go
+++ b/job/run.go
@@ -128,7 +128,7 @@
 func (d *Driver) runItem(ctx context.Context, job *driven, at int) (Result, bool) {
 	item := &job.items[at]
 	begun := job.parts[item.ID]
-	t := &text{data: begun.Data, last: begun.Last, versions: begun.Versions}
+	t := &text{data: slices.Clip(begun.Data), last: begun.Last, versions: slices.Clip(begun.Versions)}
 	failures, moves := 0, 0
 	var except *backends.Backend
 	for attempt := 1; ; attempt++ {
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -1,8 +1,8 @@
 // Package versions moves model engines to the versions of the weights that trainers name.
 //
-// One instance at a time gives the orders. Each model gets an equal share of a service's
-// engines, so that a new version is loaded only where the model is served; an engine that once
-// took a version of a model stays in the model's share.
+// One instance at a time gives the orders. Each model has a share of a service's engines, so that
+// a new version is loaded only where the model is served; an engine that once took a version of a
+// model stays in the model's share.
 package versions
 
 import (
