soak: processes listen at a loopback address of their own

The log of a reproduced run says "bind: address already in use".

Change: the processes listen at a loopback address that follows from the id of the test process, at ports counted from 7000.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -1,13 +1,16 @@
 package soak
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,7 +42,7 @@
 // process is an instance as a process of its own. It keeps its addresses over restarts.
 type process struct {
 	id       string
-	binary   string
+	program  string
 	settings string
 	addr     string
 	store    *proxy
@@ -58,7 +61,7 @@
 	if p.command != nil {
 		return nil
 	}
-	command := exec.Command(p.binary, "hosted", "--settings", p.settings)
+	command := exec.Command(p.program, "hosted", "--settings", p.settings)
 	command.Stdout, command.Stderr = p.log, p.log
 	if err := command.Start(); err != nil {
 		return err
@@ -118,17 +121,28 @@
 	processes []*process
 }
 
-// freeAddr returns an address of this machine at which nothing listens.
-func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+// Addresses of the processes. At 127.0.0.1 any connection may take a port between two lives of a
+// process, so they listen at a loopback address that follows from the id of this process.
+const (
+	loopbackNet = 127
+	// ownNet sets the addresses apart from 127.0.0.1; process ids have 22 bits.
+	ownNet    = 1 << 23
+	firstPort = 7000
+)
+
+// ports counts the ports given to processes.
+var ports atomic.Int32
+
+// newAddr returns an address that nothing else on this machine uses.
+func newAddr() string {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], ownNet|uint32(os.Getpid()))
+	ip[0] = loopbackNet
+	port := firstPort + int(ports.Add(1))
+	return net.JoinHostPort(net.IP(ip[:]).String(), strconv.Itoa(port))
 }
 
-func newFleet(dir, binary string, instances, engines int) (*fleet, error) {
+func newFleet(dir, program string, instances, engines int) (*fleet, error) {
 	f := &fleet{dir: dir, store: hostedtest.NewStore()}
 	f.store.PutConfig(fmt.Appendf(nil, configuration, 1))
 	for i := range engines {
@@ -147,7 +161,7 @@
 		f.links = append(f.links, link)
 	}
 	for i := range instances {
-		p, err := f.newProcess(fmt.Sprintf("instance-%d", i), binary)
+		p, err := f.newProcess(fmt.Sprintf("instance-%d", i), program)
 		if err != nil {
 			return f, err
 		}
@@ -170,23 +184,12 @@
 	}
 }
 
-func (f *fleet) newProcess(id, binary string) (*process, error) {
+func (f *fleet) newProcess(id, program string) (*process, error) {
 	store, err := newProxy(f.store.Addr())
 	if err != nil {
 		return nil, err
 	}
-	addr, err := freeAddr()
-	if err != nil {
-		return nil, err
-	}
-	ready, err := freeAddr()
-	if err != nil {
-		return nil, err
-	}
-	peers, err := freeAddr()
-	if err != nil {
-		return nil, err
-	}
+	addr, ready, peers := newAddr(), newAddr(), newAddr()
 	path := filepath.Join(f.dir, id+".jsonc")
 	text := fmt.Sprintf(settingsText, id, addr, ready, peers, store.addr())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -196,7 +199,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &process{id: id, binary: binary, settings: path, addr: addr, store: store, log: log}, nil
+	return &process{id: id, program: program, settings: path, addr: addr, store: store, log: log}, nil
 }
 
 // heal ends all faults and starts every process that has ended.
