versions: loads are dealt one at a time to the model in most need

Cause: after an outage all trainers catch up and name versions together, faster than ten engines load in 0.9 s.

Change: the plan deals the loads one at a time to the model that is furthest from what its steps use, counted in engines that run a step at once; engines of the next step's start take their turn behind half of that. Loads under way count as done.

--- a/versions/plan.go
+++ b/versions/plan.go
@@ -9,36 +9,96 @@
 	"github.com/cicadasill/cicadasill/backends"
 )
 
+// Load pattern: after an outage all trainers catch up and name versions together, faster than the engines
+// load them. A batch of loads for one model then leaves the steps of the others without any engine
+// for a second or more. So the loads in need are dealt one at a time: each goes to the model that
+// is furthest from what its steps use.
+
 // load is a version that an engine should take.
 type load struct {
 	engine  backends.Candidate
 	model   string
 	version int64
-	// usable is the part of the model's engines that serve the current step.
-	usable float64
 	// stale states that the engine cannot serve the current step.
 	stale bool
 }
 
-// due returns the loads to order, the most urgent first. Engines that are too old for the current
-// step come before the others, those of the model with the smallest usable part first. Of the
-// engines that still serve the step only as many load as the next step needs at its start, so that
-// a new version does not stop all of a model's engines at once.
+// nextStepRank ranks an engine for a model's next step behind one for the current step until
+// this part of the engines that the current step uses can serve it.
+const nextStepRank = 0.5
+
+// plan is what a model needs.
+type plan struct {
+	// need is the number of engines that run all items of a step at once.
+	need float64
+	// usable and newest count the engines that serve the current step and the next one's start, with
+	// those that are chosen to.
+	usable, newest int
+	// stale and others are the loads that are due: engines that do not serve the current step, and
+	// engines for the start of the next one.
+	stale, others []load
+}
+
+// rank returns how urgent the model's next load is; lower comes first. It reports false if there is none.
+func (p *plan) rank() (rank float64, ok bool) {
+	rank = math.Inf(1)
+	if len(p.stale) > 0 {
+		rank = float64(p.usable) / p.need
+	}
+	if len(p.others) > 0 {
+		rank = min(rank, nextStepRank+float64(p.newest)/p.need)
+	}
+	return rank, len(p.stale)+len(p.others) > 0
+}
+
+// take removes the model's next load.
+func (p *plan) take() load {
+	queue := &p.others
+	if len(p.stale) > 0 && (len(p.others) == 0 || float64(p.usable) <= nextStepRank*p.need+float64(p.newest)) {
+		queue = &p.stale
+		p.usable++
+	}
+	p.newest++
+	l := (*queue)[0]
+	*queue = (*queue)[1:]
+	return l
+}
+
+// due returns the loads to order, the most urgent first. Of the engines that still serve the current
+// step only as many load as the next step needs at its start, so that a new version does not stop all
+// of a model's engines at once.
 func due(list []backends.Candidate, models []string, targets map[string]int64, stepSize func(string) int) []load {
-	var loads []load
+	var plans []*plan
 	for i, model := range models {
-		loads = append(loads, dueForModel(share(list, model, i, len(models), stepSize(model)), model, targets[model])...)
+		size := stepSize(model)
+		p := planFor(share(list, model, i, len(models), size), model, targets[model])
+		if slots := meanSlots(list); size > 0 && slots > 0 {
+			p.need = max(1, float64(size)/slots)
+		}
+		plans = append(plans, p)
 	}
-	slices.SortStableFunc(loads, func(a, b load) int {
-		if a.stale != b.stale {
-			if a.stale {
-				return -1
+	var loads []load
+	for {
+		var next *plan
+		best := math.Inf(1)
+		for _, p := range plans {
+			if rank, ok := p.rank(); ok && rank < best {
+				next, best = p, rank
 			}
-			return 1
 		}
-		return cmp.Compare(a.usable, b.usable)
-	})
-	return loads
+		if next == nil {
+			return loads
+		}
+		loads = append(loads, next.take())
+	}
+}
+
+func meanSlots(list []backends.Candidate) float64 {
+	slots := 0
+	for _, c := range list {
+		slots += c.Slots
+	}
+	return float64(slots) / float64(max(1, len(list)))
 }
 
 // share returns the engines that serve a model: twice an equal part of the list, because every
@@ -49,11 +109,7 @@
 func share(list []backends.Candidate, model string, index, models, stepSize int) []backends.Candidate {
 	size := (partsPerShare*len(list) + models - 1) / models
 	if stepSize > 0 {
-		slots := 0
-		for _, c := range list {
-			slots += c.Slots
-		}
-		useful := stepsPerShare * stepSize * len(list) / max(1, slots)
+		useful := int(stepsPerShare * float64(stepSize) / max(1, meanSlots(list)))
 		size = min(size, max(leastShare, useful))
 	}
 	position := map[string]int{}
@@ -86,31 +142,25 @@
 	return free
 }
 
-func dueForModel(share []backends.Candidate, model string, target int64) []load {
-	newest, usable := 0, 0
-	for _, c := range share {
-		if c.Versions[model] >= target {
-			newest++
-		}
-		if c.Versions[model] >= target-1 {
-			usable++
-		}
-	}
-	part := float64(usable) / float64(max(1, len(share)))
-	fresh := int(math.Ceil(freshPart * float64(len(share))))
-	var stale, others []load
+// planFor returns what a model needs of its share of the engines.
+func planFor(share []backends.Candidate, model string, target int64) *plan {
+	p := &plan{need: float64(max(1, len(share)))}
 	for _, c := range share {
 		version := c.Versions[model]
-		if version >= target {
-			continue
-		}
-		l := load{engine: c, model: model, version: target, usable: part, stale: version < target-1}
-		if l.stale {
-			stale = append(stale, l)
-		} else {
-			others = append(others, l)
+		l := load{engine: c, model: model, version: target, stale: version < target-1}
+		switch {
+		case version >= target:
+			p.newest++
+			p.usable++
+		case l.stale:
+			p.stale = append(p.stale, l)
+		default:
+			p.usable++
+			p.others = append(p.others, l)
 		}
 	}
-	missing := max(0, fresh-newest-len(stale))
-	return append(stale, others[:min(missing, len(others))]...)
+	fresh := int(math.Ceil(freshPart * float64(len(share))))
+	missing := max(0, fresh-p.newest-len(p.stale))
+	p.others = p.others[:min(missing, len(p.others))]
+	return p
 }
--- a/versions/plan_test.go
+++ b/versions/plan_test.go
@@ -104,6 +104,62 @@
 	is.Equal(len(taken), 4)
 }
 
+// Guards against a batch of loads for one model that leaves the steps of others without any engine. The
+// replayed load: after an outage the trainers of three models on 48 engines name two versions more at
+// once, and ten engines load at a time.
+func TestModelsThatCatchUpShareTheLoads(t *testing.T) {
+	is := is.New(t)
+	models := []string{"a", "b", "c"}
+	targets := map[string]int64{"a": 10, "b": 10, "c": 10}
+	var list []backends.Candidate
+	for i := range 48 {
+		list = append(list, backends.Candidate{
+			Backend: &backends.Backend{ID: fmt.Sprintf("e%02d", i)}, Slots: 6,
+			Versions: map[string]int64{"a": 8, "b": 8, "c": 8},
+		})
+	}
+	usable := func(model string) int {
+		n := 0
+		for _, c := range list {
+			if c.Versions[model] >= targets[model]-1 {
+				n++
+			}
+		}
+		return n
+	}
+	for round := 1; round <= 4; round++ {
+		loads := due(list, models, targets, func(string) int { return 200 })
+		loading := map[string]bool{}
+		for _, l := range loads {
+			if len(loading) < 10 && !loading[l.engine.ID] {
+				loading[l.engine.ID] = true
+				l.engine.Versions[l.model] = l.version
+			}
+		}
+		for _, model := range models {
+			is.True(usable(model) >= 3*round) // of ten loads a round, a third or a little less
+		}
+	}
+}
+
+// Guards against loads that follow the order in which models are named instead of the size of their steps.
+func TestLargerStepsGetMoreEngines(t *testing.T) {
+	is := is.New(t)
+	var list []backends.Candidate
+	for i := range 40 {
+		list = append(list, backends.Candidate{
+			Backend: &backends.Backend{ID: fmt.Sprintf("e%02d", i)}, Slots: 4, Versions: map[string]int64{"a": 1, "b": 1},
+		})
+	}
+	sizes := map[string]int{"a": 40, "b": 120}
+	loads := due(list, both, map[string]int64{"a": 3, "b": 3}, func(m string) int { return sizes[m] })
+	count := map[string]int{}
+	for _, l := range loads[:16] {
+		count[l.model]++
+	}
+	is.Equal(count, map[string]int{"a": 4, "b": 12})
+}
+
 // Guards against a loader that stands still while it waits for the entries of engines that have ended
 // their loads.
 func TestEndedLoadsMakeRoom(t *testing.T) {
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -179,7 +180,7 @@
 	list := m.opts.Backends.Candidates(service, "")
 	slices.SortFunc(list, func(a, b backends.Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	var running []time.Duration
-	for _, c := range list {
+	for i, c := range list {
 		e := m.engine(c.Backend)
 		m.settle(c, e)
 		switch {
@@ -187,6 +188,8 @@
 			running = append(running, 0)
 		case e.model != "":
 			running = append(running, time.Since(e.since))
+			list[i].Versions = maps.Clone(c.Versions) // the plan counts the load as done
+			list[i].Versions[e.model] = e.version
 		}
 	}
 	free := room(len(list), running)
