presence: an instance gives work only to instances that it has seen live

Cause: a table that starts takes every record that the store still holds for a living instance's, for up to two periods.

Change: an instance takes work once its record has changed since the table first read it.

TestStartingInstanceGivesNoWorkToTheDead fails on the old code.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -67,6 +67,14 @@
 type seen struct {
 	record
 	at time.Time
+	// alive states that the record has changed since this table first read it. The store keeps the
+	// records of instances that ended long ago, and a table that starts cannot tell their age.
+	alive bool
+}
+
+// takesWork reports whether the instance lives, as far as its records tell, and takes new work.
+func (s *seen) takesWork() bool {
+	return s.alive && !s.Leaving && !s.Stopping && !s.silentFor(nearPeriods)
 }
 
 // silentFor reports whether no record has come for a number of periods.
@@ -225,7 +233,7 @@
 	if known && old.Incarnation != next.Incarnation {
 		t.log.Info("instance restarted", "peer", r.Key, "incarnation", next.Incarnation)
 	}
-	t.byID[r.Key] = seen{record: next, at: time.Now()}
+	t.byID[r.Key] = seen{record: next, at: time.Now(), alive: known}
 }
 
 // Dead reports whether an instance has ended or does no more work. It answers false while the
@@ -260,7 +268,7 @@
 	defer t.mu.Unlock()
 	best, bestHash := t.self, uint64(0)
 	for id, s := range t.byID {
-		if id == t.self.ID || s.Leaving || s.Stopping || s.DataCentre != t.dataCentre || s.silentFor(nearPeriods) {
+		if id == t.self.ID || s.DataCentre != t.dataCentre || !s.takesWork() {
 			continue
 		}
 		if h := xxhash.Sum64String(key + "/" + id); best == t.self || h < bestHash {
@@ -299,8 +307,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, known := t.byID[ref.ID]
-	return known && s.Incarnation == ref.Incarnation && !s.Leaving && !s.Stopping &&
-		s.DataCentre == t.dataCentre && !s.silentFor(nearPeriods)
+	return known && s.Incarnation == ref.Incarnation && s.DataCentre == t.dataCentre && s.takesWork()
 }
 
 // Rank returns this instance's position among the living ones in an order that depends on key
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -76,6 +76,33 @@
 	eventually(t, "the earlier b counts as dead", func() bool { return a.Dead(machine.Ref{ID: "b", Incarnation: 1}) })
 }
 
+// Guards against jobs that an instance gives, right after its start, to one that ended long ago and
+// whose last record the store still holds.
+func TestStartingInstanceGivesNoWorkToTheDead(t *testing.T) {
+	is := is.New(t)
+	store := hostedtest.NewStore()
+	t.Cleanup(store.Close)
+	first, endFirst := newTable(t, store, "a", "x", 1)
+	_, endB := newTable(t, store, "b", "x", 1)
+	ref := machine.Ref{ID: "b", Incarnation: 1}
+	eventually(t, "b is seen", func() bool { return first.Near(ref) })
+	endB()
+	endFirst()
+	a, _ := newTable(t, store, "a", "x", 2)
+	eventually(t, "b's last record is read", func() bool {
+		is.True(!a.Near(ref))
+		is.Equal(a.Peer("any"), a.self)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		_, known := a.byID["b"]
+		return known
+	})
+	is.True(!a.Near(ref))
+	is.Equal(a.Peer("any"), a.self)
+	newTable(t, store, "b", "x", 2)
+	eventually(t, "b is back", func() bool { return a.Near(machine.Ref{ID: "b", Incarnation: 2}) })
+}
+
 // Guards against takeovers from everyone while the store does not answer.
 func TestOutageKillsNobody(t *testing.T) {
 	is := is.New(t)
