job: long texts move to faster engines

Change (job/move.go): a text that would save 0.25 s or more waits for a slot at a faster engine in the order of all waiting items while it goes on where it is, and moves once it gets one. Items that are expected to be long begin at quick engines. The old rule for very slow engines is a case of the new one.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -229,6 +229,13 @@
 	b.dir.notify()
 }
 
+// Pace returns the smoothed time between two events of a stream; 0 if unknown.
+func (b *Backend) Pace() time.Duration {
+	b.dir.mu.Lock()
+	defer b.dir.mu.Unlock()
+	return b.pace
+}
+
 // Gone reports whether b takes no new work.
 func (b *Backend) Gone() bool {
 	b.dir.mu.Lock()
--- /dev/null
+++ b/job/move.go
@@ -0,0 +1,102 @@
+package job
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cicadasill/cicadasill/backends"
+)
+
+// Load pattern: engines of a service differ in speed by a third, and some become several times slower
+// for seconds. A step ends when its last long text does; at a slower engine that is seconds after the
+// others. Reading a text in again at another engine takes some ten milliseconds.
+//
+// A running text moves when the time that it is expected to save is worth a move. Until then it goes on
+// where it is and waits for a slot at a faster engine in the order of all waiting items.
+
+const (
+	// moveEvery is the number of events after which a text's place is looked at again.
+	moveEvery = 4
+	// maxMoves bounds how often a text moves: each time it is read in again.
+	maxMoves = 3
+	// moveGain is the least time that a move must save. A move takes up to 0.1 s, and at times a new
+	// connection.
+	moveGain = 250 * time.Millisecond
+	// moveLead is the least advantage in pace of the new engine: the pace of an engine varies
+	// by a tenth with its load.
+	moveLead = 1.15
+)
+
+// errMoved ends an attempt whose text goes on at a faster engine.
+var errMoved = errors.New("a faster engine is free")
+
+// remaining estimates how long a text still runs at a typical engine, from the time expected for all of
+// it and the time for what it has generated. Texts that exceed their estimate go on for long.
+func remaining(expected, generated time.Duration) time.Duration {
+	left := max(expected-generated, generated/2)
+	return max(0, min(left, longestLead-generated))
+}
+
+// isMoveWorth reports whether a text saves enough at an engine of quick pace. Paces are the times between
+// two events; rest is the time that the text still takes at the typical pace.
+func isMoveWorth(rest, pace, quick, typical time.Duration) bool {
+	if quick == 0 || float64(pace) < moveLead*float64(quick) {
+		return false
+	}
+	return time.Duration(float64(rest)*float64(pace-quick)/float64(typical)) >= moveGain
+}
+
+// place is the engine at which a text runs, and its wait for a faster one.
+type place struct {
+	placer   *placer
+	backend  *backends.Backend
+	template want // for the wait
+	// submittedMs and at order the wait among the waiting items.
+	submittedMs int64
+	at          int
+
+	waiting *want
+}
+
+// next returns the faster engine at which the text should go on, if there is one. The caller must call
+// End on it.
+func (p *place) next(events int, generated int64) *backends.Backend {
+	if p.waiting == nil {
+		if events%moveEvery == 0 {
+			p.consider(generated)
+		}
+		return nil
+	}
+	select {
+	case b := <-p.waiting.placed:
+		p.waiting = nil
+		return b
+	default:
+		return nil
+	}
+}
+
+// consider makes the text wait for a faster engine if a move is worth it.
+func (p *place) consider(generated int64) {
+	list := p.placer.dir.Candidates(p.backend.Service, "")
+	typical, quick := paceAt(list, 0.5), paceAt(list, quickPart)
+	pace := p.backend.Pace()
+	rest := remaining(p.template.expected, time.Duration(generated)*typical)
+	if !isMoveWorth(rest, pace, quick, typical) {
+		return
+	}
+	w := p.template
+	w.except, w.expected = p.backend, rest
+	w.paceBelow = time.Duration(float64(pace) / moveLead)
+	w.order = orderOf(p.submittedMs, rest, p.at)
+	p.waiting = &w
+	p.placer.enqueue(&w)
+}
+
+// leave ends the wait.
+func (p *place) leave() {
+	if p.waiting != nil {
+		p.placer.withdraw(p.waiting)
+		p.waiting = nil
+	}
+}
--- a/job/place.go
+++ b/job/place.go
@@ -18,8 +18,11 @@
 	warmBonus = 0.5
 	// farPenalty is the price of an engine in another data centre.
 	farPenalty = 0.05
+	// delayPenalty is the price of each second that an item is expected to take longer than at an
+	// engine of quick pace.
+	delayPenalty = 0.5
 	// slowRatio is the pace, relative to the median, from which an engine gets fewer items than
-	// its slots, and from which its runs move to faster engines.
+	// its slots.
 	slowRatio = 1.8
 	// slowLead is the least difference of a slow engine's pace to the median: less is noise.
 	slowLead = 10 * time.Millisecond
@@ -34,11 +37,18 @@
 	model      string
 	group      string
 	minVersion int64
+	// expected is how long the item runs at a typical engine.
+	expected time.Duration
 	// except is the engine at which the last attempt failed.
 	except *backends.Backend
-	placed chan *backends.Backend
+	// paceBelow asks for an engine with a shorter known pace; 0 accepts every engine.
+	paceBelow time.Duration
+	placed    chan *backends.Backend
 }
 
+// anyEngine reports whether w takes every engine that serves its model.
+func (w *want) anyEngine() bool { return w.except == nil && w.paceBelow == 0 }
+
 // placer hands engines to items. It holds no engine above its slots and serves waiting items in
 // their order.
 type placer struct {
@@ -74,6 +84,18 @@
 
 // acquire waits for an engine. The caller must call End on it.
 func (p *placer) acquire(ctx context.Context, w *want) (*backends.Backend, error) {
+	p.enqueue(w)
+	select {
+	case b := <-w.placed:
+		return b, nil
+	case <-ctx.Done():
+	}
+	p.withdraw(w)
+	return nil, ctx.Err()
+}
+
+// enqueue makes an item wait for an engine, which arrives in w.placed.
+func (p *placer) enqueue(w *want) {
 	w.placed = make(chan *backends.Backend, 1)
 	p.mu.Lock()
 	at, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *want) int {
@@ -85,11 +107,10 @@
 	p.waiting = slices.Insert(p.waiting, at, w)
 	p.mu.Unlock()
 	p.pump()
-	select {
-	case b := <-w.placed:
-		return b, nil
-	case <-ctx.Done():
-	}
+}
+
+// withdraw ends an item's wait and gives back an engine that was placed meanwhile.
+func (p *placer) withdraw(w *want) {
 	p.mu.Lock()
 	p.waiting = slices.DeleteFunc(p.waiting, func(other *want) bool { return other == w })
 	p.mu.Unlock()
@@ -98,7 +119,6 @@
 		b.End()
 	default:
 	}
-	return nil, ctx.Err()
 }
 
 // pump places as many waiting items as there are free slots.
@@ -122,7 +142,7 @@
 		}
 		best := choose(list, w, p.groups[w.group], p.zone, p.share)
 		if best < 0 {
-			if w.except == nil {
+			if w.anyEngine() {
 				full[k] = w.minVersion
 			}
 			kept = append(kept, w)
@@ -150,7 +170,7 @@
 
 // choose returns the index of the engine for w, or -1 if none has a free slot.
 func choose(list []backends.Candidate, w *want, mate *backends.Backend, zone string, share float64) int {
-	typical := typicalPace(list)
+	typical, quick := paceAt(list, 0.5), paceAt(list, quickPart)
 	best, bestCost := -1, 0.0
 	for i, c := range list {
 		if c.Avoid || c.Versions[w.model] < w.minVersion {
@@ -159,6 +179,9 @@
 		if c.Backend == w.except && len(list) > 1 {
 			continue
 		}
+		if w.paceBelow > 0 && (c.Pace == 0 || c.Pace >= w.paceBelow) {
+			continue
+		}
 		slots := max(1, float64(c.Slots)*share)
 		relative := 1.0
 		if isSlow(c.Pace, typical) {
@@ -168,6 +191,9 @@
 			continue
 		}
 		cost := relative * float64(c.InFlight+1) / slots
+		if quick > 0 && c.Pace > quick {
+			cost += delayPenalty * w.expected.Seconds() * (float64(c.Pace)/float64(quick) - 1)
+		}
 		if c.Zone != zone {
 			cost += farPenalty
 		}
@@ -184,8 +210,12 @@
 	return best
 }
 
-// typicalPace returns the median of the known paces; 0 if there are fewer than two.
-func typicalPace(list []backends.Candidate) time.Duration {
+// quickPart is the part of the engines whose pace counts as quick.
+const quickPart = 0.25
+
+// paceAt returns the pace that a part of the engines with a known pace do not exceed; 0 if fewer
+// than two are known.
+func paceAt(list []backends.Candidate, part float64) time.Duration {
 	var paces []time.Duration
 	for _, c := range list {
 		if c.Pace > 0 {
@@ -196,37 +226,10 @@
 		return 0
 	}
 	slices.Sort(paces)
-	return paces[(len(paces)-1)/2]
+	return paces[int(float64(len(paces)-1)*part)]
 }
 
 // isSlow reports whether a pace is far behind the median; nothing is slow while that is unknown.
 func isSlow(pace, typical time.Duration) bool {
 	return typical > 0 && pace > typical+slowLead && pace > time.Duration(slowRatio*float64(typical))
 }
-
-// slow reports whether an engine's pace is far behind the median of its service.
-func (p *placer) slow(b *backends.Backend) bool {
-	list := p.dir.Candidates(b.Service, "")
-	typical := typicalPace(list)
-	for _, c := range list {
-		if c.Backend == b {
-			return isSlow(c.Pace, typical)
-		}
-	}
-	return false
-}
-
-// faster reports whether an engine with a normal pace has a free slot for the model.
-func (p *placer) faster(service, model string, minVersion int64, than *backends.Backend) bool {
-	list := p.dir.Candidates(service, model)
-	typical := typicalPace(list)
-	for _, c := range list {
-		if c.Backend == than || c.Avoid || c.Versions[model] < minVersion || float64(c.InFlight) >= float64(c.Slots)*p.share {
-			continue
-		}
-		if c.Pace > 0 && !isSlow(c.Pace, typical) {
-			return true
-		}
-	}
-	return false
-}
