job: only texts among the last of their step move

Change: a text moves if it would end later than 0.8 of the longest recent text's time after its job began, and the new engine must lead by a fifth: a full engine's pace is a seventh longer than an idle one's.

--- a/job/move.go
+++ b/job/move.go
@@ -11,8 +11,10 @@
 // for seconds. A step ends when its last long text does; at a slower engine that is seconds after the
 // others. Reading a text in again at another engine takes some ten milliseconds.
 //
-// A running text moves when the time that it is expected to save is worth a move. Until then it goes on
-// where it is and waits for a slot at a faster engine in the order of all waiting items.
+// A running text moves when the time that it is expected to save is worth a move, and when it is among the
+// last of its step: a text that ends before the step's longest ones delays nobody, and a move may take a
+// new connection. Until then it goes on where it is and waits for a slot at a faster engine in the order of
+// all waiting items.
 
 const (
 	// moveEvery is the number of events after which a text's place is looked at again.
@@ -23,8 +25,11 @@
 	// connection.
 	moveGain = 250 * time.Millisecond
 	// moveLead is the least advantage in pace of the new engine: the pace of an engine varies
-	// by a tenth with its load.
-	moveLead = 1.15
+	// by a seventh with its load.
+	moveLead = 1.2
+	// lastPart is the part of the longest recent text's time from which on a text that ends is among the
+	// last of its step.
+	lastPart = 0.8
 )
 
 // errMoved ends an attempt whose text goes on at a faster engine.
@@ -46,14 +51,22 @@
 	return time.Duration(float64(rest)*float64(pace-quick)/float64(typical)) >= moveGain
 }
 
+// isAmongLast reports whether a text of a job of some age ends late for its step: no earlier than one as long as
+// the longest recent texts would that began with the job.
+func isAmongLast(age, rest, longest time.Duration) bool {
+	return float64(age+rest) >= lastPart*float64(longest)
+}
+
 // place is the engine at which a text runs, and its wait for a faster one.
 type place struct {
 	placer   *placer
 	backend  *backends.Backend
 	template want // for the wait
-	// submittedMs and at order the wait among the waiting items.
-	submittedMs int64
-	at          int
+	// submitted and at order the wait among the waiting items.
+	submitted time.Time
+	at        int
+	// longest returns the time of the longest recent text.
+	longest func() time.Duration
 
 	waiting *want
 }
@@ -85,10 +98,13 @@
 	if !isMoveWorth(rest, pace, quick, typical) {
 		return
 	}
+	if here := time.Duration(float64(rest) * float64(pace) / float64(typical)); !isAmongLast(time.Since(p.submitted), here, p.longest()) {
+		return
+	}
 	w := p.template
 	w.except, w.expected = p.backend, rest
 	w.paceBelow = time.Duration(float64(pace) / moveLead)
-	w.order = orderOf(p.submittedMs, rest, p.at)
+	w.order = orderOf(p.submitted.UnixMilli(), rest, p.at)
 	p.waiting = &w
 	p.placer.enqueue(&w)
 }
--- a/job/order.go
+++ b/job/order.go
@@ -19,6 +19,9 @@
 	firstTokenTime = 700 * time.Microsecond
 	// lengthWeight is the weight of an ended item in the smoothed sums.
 	lengthWeight = 0.02
+	// mostFade is the part of the longest time that is left after another item: a step of two hundred
+	// items without a long one halves it.
+	mostFade = 0.9965
 	// longestLead bounds how far a long item overtakes: the longest texts take about five seconds.
 	longestLead = 5 * time.Second
 )
@@ -28,15 +31,18 @@
 	mu     sync.Mutex
 	run    float64 // smoothed seconds of an item
 	tokens float64 // smoothed estimate of an item; 0 before the first
+	// most is the time of the longest recent item; it fades with each further one.
+	most float64
 }
 
 // observe takes an item that has run from its first event to its last.
 func (l *lengths) observe(estimate int, ran time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = max(ran.Seconds(), mostFade*l.most)
 	if estimate <= 0 {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.tokens == 0 {
 		l.run, l.tokens = float64(estimate)*firstTokenTime.Seconds(), float64(estimate)
 	}
@@ -44,6 +50,13 @@
 	l.tokens += lengthWeight * (float64(estimate) - l.tokens)
 }
 
+// longest returns the time of the longest recent item.
+func (l *lengths) longest() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.most * float64(time.Second))
+}
+
 // expect returns the expected time of an item. An item without an estimate counts as an average one.
 func (l *lengths) expect(estimate int) time.Duration {
 	l.mu.Lock()
--- a/job/place_test.go
+++ b/job/place_test.go
@@ -122,7 +122,10 @@
 // placeOf returns the place of a text of four seconds that has just begun at an engine.
 func placeOf(p *placer, dir *backends.Directory, id string) *place {
 	b, _ := dir.Backend(id)
-	return &place{placer: p, backend: b, template: want{service: "llm", model: "m", minVersion: 1, expected: 4 * time.Second}}
+	return &place{
+		placer: p, backend: b, template: want{service: "llm", model: "m", minVersion: 1, expected: 4 * time.Second},
+		submitted: time.Now(), longest: func() time.Duration { return 4 * time.Second },
+	}
 }
 
 // Guards against a long text that stays at a slow engine while a faster one is free, against moves
@@ -169,12 +172,30 @@
 	is.True(!isMoveWorth(400*ms, 62*ms, 48*ms, 48*ms))
 	is.True(!isMoveWorth(4*time.Second, 54*ms, 48*ms, 48*ms))
 	is.True(!isMoveWorth(4*time.Second, 62*ms, 0, 0)) // no pace is known
+	is.True(isAmongLast(time.Second, 4*time.Second, 5*time.Second))
+	is.True(!isAmongLast(time.Second, time.Second, 5*time.Second)) // ends before the step's longest texts
+	is.True(isAmongLast(0, time.Second, 0))                          // no text has ended yet
 	is.Equal(remaining(4*time.Second, time.Second), 3*time.Second)
 	is.Equal(remaining(time.Second, 2*time.Second), time.Second) // longer than estimated
 	is.Equal(remaining(time.Second, longestLead-300*ms), 300*ms)
 	is.Equal(remaining(time.Second, longestLead+time.Second), time.Duration(0))
 }
 
+// Guards against a step's longest time that is forgotten within the step, and one that is kept for good.
+func TestLongestTimeFades(t *testing.T) {
+	is := is.New(t)
+	var l lengths
+	l.observe(100, 4*time.Second)
+	for range 50 {
+		l.observe(100, time.Second)
+	}
+	is.True(l.longest() > 3*time.Second)
+	for range 1000 {
+		l.observe(100, time.Second)
+	}
+	is.Equal(l.longest(), time.Second)
+}
+
 // Guards against long texts that begin at slower engines while quick ones are free.
 func TestLongTextsBeginAtQuickEngines(t *testing.T) {
 	is := is.New(t)
--- a/job/run.go
+++ b/job/run.go
@@ -167,7 +167,9 @@
 		d.metrics.wait.Observe(start.Sub(waitFrom).Seconds())
 		r := &run{text: t, backend: b, model: item.Model, least: job.MinVersion, single: route.SingleVersion}
 		if route.Resumable && moves < maxMoves {
-			r.place = &place{placer: d.placer, backend: b, template: *w, submittedMs: job.SubmittedMs, at: at}
+			r.place = &place{
+				placer: d.placer, backend: b, template: *w, submitted: job.SubmittedAt(), at: at, longest: d.lengths.longest,
+			}
 		}
 		err := d.attempt(ctx, job, item, route, r)
 		b.End()
