--- a/job/driver.go
+++ b/job/driver.go
@@ -67,6 +67,7 @@
 type driverMetrics struct {
 	wait, run prometheus.Histogram
 	retries   prometheus.Counter
+	moves     prometheus.Counter
 	takeovers prometheus.Counter
 	results   *prometheus.CounterVec
 }
@@ -79,13 +80,15 @@
 			Help: "Time of the last attempt of items.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 10)}),
 		retries: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_attempts_failed_total",
 			Help: "Attempts of items that did not complete them."}),
+		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_moves_total",
+			Help: "Attempts of items that ended because the text went on at a faster engine."}),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_job_takeovers_total",
 			Help: "Jobs taken over from instances that had died."}),
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_item_results_total",
 			Help: "Results of items."}, []string{"state"}),
 	}
 	if r != nil {
-		r.MustRegister(m.wait, m.run, m.retries, m.takeovers, m.results)
+		r.MustRegister(m.wait, m.run, m.retries, m.moves, m.takeovers, m.results)
 	}
 	return m
 }
--- a/job/place_test.go
+++ b/job/place_test.go
@@ -174,7 +174,7 @@
 	is.True(!isMoveWorth(4*time.Second, 62*ms, 0, 0)) // no pace is known
 	is.True(isAmongLast(time.Second, 4*time.Second, 5*time.Second))
 	is.True(!isAmongLast(time.Second, time.Second, 5*time.Second)) // ends before the step's longest texts
-	is.True(isAmongLast(0, time.Second, 0))                          // no text has ended yet
+	is.True(isAmongLast(0, time.Second, 0))                        // no text has ended yet
 	is.Equal(remaining(4*time.Second, time.Second), 3*time.Second)
 	is.Equal(remaining(time.Second, 2*time.Second), time.Second) // longer than estimated
 	is.Equal(remaining(time.Second, longestLead-300*ms), 300*ms)
--- a/job/run.go
+++ b/job/run.go
@@ -185,7 +185,9 @@
 		if ctx.Err() != nil {
 			return Result{}, false
 		}
-		d.metrics.retries.Inc()
+		if !errors.Is(err, errMoved) {
+			d.metrics.retries.Inc()
+		}
 		d.log.Info("item attempt ended", "job", job.ID, "item", item.ID, "attempt", attempt, "backend", b.ID,
 			"events", t.last, "waited", start.Sub(waitFrom), "ran", time.Since(start), "err", err)
 		except = b
@@ -201,6 +203,7 @@
 			t.reset()
 		case errors.Is(err, errMoved):
 			moves++
+			d.metrics.moves.Inc()
 			continue
 		}
 		timing.Sleep(ctx, brokenPause)
@@ -234,7 +237,9 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(firstEventTimeout, func() { cancel(errSilent) })
 	defer timer.Stop()
-	t.keptAt = time.Now()
+	if t.keptAt.IsZero() {
+		t.keptAt = time.Now()
+	}
 	r.timer = timer
 	if r.place != nil {
 		defer r.place.leave()
