job: texts move from engines a quarter slower than a quick one

Change: a text moves from an engine a quarter slower than a quick one, to one a tenth faster than its own.

--- a/job/move.go
+++ b/job/move.go
@@ -24,9 +24,11 @@
 	// moveGain is the least time that a move must save. A move takes up to 0.1 s, and at times a new
 	// connection.
 	moveGain = 250 * time.Millisecond
-	// moveLead is the least advantage in pace of the new engine: the pace of an engine varies
-	// by a seventh with its load.
-	moveLead = 1.2
+	// moveLead is how far an engine's pace must be behind a quick one's: paces of equal engines differ by
+	// up to a fifth with their loads.
+	moveLead = 1.25
+	// targetLead is the least advantage in pace of the engine to which a text moves.
+	targetLead = 1.1
 	// lastPart is the part of the longest recent text's time from which on a text that ends is among the
 	// last of its step.
 	lastPart = 0.8
@@ -103,7 +105,7 @@
 	}
 	w := p.template
 	w.except, w.expected = p.backend, rest
-	w.paceBelow = time.Duration(float64(pace) / moveLead)
+	w.paceBelow = time.Duration(float64(pace) / targetLead)
 	w.order = orderOf(p.submitted.UnixMilli(), rest, p.at)
 	p.waiting = &w
 	p.placer.enqueue(&w)
