job: texts of one version move within their version; no bound on how long a text may move

Cause, found on reading the change again: a text that must have one version could move to an engine with another one and begin again there; and a text longer than five seconds, of a deployment with longer texts, would never leave an engine that becomes slow, since the time that it still takes was bounded by five seconds in all.

Change: such a text waits for an engine with exactly its version; the rest of a text is bounded by the longest recent text's time while it is shorter, and counts as half of what it has generated beyond.

--- a/job/move.go
+++ b/job/move.go
@@ -38,10 +38,14 @@
 var errMoved = errors.New("a faster engine is free")
 
 // remaining estimates how long a text still runs at a typical engine, from the time expected for all of
-// it and the time for what it has generated. Texts that exceed their estimate go on for long.
-func remaining(expected, generated time.Duration) time.Duration {
+// it, the time for what it has generated and the time of the longest recent text. Texts that exceed
+// their estimate go on for long, but rarely beyond the longest.
+func remaining(expected, generated, longest time.Duration) time.Duration {
 	left := max(expected-generated, generated/2)
-	return max(0, min(left, longestLead-generated))
+	if generated < longest {
+		left = min(left, longest-generated)
+	}
+	return left
 }
 
 // isMoveWorth reports whether a text saves enough at an engine of quick pace. Paces are the times between
@@ -67,6 +71,8 @@
 	// submitted and at order the wait among the waiting items.
 	submitted time.Time
 	at        int
+	// single states that all of the text must have one version.
+	single bool
 	// longest returns the time of the longest recent text.
 	longest func() time.Duration
 
@@ -75,10 +81,10 @@
 
 // next returns the faster engine at which the text should go on, if there is one. The caller must call
 // End on it.
-func (p *place) next(events int, generated int64) *backends.Backend {
+func (p *place) next(events int, t *text) *backends.Backend {
 	if p.waiting == nil {
 		if events%moveEvery == 0 {
-			p.consider(generated)
+			p.consider(t)
 		}
 		return nil
 	}
@@ -92,20 +98,24 @@
 }
 
 // consider makes the text wait for a faster engine if a move is worth it.
-func (p *place) consider(generated int64) {
+func (p *place) consider(t *text) {
 	list := p.placer.dir.Candidates(p.backend.Service, "")
 	typical, quick := paceAt(list, 0.5), paceAt(list, quickPart)
 	pace := p.backend.Pace()
-	rest := remaining(p.template.expected, time.Duration(generated)*typical)
+	longest := p.longest()
+	rest := remaining(p.template.expected, time.Duration(t.last)*typical, longest)
 	if !isMoveWorth(rest, pace, quick, typical) {
 		return
 	}
-	if here := time.Duration(float64(rest) * float64(pace) / float64(typical)); !isAmongLast(time.Since(p.submitted), here, p.longest()) {
+	if here := time.Duration(float64(rest) * float64(pace) / float64(typical)); !isAmongLast(time.Since(p.submitted), here, longest) {
 		return
 	}
 	w := p.template
 	w.except, w.expected = p.backend, rest
 	w.paceBelow = time.Duration(float64(pace) / targetLead)
+	if p.single && len(t.versions) > 0 {
+		w.version = t.versions[0]
+	}
 	w.order = orderOf(p.submitted.UnixMilli(), rest, p.at)
 	p.waiting = &w
 	p.placer.enqueue(&w)
--- a/job/place.go
+++ b/job/place.go
@@ -37,6 +37,8 @@
 	model      string
 	group      string
 	minVersion int64
+	// version asks for an engine with exactly this version; 0 accepts all from minVersion on.
+	version int64
 	// expected is how long the item runs at a typical engine.
 	expected time.Duration
 	// except is the engine at which the last attempt failed.
@@ -47,7 +49,7 @@
 }
 
 // anyEngine reports whether w takes every engine that serves its model.
-func (w *want) anyEngine() bool { return w.except == nil && w.paceBelow == 0 }
+func (w *want) anyEngine() bool { return w.except == nil && w.paceBelow == 0 && w.version == 0 }
 
 // placer hands engines to items. It holds no engine above its slots and serves waiting items in
 // their order.
@@ -173,7 +175,8 @@
 	typical, quick := paceAt(list, 0.5), paceAt(list, quickPart)
 	best, bestCost := -1, 0.0
 	for i, c := range list {
-		if c.Avoid || c.Versions[w.model] < w.minVersion {
+		version := c.Versions[w.model]
+		if c.Avoid || version < w.minVersion || (w.version != 0 && version != w.version) {
 			continue
 		}
 		if c.Backend == w.except && len(list) > 1 {
--- a/job/run.go
+++ b/job/run.go
@@ -104,7 +104,7 @@
 		r.keep()
 	}
 	if r.place != nil {
-		if r.next = r.place.next(r.events, t.last); r.next != nil {
+		if r.next = r.place.next(r.events, t); r.next != nil {
 			return errMoved
 		}
 	}
@@ -168,7 +168,8 @@
 		r := &run{text: t, backend: b, model: item.Model, least: job.MinVersion, single: route.SingleVersion}
 		if route.Resumable && moves < maxMoves {
 			r.place = &place{
-				placer: d.placer, backend: b, template: *w, submitted: job.SubmittedAt(), at: at, longest: d.lengths.longest,
+				placer: d.placer, backend: b, template: *w, submitted: job.SubmittedAt(), at: at,
+				single: route.SingleVersion, longest: d.lengths.longest,
 			}
 		}
 		err := d.attempt(ctx, job, item, route, r)
