--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -65,4 +65,11 @@
 check H15 job/registry.go 's/ \|\| \(g\.opts\.Peers\.Dead\(s\.Driver\) && g\.opts\.Peers\.Rank\(string\(s\.ID\)\) == 0\)//' job TestOldJobOfADeadDriverIsDeleted
 check H16 job/registry.go 's/err := changelog\.Put\(ctx, g\.opts\.Log, p\.at, records\)/err := error(&changelog.UnknownError{})/' job TestAcceptanceReadsNoResults
 check H17 job/order.go 's/submittedMs-expected\.Milliseconds\(\)/submittedMs/' job TestLongTextsBeginFirst
+check H18 job/place.go 's/version < w\.minVersion/false/' job TestEngineWithOldWeightsGetsNoItem
+check H19 job/run.go 's/b != nil && b\.Service != service/false/' job TestTextDoesNotMoveWithinAServiceThatItsRouteHasLeft
+check H20 job/place.go 's/\(w\.version != 0 && version != w\.version\)/false/' job TestTextOfOneVersionMovesWithinItsVersion
+check H21 presence/presence.go 's/alive: known/alive: true/' presence TestStartingInstanceGivesNoWorkToTheDead
+check H22 versions/plan.go 's/rank = float64\(p\.usable\) \/ p\.need/rank = 0/' versions TestModelsThatCatchUpShareTheLoads
+check H23 link/exchange.go 's/if s\.opened\.After\(start\)/if true || s.opened.After(start)/' link TestSessionsRetiredByThePeerCostNoAttempt
+check H24 link/session.go 's/if s\.used\.Load\(\)/if true/' link TestUnusedSessionOutlivesTheIdleTimeout
 exit "$status"
