job: the log tells why a text moved

Change: MovedError holds the engine to which the text goes, the paces and the time expected to be left; it stands in the line of the ended attempt. TestTextMovesToAFasterEngineOnceOneIsFree checks it.

--- a/job/move.go
+++ b/job/move.go
@@ -1,7 +1,7 @@
 package job
 
 import (
-	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cicadasill/cicadasill/backends"
@@ -34,8 +34,20 @@
 	lastPart = 0.8
 )
 
-// errMoved ends an attempt whose text goes on at a faster engine.
-var errMoved = errors.New("a faster engine is free")
+// MovedError ends an attempt whose text goes on at a faster engine.
+type MovedError struct {
+	// To is the faster engine.
+	To string
+	// Pace is the time between two events at the engine that the text leaves, Quick at quick engines.
+	Pace, Quick time.Duration
+	// Rest is how long the text was expected to run on at a typical engine.
+	Rest time.Duration
+}
+
+// Error implements error.
+func (e *MovedError) Error() string {
+	return fmt.Sprintf("moved to %s: an event each %v, %v at quick engines, %v expected to be left", e.To, e.Pace, e.Quick, e.Rest)
+}
 
 // remaining estimates how long a text still runs at a typical engine, from the time expected for all of
 // it, the time for what it has generated and the time of the longest recent text. Texts that exceed
@@ -77,23 +89,26 @@
 	longest func() time.Duration
 
 	waiting *want
+	// move is why the text waits.
+	move MovedError
 }
 
-// next returns the faster engine at which the text should go on, if there is one. The caller must call
-// End on it.
-func (p *place) next(events int, t *text) *backends.Backend {
+// next returns the faster engine at which the text should go on, if there is one, with the reason. The
+// caller must call End on it.
+func (p *place) next(events int, t *text) (*backends.Backend, *MovedError) {
 	if p.waiting == nil {
 		if events%moveEvery == 0 {
 			p.consider(t)
 		}
-		return nil
+		return nil, nil
 	}
 	select {
 	case b := <-p.waiting.placed:
 		p.waiting = nil
-		return b
+		p.move.To = b.ID
+		return b, &p.move
 	default:
-		return nil
+		return nil, nil
 	}
 }
 
@@ -117,7 +132,7 @@
 		w.version = t.versions[0]
 	}
 	w.order = orderOf(p.submitted.UnixMilli(), rest, p.at)
-	p.waiting = &w
+	p.waiting, p.move = &w, MovedError{Pace: pace, Quick: quick, Rest: rest}
 	p.placer.enqueue(&w)
 }
 
--- a/job/place_test.go
+++ b/job/place_test.go
@@ -128,6 +128,12 @@
 	}
 }
 
+// nextOf returns the engine to which a text moves after its event n.
+func nextOf(p *place, n int) *backends.Backend {
+	b, _ := p.next(n, textOf(int64(n)))
+	return b
+}
+
 // textOf returns a text of a number of events under version 1.
 func textOf(events int64) *text { return &text{last: events, versions: []int64{1}} }
 
@@ -149,11 +155,11 @@
 	p := newPlacer(dir, "a", 1)
 	text := placeOf(p, dir, "e0")
 	text.single = true
-	is.Equal(text.next(moveEvery, textOf(moveEvery)), nil)
-	is.Equal(text.next(moveEvery+1, textOf(moveEvery+1)), nil) // the engine with the newer version is free
+	is.Equal(nextOf(text, moveEvery), nil)
+	is.Equal(nextOf(text, moveEvery+1), nil) // the engine with the newer version is free
 	same.End()
 	p.pump()
-	is.Equal(text.next(moveEvery+2, textOf(moveEvery+2)), same)
+	is.Equal(nextOf(text, moveEvery+2), same)
 }
 
 // Guards against a long text that stays at a slow engine while a faster one is free, against moves
@@ -168,18 +174,20 @@
 	}
 	p := newPlacer(dir, "a", 1)
 	slow, quick := placeOf(p, dir, "e0"), placeOf(p, dir, "e1")
-	is.Equal(quick.next(moveEvery, textOf(moveEvery)), nil)
+	is.Equal(nextOf(quick, moveEvery), nil)
 	is.Equal(quick.waiting, nil) // nothing is worth a move
-	is.Equal(slow.next(moveEvery-1, textOf(moveEvery-1)), nil)
+	is.Equal(nextOf(slow, moveEvery-1), nil)
 	is.Equal(slow.waiting, nil) // not looked at yet
-	is.Equal(slow.next(moveEvery, textOf(moveEvery)), nil)
+	is.Equal(nextOf(slow, moveEvery), nil)
 	is.True(slow.waiting != nil) // no slot yet
 	free, _ := dir.Backend("e2")
 	free.End()
 	p.pump()
-	is.Equal(slow.next(moveEvery+1, textOf(moveEvery+1)), free)
+	b, moved := slow.next(moveEvery+1, textOf(moveEvery+1))
+	is.Equal(b, free)
+	is.Equal(*moved, MovedError{To: "e2", Pace: 60 * time.Millisecond, Quick: 46 * time.Millisecond, Rest: 4*time.Second - 4*47*time.Millisecond})
 
-	is.Equal(slow.next(2*moveEvery, textOf(2*moveEvery)), nil)
+	is.Equal(nextOf(slow, 2*moveEvery), nil)
 	free.End()
 	p.pump()
 	slow.leave() // the text has ended: the engine that was placed is free again
--- a/job/run.go
+++ b/job/run.go
@@ -51,7 +51,7 @@
 	events  int
 	// place looks for a faster engine; nil for texts that stay where they are.
 	place *place
-	// next is the engine at which the text goes on after errMoved.
+	// next is the engine at which the text goes on after *MovedError.
 	next *backends.Backend
 	// keep stores the text for another driver; nil for texts that cannot be resumed.
 	keep func()
@@ -104,8 +104,9 @@
 		r.keep()
 	}
 	if r.place != nil {
-		if r.next = r.place.next(r.events, t); r.next != nil {
-			return errMoved
+		var moved *MovedError
+		if r.next, moved = r.place.next(r.events, t); moved != nil {
+			return moved
 		}
 	}
 	return nil
@@ -186,7 +187,10 @@
 		if ctx.Err() != nil {
 			return Result{}, false
 		}
-		if !errors.Is(err, errMoved) {
+		var moved *MovedError
+		if errors.As(err, &moved) {
+			d.metrics.moves.Inc()
+		} else {
 			d.metrics.retries.Inc()
 		}
 		d.log.Info("item attempt ended", "job", job.ID, "item", item.ID, "attempt", attempt, "backend", b.ID,
@@ -202,9 +206,8 @@
 		switch {
 		case errors.Is(err, errMixedVersions):
 			t.reset()
-		case errors.Is(err, errMoved):
+		case moved != nil:
 			moves++
-			d.metrics.moves.Inc()
 			continue
 		}
 		timing.Sleep(ctx, brokenPause)
