--- a/job/move.go
+++ b/job/move.go
@@ -24,8 +24,8 @@
 	// moveGain is the least time that a move must save. A move takes up to 0.1 s, and at times a new
 	// connection.
 	moveGain = 250 * time.Millisecond
-	// moveLead is how far an engine's pace must be behind a quick one's: paces of equal engines differ by
-	// up to a fifth with their loads.
+	// moveLead is how far an engine's pace must be behind a quick one's. Smaller differences come and go
+	// with the loads of equally fast engines.
 	moveLead = 1.25
 	// targetLead is the least advantage in pace of the engine to which a text moves.
 	targetLead = 1.1
