link: an interrupted handler is no refusal

Cause: a handler whose context had ended returned the context's error, and the session sent it as a response of the handler. Change: without a RemoteError, a handler that fails after the end of its context sends nothing, the stream closes, and the exchange ends as Unknown; the code's doc comment says so. A verdict that the handler gave itself is still sent.

--- a/link/errors.go
+++ b/link/errors.go
@@ -18,7 +18,8 @@
 	Unknown Code = "unknown"
 	// WrongPeer: the address is served by another instance or another incarnation.
 	WrongPeer Code = "wrong_peer"
-	// Refused: the handler of the peer returned an error.
+	// Refused: the handler of the peer returned an error, and not because the caller had cancelled the
+	// exchange or its time was up: such an exchange ends as Unknown.
 	Refused Code = "refused"
 	// Busy: the peer stated that it did not start the exchange.
 	Busy Code = "busy"
--- a/link/faults_test.go
+++ b/link/faults_test.go
@@ -161,6 +161,27 @@
 	is.Equal(net.Dials(), int64(2)) // the second dial comes at once; then the backoff applies
 }
 
+// Guards against a handler's context error that reaches the caller as a refusal. The handler's deadline is
+// the caller's, rounded down to milliseconds, so the handler is interrupted first.
+func TestInterruptedHandlerIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	a := startPeer(t, "a", 1, anyPort(), link.Options{}, nil)
+	b := startPeer(t, "b", 1, anyPort(), link.Options{}, func(n *link.Node) {
+		n.Handle("hang", func(ctx context.Context, _ []byte) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+	})
+	_, err := a.Call(t.Context(), b.self, link.CauseForward, "unknown", nil) // opens the session
+	is.Equal(link.CodeOf(err), link.Busy)
+	for range 50 {
+		ctx, cancel := context.WithTimeout(t.Context(), 20900*time.Microsecond)
+		_, err := a.Call(ctx, b.self, link.CauseForward, "hang", nil)
+		cancel()
+		is.True(link.CodeOf(err) == link.Unknown || link.CodeOf(err) == link.NotSent) // NotSent on a slow machine
+	}
+}
+
 // Guards against serving any number of exchanges at once: those above the limit are refused as
 // not run.
 func TestBusy(t *testing.T) {
--- a/link/serve.go
+++ b/link/serve.go
@@ -160,9 +160,19 @@
 	}
 	// After a panic the stream closes without a response, and the caller's error has code Unknown.
 	defer s.recoverHandler()
-	_ = writeMessage(st, s.callHandler(ctx, req))
+	response := s.callHandler(ctx, req)
+	if response == nil {
+		s.node.log.Debug("handler interrupted, no response sent", "method", req.Method, "peer", s.peer.Ref(), "err", context.Cause(ctx))
+		return
+	}
+	if err := writeMessage(st, response); err != nil {
+		s.node.log.Debug("response not sent", "method", req.Method, "peer", s.peer.Ref(), "err", err)
+	}
 }
 
+// callHandler returns the response of the method's handler. It returns nil if the handler failed without
+// a verdict of its own after ctx had ended: the error then only says that the handler was interrupted, and
+// the caller must not take it for a refusal.
 func (s *session) callHandler(ctx context.Context, req *wire.Request) *wire.Response {
 	h := s.node.handlers[req.Method]
 	if h == nil {
@@ -173,8 +183,11 @@
 		return &wire.Response{Payload: payload}
 	}
 	var re *RemoteError
-	if errors.As(err, &re) {
+	switch {
+	case errors.As(err, &re):
 		return &wire.Response{ErrorCode: re.Code, Error: re.Message}
+	case ctx.Err() != nil:
+		return nil
 	}
 	return &wire.Response{ErrorCode: remoteHandlerError, Error: err.Error()}
 }
