membership: probes tell a replaced run that it was replaced

Cause: an update whose subject is the receiver was sent to it only if the receiver was not live. An old run at another address than its successor learnt of the successor from an exchange of tables alone, and a failed exchange was not repeated. Change: a message to a run that a newer one has replaced carries the update about the newer run; a failed exchange is logged.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -56,11 +56,13 @@
 }
 
 // selectUpdatesLocked returns the updates for a message to the receiver: the one about this instance
-// first, the one about the receiver if the receiver is not considered live, and the least sent
-// queued updates. It removes updates that have reached their maximum number of sends.
-func (m *Members) selectUpdatesLocked(receiverID string) []*wire.MemberUpdate {
+// first, the one about the receiver if the receiver is not considered live or has been replaced by a
+// newer run, and the least sent queued updates. It removes updates that have reached their maximum number
+// of sends.
+func (m *Members) selectUpdatesLocked(receiver machine.Instance) []*wire.MemberUpdate {
 	out := []*wire.MemberUpdate{m.selfUpdateLocked()}
-	if e := m.table[receiverID]; e != nil && e.state != stateLive {
+	receiverID := receiver.ID
+	if e := m.table[receiverID]; e != nil && (e.state != stateLive || e.inst.Incarnation > receiver.Incarnation) {
 		out = append(out, e.update())
 	}
 	keys := make([]gossipKey, 0, len(m.gossipQueue))
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -82,6 +82,28 @@
 	is.True(ok)
 }
 
+// Guards against a replaced run that learns of its replacement only from an exchange of tables: if that
+// call fails, no probe carried the update, because its subject is the receiver. The replaced run is at an
+// address of its own, so that no peer answers it with WrongPeer.
+func TestProbesTellReplacedRun(t *testing.T) {
+	f := newFabric()
+	a, b, _ := startThree(t, f, fastOptions())
+	b.stop()
+	b2 := f.start(t, "b", 2, b.Self().PeerAddr, fastOptions())
+	eventually(t, "a sees the new run", func() bool { _, ok := a.Lookup(b2.Self().Ref()); return ok })
+	opts := fastOptions()
+	opts.IndirectTimeout = time.Nanosecond // no exchange of tables succeeds
+	old := f.start(t, "b", 1, "", opts)
+	eventually(t, "the old run learns that it was replaced", func() bool {
+		select {
+		case <-old.Superseded():
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // Guards against a connection failure between two members that gets one of them declared dead
 // although the third can reach it.
 func TestIndirectProbesCoverCutBetweenTwoMembers(t *testing.T) {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -61,7 +61,7 @@
 // receiver is asked to probe that instance.
 func (m *Members) sendProbe(ctx context.Context, to machine.Instance, indirectTarget *machine.Instance) (*wire.ProbeAnswer, error) {
 	m.mu.Lock()
-	probe := &wire.Probe{Updates: m.selectUpdatesLocked(to.ID)}
+	probe := &wire.Probe{Updates: m.selectUpdatesLocked(to)}
 	m.mu.Unlock()
 	probe.Piggyback = m.outgoingPiggyback()
 	timeout := m.opts.ProbeTimeout
@@ -150,7 +150,7 @@
 	}
 	a.Piggyback = m.outgoingPiggyback()
 	m.mu.Lock()
-	a.Updates = m.selectUpdatesLocked(from.ID)
+	a.Updates = m.selectUpdatesLocked(from)
 	m.mu.Unlock()
 	return proto.Marshal(a)
 }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/link/wire"
+	"github.com/cicadasill/cicadasill/machine"
 )
 
 // syncWith exchanges full tables with a member that was found through the instance list, at startup
@@ -24,18 +25,29 @@
 	to := e.inst
 	request := m.tableMessageLocked()
 	m.mu.Unlock()
-	payload, err := proto.Marshal(request)
+	answer, err := m.exchangeTables(ctx, to, request)
 	if err != nil {
+		// Probes carry the same updates, only later.
+		m.log.Debug("tables not exchanged", "peer", to.ID, "err", err)
 		return
 	}
+	m.receiveUpdates(answer.GetUpdates(), nil)
+}
+
+// exchangeTables sends this instance's table to a peer and returns the peer's.
+func (m *Members) exchangeTables(ctx context.Context, to machine.Instance, table *wire.MemberTable) (*wire.MemberTable, error) {
+	payload, err := proto.Marshal(table)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, m.opts.IndirectTimeout)
 	defer cancel()
 	data, err := m.node.Call(ctx, to, link.CauseProbe, syncMethod, payload)
-	var answer wire.MemberTable
-	if err != nil || proto.Unmarshal(data, &answer) != nil {
-		return
+	if err != nil {
+		return nil, err
 	}
-	m.receiveUpdates(answer.GetUpdates(), nil)
+	var answer wire.MemberTable
+	return &answer, proto.Unmarshal(data, &answer)
 }
 
 // handleSync serves syncMethod: it merges the peer's table and returns its own.
