--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -51,6 +51,7 @@
 	done              chan struct{}
 	runErr            error
 	drainStart        time.Time
+	drainEnd          time.Time // end of the last planned stop
 	incarnation       uint64
 	registries        []*prometheus.Registry
 	startedAt         time.Time
@@ -177,7 +178,7 @@
 	cancel()
 	<-done
 	m.mu.Lock()
-	m.state, m.ready = stopped, false
+	m.state, m.ready, m.drainEnd = stopped, false, time.Now()
 	m.mu.Unlock()
 	return err
 }
@@ -288,14 +289,15 @@
 	return nil
 }
 
-// recordInterrupted counts an attempt that failed at an instance during its planned stop.
+// recordInterrupted counts an attempt that failed at an instance during its planned stop. A caller may
+// notice only after the stop that its connection was cut, so it is the attempt's start that counts then.
 func (c *cluster) recordInterrupted(addr string, began time.Time, err error) {
 	for _, m := range c.members {
 		if m.self.HTTPAddr != addr {
 			continue
 		}
 		m.mu.Lock()
-		if m.state == draining {
+		if m.state == draining || began.Before(m.drainEnd) {
 			m.interruptedByStop++
 			c.log.Warn("request interrupted by a planned stop", "instance", m.id, "sent_ago", time.Since(began), "err", err)
 		}
--- a/demo/operators.go
+++ b/demo/operators.go
@@ -56,6 +56,7 @@
 	inForceEverywhere map[string]int64
 	reported          map[string]bool // same keys as highestSeen; true if broken has an entry already
 	broken            []string
+	late              []string // notes that were in force later than inForceTarget
 	// delayEnd returns the end of the last fault that may have delayed a note accepted at t.
 	delayEnd func(t time.Time) time.Time
 }
@@ -323,12 +324,13 @@
 		from = end
 	}
 	if at.Sub(from) > inForceTarget {
-		o.broken = append(o.broken, fmt.Sprintf("note %s was not in force everywhere %.1f s after its acceptance", n.id, at.Sub(n.acceptedAt).Seconds()))
+		o.late = append(o.late, fmt.Sprintf("note %s was not in force everywhere %.1f s after its acceptance", n.id, at.Sub(n.acceptedAt).Seconds()))
 	}
 }
 
-// result checks the notes that are still pending and returns the counts and the broken promises.
-func (o *operators) result() (Notes, []string) {
+// result checks the notes that are still pending and returns the counts, the broken promises, and the notes
+// that came into force late.
+func (o *operators) result() (counts Notes, broken, late []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, n := range o.pending {
@@ -337,5 +339,5 @@
 	out := o.report
 	out.Pending = int64(len(o.pending))
 	out.InForceP99S = float64(o.inForceDelays.ValueAtQuantile(99)) / 1e6
-	return out, o.broken
+	return out, o.broken, o.late
 }
--- a/demo/report.go
+++ b/demo/report.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cicadasill/cicadasill/standin/callers"
 	"github.com/cicadasill/cicadasill/standin/trainer"
@@ -27,6 +28,9 @@
 	Host       Host            `json:"host"`
 	// BrokenPromises lists the promises that the run saw broken.
 	BrokenPromises []BrokenPromise `json:"broken"`
+	// NotJudged lists time bounds that were exceeded while the machine was starved of processor time (see
+	// Host), so that they say nothing about the instances.
+	NotJudged []BrokenPromise `json:"not_judged,omitempty"`
 	// Groups holds the outcomes of each group of callers, Trainer the trainer's ledger.
 	Groups  map[string]callers.Counts `json:"groups"`
 	Trainer trainer.Ledger            `json:"trainer"`
@@ -126,6 +130,14 @@
 	TimerLateMaxMs float64 `json:"timer_late_max_ms"`
 }
 
+// starvedTimerLateMs is the lateness of timers, at the 99th percentile, from which on the machine counts as
+// starved of processor time: the time that notes take is then not known to the interval at which it is
+// measured.
+const starvedTimerLateMs = float64(inForcePollInterval / time.Millisecond)
+
+// Starved reports whether the process had too little processor time for its time bounds to be judged.
+func (h Host) Starved() bool { return h.TimerLateP99Ms > starvedTimerLateMs }
+
 // HasBrokenPromises reports whether the run saw a broken promise.
 func (r *Report) HasBrokenPromises() bool { return len(r.BrokenPromises) > 0 }
 
@@ -165,6 +177,9 @@
 	for _, b := range r.BrokenPromises {
 		row("BROKEN", "%s: %s", b.ID, b.Description)
 	}
+	for _, b := range r.NotJudged {
+		row("not judged", "%s: %s, on a starved machine", b.ID, b.Description)
+	}
 	return w.Flush()
 }
 
--- a/demo/run.go
+++ b/demo/run.go
@@ -149,10 +149,11 @@
 	}
 	r.addRequests(out)
 	r.addTrainer(out)
-	var noteFailures []string
-	out.Notes, noteFailures = r.operators.result()
+	var noteFailures, lateNotes []string
+	out.Notes, noteFailures, lateNotes = r.operators.result()
 	out.Faults, out.BrokenPromises = r.faults.result()
 	out.BrokenPromises = append(out.BrokenPromises, checkPromises(out, noteFailures)...)
+	judgeLateNotes(out, lateNotes)
 	if out.BrokenPromises == nil {
 		out.BrokenPromises = []BrokenPromise{}
 	}
@@ -216,6 +217,18 @@
 	}
 }
 
+// judgeLateNotes adds late notes to the broken promises, or to those not judged if the machine was starved.
+func judgeLateNotes(r *Report, late []string) {
+	for _, what := range late {
+		p := BrokenPromise{ID: "P9", Description: what}
+		if r.Host.Starved() {
+			r.NotJudged = append(r.NotJudged, p)
+		} else {
+			r.BrokenPromises = append(r.BrokenPromises, p)
+		}
+	}
+}
+
 // checkPromises returns the promises of the design page that the report shows to be broken.
 // noteFailures are the breaches of P9 that the operators found.
 func checkPromises(r *Report, noteFailures []string) []BrokenPromise {
