--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,6 +35,11 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Signature is the back end's signature of its response.
+	Signature string
+	// FailedRuns is the number of back ends that ran the request and answered with a server error, the one
+	// of this response included.
+	FailedRuns int
 }
 
 // Client sends requests to back ends.
@@ -175,6 +180,7 @@
 	inFlight      int
 	sends         int
 	possibleRuns  int // sends that may have run
+	failedRuns    int // sends answered with a server error
 	lastBackendID string
 }
 
@@ -218,6 +224,9 @@
 				}
 			} else {
 				e.possibleRuns++
+				if result.response != nil {
+					e.failedRuns++
+				}
 				lastFailure = result
 				if e.possibleRuns < attempts && e.send(ctx) {
 					continue
@@ -244,6 +253,7 @@
 		e.lastBackendID = failed.backend.ID
 	}
 	if failed.response != nil {
+		failed.response.FailedRuns = e.failedRuns
 		return failed.response, nil
 	}
 	return nil, &UnknownError{Err: failed.err}
--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -189,6 +189,7 @@
 		State    string  `json:"state"`
 		Output   string  `json:"output"`
 		Versions []int64 `json:"versions"`
+		Score    string  `json:"score"`
 	} `json:"results"`
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -155,9 +155,13 @@
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Peer: i.presence.Peer, Peers: i.presence,
 		IndexPause: func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
 	})
+	forwarder := forward.New(forward.Options{
+		Backends: i.directory, Client: backendClient, DataCentre: s.Instance.DataCentre,
+		Logger: i.log, Registerer: i.registry,
+	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
-		Engine: backendClient, Peers: i.presence, Config: i.config.Load, SlotShare: s.Jobs.SlotShare,
+		Engine: backendClient, Requests: forwarder, Peers: i.presence, Config: i.config.Load, SlotShare: s.Jobs.SlotShare,
 		Logger: i.log, Registerer: i.registry,
 	})
 	i.loadScheduler = versions.New(versions.Options{
@@ -165,11 +169,7 @@
 		Targets: i.targetVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
 	ingress := &hosted.Ingress{
-		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, Logger: i.log,
-		Forwarder: forward.New(forward.Options{
-			Backends: i.directory, Client: backendClient, DataCentre: s.Instance.DataCentre,
-			Logger: i.log, Registerer: i.registry,
-		}),
+		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, Logger: i.log, Forwarder: forwarder,
 	}
 	i.server = &http.Server{
 		Handler: ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/job/driver.go
+++ b/job/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -11,6 +12,7 @@
 
 	"github.com/cicadasill/cicadasill/backends"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/reward"
 	"github.com/cicadasill/cicadasill/routes"
 	"github.com/cicadasill/cicadasill/timing"
 )
@@ -44,8 +46,10 @@
 	Registry   *Registry
 	Backends   *backends.Directory
 	Engine     Engine
-	Peers      Peers
-	Config     func() *routes.Config
+	// Requests forwards the reward calls of complete texts.
+	Requests Requests
+	Peers    Peers
+	Config   func() *routes.Config
 	// SlotShare is the fraction of an engine's slots that this instance may use, from 0 to 1.
 	SlotShare  float64
 	Logger     *log.Logger
@@ -59,9 +63,11 @@
 	opts      DriverOptions
 	log       *log.Logger
 	placer    *placer
+	rewards   *reward.Gate
 	durations durationEstimator
 	metrics   *driverMetrics
 	tasks     conc.WaitGroup
+	drivers   atomic.Int64 // instances that drive an open job
 
 	mu               sync.Mutex // guards the fields below
 	running          map[ID]context.CancelFunc
@@ -76,9 +82,13 @@
 	moves     prometheus.Counter
 	takeovers prometheus.Counter
 	results   *prometheus.CounterVec
+	// rewardWait and rewardCall are the times that complete texts wait for their reward call and for its
+	// answer, rewards the calls by outcome.
+	rewardWait, rewardCall prometheus.Histogram
+	rewards                *prometheus.CounterVec
 }
 
-func newDriverMetrics(r prometheus.Registerer) *driverMetrics {
+func newDriverMetrics(r prometheus.Registerer, gate *reward.Gate) *driverMetrics {
 	m := &driverMetrics{
 		wait: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cicadasill_item_wait_seconds",
 			Help: "Time that items waited for an engine.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
@@ -92,20 +102,32 @@
 			Help: "Jobs taken over from dead instances."}),
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_item_results_total",
 			Help: "Item results by state."}, []string{"state"}),
+		rewardWait: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cicadasill_reward_wait_seconds",
+			Help: "Time that complete texts waited before a reward call was sent.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
+		rewardCall: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cicadasill_reward_call_seconds",
+			Help: "Duration of reward calls.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
+		rewards: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_reward_calls_total",
+			Help: "Reward calls by outcome."}, []string{"outcome"}),
 	}
 	if r != nil {
-		r.MustRegister(m.wait, m.run, m.retries, m.moves, m.takeovers, m.results)
+		r.MustRegister(m.wait, m.run, m.retries, m.moves, m.takeovers, m.results, m.rewardWait, m.rewardCall, m.rewards,
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_reward_calls_waiting",
+				Help: "Complete texts whose reward call waits to be sent."}, func() float64 { return float64(gate.Waiting()) }),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_reward_calls_in_flight",
+				Help: "Reward calls in flight."}, func() float64 { return float64(gate.InFlight()) }))
 	}
 	return m
 }
 
 // NewDriver returns a driver without jobs.
 func NewDriver(opts DriverOptions) *Driver {
-	return &Driver{
+	d := &Driver{
 		opts: opts, log: opts.Logger, placer: newPlacer(opts.Backends, opts.DataCentre, opts.SlotShare),
-		metrics: newDriverMetrics(opts.Registerer),
 		running: map[ID]context.CancelFunc{}, orphanedSince: map[ID]time.Time{}, takeovers: map[ID]bool{},
 	}
+	d.rewards = reward.NewGate(d.rewardLimit)
+	d.metrics = newDriverMetrics(opts.Registerer, d.rewards)
+	return d
 }
 
 // activeJob is a job that this instance drives, with its items that have no listed result.
@@ -114,6 +136,8 @@
 	items []Item
 	// checkpoints holds the checkpoints that earlier drivers have stored, by item.
 	checkpoints map[string]Checkpoint
+	// pending counts the items without a result by group.
+	pending groupCounter
 }
 
 // Run drives jobs until ctx ends, then waits until all jobs have stopped.
@@ -143,7 +167,11 @@
 			}
 		}
 	})
-	owned := map[ID]bool{}
+	owned, drivers := map[ID]bool{}, map[machine.Ref]bool{}
+	for i := range open {
+		drivers[open[i].Driver] = true
+	}
+	d.drivers.Store(int64(len(drivers)))
 	for i := range open {
 		s := &open[i]
 		if s.Driver == d.opts.Self {
@@ -265,6 +293,7 @@
 				return
 			}
 			d.metrics.results.WithLabelValues(result.State.String()).Inc()
+			job.pending.finish(job.items[i].Group)
 			d.opts.Registry.queueResult(s, result)
 		})
 	}
@@ -286,7 +315,7 @@
 // loadJob reads the items of a job that have no listed result, with their checkpoints.
 func (d *Driver) loadJob(ctx context.Context, s *Summary) (*activeJob, error) {
 	p := d.opts.Registry.partitions[s.Partition]
-	job := &activeJob{Summary: *s, checkpoints: map[string]Checkpoint{}}
+	job := &activeJob{Summary: *s, checkpoints: map[string]Checkpoint{}, pending: newGroupCounter()}
 	if err := p.Sync(ctx); err != nil {
 		return nil, &UnavailableError{Err: err}
 	}
@@ -303,6 +332,7 @@
 				continue
 			}
 			job.items = append(job.items, items[i])
+			job.pending.add(items[i].Group)
 			if c, ok := j.checkpoints[items[i].ID]; ok {
 				job.checkpoints[items[i].ID] = c
 			}
--- a/job/job.go
+++ b/job/job.go
@@ -33,6 +33,16 @@
 	// LengthEstimate is the client's estimate of the number of output tokens; 0 if there is none. Its
 	// median is correct, but single estimates are often far off.
 	LengthEstimate int `cbor:"8,keyasint,omitempty"`
+	// Reward is the request that scores the complete text; nil if the text needs no score.
+	Reward *RewardCall `cbor:"9,keyasint,omitempty"`
+}
+
+// RewardCall is a request to a service that scores a complete text. It may be repeated.
+type RewardCall struct {
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"`
+	Path string `cbor:"3,keyasint"`
+	Body []byte `cbor:"4,keyasint"`
 }
 
 // Spec is a batch job as a client submits it.
@@ -67,6 +77,8 @@
 	Output []byte `cbor:"3,keyasint"`
 	// Versions lists the weight versions that generated at least one event of the output.
 	Versions []int64 `cbor:"4,keyasint"`
+	// Score is the signature of the answer to the item's reward call; empty if the item has none.
+	Score string `cbor:"5,keyasint,omitempty"`
 }
 
 // Summary is the record of a job in the index.
--- a/job/part.go
+++ b/job/part.go
@@ -31,6 +31,8 @@
 	// Data holds the data of each event up to LastEvent.
 	Data     [][]byte `cbor:"2,keyasint"`
 	Versions []int64  `cbor:"3,keyasint"`
+	// Complete states that the text is whole and waits for its score.
+	Complete bool `cbor:"4,keyasint,omitempty"`
 }
 
 // size returns the size of the output in bytes.
@@ -42,6 +44,11 @@
 	return n
 }
 
+// extends reports whether c holds more than a stored checkpoint of the same item.
+func (c *Checkpoint) extends(stored Checkpoint) bool {
+	return c.LastEvent > stored.LastEvent || (c.Complete && !stored.Complete && c.LastEvent == stored.LastEvent)
+}
+
 func checkpointKey(id ID, item string) string { return checkpointsPrefix + string(id) + "/" + item }
 
 // itemRef identifies an item of a job.
@@ -104,7 +111,7 @@
 		if j == nil || len(j.chunks) == 0 {
 			continue // the job has been closed
 		}
-		if _, listed := j.positions[ref.item]; listed || j.checkpoints[ref.item].LastEvent >= c.LastEvent {
+		if _, listed := j.positions[ref.item]; listed || !c.extends(j.checkpoints[ref.item]) {
 			continue
 		}
 		data, err := cbor.Marshal(c)
--- a/job/records.go
+++ b/job/records.go
@@ -21,6 +21,9 @@
 	for k, v := range i.Headers {
 		n += len(k) + len(v) + 4
 	}
+	if r := i.Reward; r != nil {
+		n += len(r.ID) + len(r.Host) + len(r.Path) + len(r.Body) + 16
+	}
 	return n
 }
 
--- a/job/run.go
+++ b/job/run.go
@@ -126,12 +126,37 @@
 	o.data, o.lastEvent, o.versions = nil, 0, nil
 }
 
-// runItem runs an item in as many attempts as it needs until it has a result or ctx ends. It reports
-// whether the item has a result.
+// runItem generates the text of an item and obtains its score, until the item has a result or ctx ends. It
+// reports whether the item has a result.
 func (d *Driver) runItem(ctx context.Context, job *activeJob, itemIndex int) (Result, bool) {
 	item := &job.items[itemIndex]
 	stored := job.checkpoints[item.ID]
 	out := &partialOutput{data: slices.Clip(stored.Data), lastEvent: stored.LastEvent, versions: slices.Clip(stored.Versions)}
+	result := Result{Item: item.ID, State: Complete}
+	if !stored.Complete {
+		var done bool
+		if result.State, done = d.generate(ctx, job, itemIndex, out); !done || result.State != Complete {
+			return result, done
+		}
+	}
+	if item.Reward != nil {
+		var done bool
+		if result.Score, done = d.score(ctx, job, item, out); !done {
+			return Result{}, false
+		}
+		if result.Score == "" {
+			return Result{Item: item.ID, State: Errored}, true
+		}
+	}
+	result.Output, result.Versions = bytes.Join(out.data, []byte("\n")), out.versions
+	return result, true
+}
+
+// generate generates the text of an item in as many attempts as it needs, until the text is whole, the item
+// is given up or ctx ends. done is false if ctx has ended.
+func (d *Driver) generate(ctx context.Context, job *activeJob, itemIndex int, out *partialOutput) (state State, done bool) {
+	item := &job.items[itemIndex]
+	resumed := out.lastEvent > 0
 	failures, moves := 0, 0
 	expected := d.durations.expectedRun(item.LengthEstimate)
 	var excluded, nextEngine *backends.Backend
@@ -143,11 +168,11 @@
 	for attemptNumber := 1; ; attemptNumber++ {
 		route, service, ok := d.waitForRoute(ctx, job, item)
 		if !ok {
-			return Result{Item: item.ID, State: Errored}, ctx.Err() == nil
+			return Errored, ctx.Err() == nil
 		}
 		if age := time.Since(job.SubmittedAt()); route.GiveUpAfter > 0 && age > route.GiveUpAfter {
 			d.log.Info("item given up", "job", job.ID, "item", item.ID, "reason", "too old", "age", age, "attempts", attemptNumber-1)
-			return Result{Item: item.ID, State: Errored}, true
+			return Errored, true
 		}
 		if !route.Resumable {
 			out.reset()
@@ -166,7 +191,7 @@
 		if b == nil {
 			var err error
 			if b, err = d.placer.acquire(ctx, req); err != nil {
-				return Result{}, false
+				return 0, false
 			}
 		}
 		start := time.Now()
@@ -184,13 +209,13 @@
 		if err == nil {
 			ran := time.Since(start)
 			d.metrics.run.Observe(ran.Seconds())
-			if attemptNumber == 1 && stored.LastEvent == 0 {
+			if attemptNumber == 1 && !resumed {
 				d.durations.observe(item.LengthEstimate, ran)
 			}
-			return Result{Item: item.ID, State: Complete, Output: bytes.Join(out.data, []byte("\n")), Versions: out.versions}, true
+			return Complete, true
 		}
 		if ctx.Err() != nil {
-			return Result{}, false
+			return 0, false
 		}
 		var moved *MovedError
 		if errors.As(err, &moved) {
@@ -205,7 +230,7 @@
 		if errors.As(err, &failed) {
 			failures++
 			if failed.Impossible || failures >= max(1, route.Attempts) {
-				return Result{Item: item.ID, State: Errored}, true
+				return Errored, true
 			}
 		}
 		switch {
