reward: one decision about scoring calls in both interfaces

The rollouts of the own interface retried failed scoring calls with a backoff of their own and sent all calls of a step at once. They now use reward.Policy and reward.Gate (half of 16 calls per scoring back end, group nearest to completion first). A batch job's repeated reward call may run at most as often as failures are left to its attempts; before, an always failing call ran 6 times for 4 attempts.

--- a/instance/reward_test.go
+++ b/instance/reward_test.go
@@ -91,7 +91,7 @@
 			failed++
 		}
 	}
-	is.Equal(failed, 2) // the attempts of both routes
+	is.Equal(failed, 2) // the attempts of the routes
 	is.Equal(len(c.engines[0].Runs()), 6)
 }
 
--- a/job/score.go
+++ b/job/score.go
@@ -89,6 +89,7 @@
 		calls++
 		if rewardRoute != nil {
 			policy.Failures = max(1, itemRoute.Attempts, rewardRoute.Attempts)
+			rewardRoute.Attempts = min(max(1, rewardRoute.Attempts), policy.Failures-failedRuns)
 			var response *forward.Response
 			if response, err = d.callReward(ctx, job, item, itemRoute, rewardRoute, policy.GiveUp); err == nil {
 				if response.Status/100 == 2 {
--- a/rollout/score.go
+++ b/rollout/score.go
@@ -8,6 +8,8 @@
 	"github.com/google/uuid"
 
 	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/limit"
+	"github.com/cicadasill/cicadasill/reward"
 	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
 )
@@ -38,7 +40,7 @@
 	s.cancelScoring = cancel
 	req := ScoreRequest{ID: s.id, Attempt: s.startCount, Prompt: s.group.Prompt, Tokens: p.tokens}
 	st.mu.Unlock()
-	score, ok := st.awaitScore(ctx, req)
+	score, ok := st.awaitScore(ctx, s, req)
 	if !ok {
 		return
 	}
@@ -48,6 +50,7 @@
 		return
 	}
 	s.cancelScoring, s.unscored = nil, nil
+	st.groupPending[s.group]--
 	s.result = &Sample{
 		ID: s.id, Position: s.position, Tokens: p.tokens, Ranges: p.ranges,
 		PromptVersion: p.promptVersion, Score: score, Attempt: s.startCount,
@@ -63,8 +66,9 @@
 
 // awaitScore calls the scorer until it succeeds, and returns false if ctx ends first. The score is 0 if
 // the service has no scoring service.
-func (st *step) awaitScore(ctx context.Context, req ScoreRequest) (float64, bool) {
-	for failures := 2; ; failures++ {
+func (st *step) awaitScore(ctx context.Context, s *sample, req ScoreRequest) (float64, bool) {
+	policy := reward.Policy{MinDelay: st.srv.opts.MinRetryBackoff, MaxDelay: st.srv.opts.MaxRetryBackoff}
+	for calls := 1; ; calls++ {
 		svc, ok := st.service()
 		if ok && svc.Rollout != nil && svc.Rollout.ScoringService == "" {
 			return 0, true
@@ -72,7 +76,7 @@
 		err := error(&attemptError{Code: attemptNoScorer, Detail: st.key.service})
 		if ok && svc.Rollout != nil && st.srv.opts.Scorer != nil {
 			var score float64
-			if score, err = st.srv.opts.Scorer.Score(ctx, svc, req); err == nil {
+			if score, err = st.callScorer(ctx, svc, s, req); err == nil {
 				return score, true
 			}
 		}
@@ -81,12 +85,38 @@
 		}
 		st.srv.metrics.attemptFailures.WithLabelValues(st.key.service, "score").Inc()
 		st.srv.log.Debug("scoring failed", "service", st.key.service, "step", st.key.step, "err", err)
-		if !timing.Sleep(ctx, backoff(st.srv.opts.MinRetryBackoff, st.srv.opts.MaxRetryBackoff, failures)) {
+		delay, _ := policy.Next(time.Now(), calls, 0)
+		if !timing.Sleep(ctx, delay) {
 			return 0, false
 		}
 	}
 }
 
+// callScorer waits for its turn and makes one scoring call.
+func (st *step) callScorer(ctx context.Context, svc *contract.Service, s *sample, req ScoreRequest) (float64, error) {
+	name := svc.Rollout.ScoringService
+	err := st.srv.rewards.Acquire(ctx, name, func() reward.Waiting {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		return reward.Waiting{StepStart: st.openedAt, GroupPending: st.groupPending[s.group]}
+	})
+	if err != nil {
+		return 0, err
+	}
+	score, err := st.srv.opts.Scorer.Score(ctx, svc, req)
+	st.srv.rewards.Release(name, err != nil && ctx.Err() == nil)
+	return score, err
+}
+
+// scoringLimit returns how many scoring calls this instance may have in flight at a service.
+func (s *Server) scoringLimit(service string) int {
+	svc, ok := s.opts.Directory.Service(service)
+	if !ok {
+		return reward.Share(0, 1)
+	}
+	return reward.Share(len(svc.Backends)*limit.DefaultInitialLimit, 1)
+}
+
 // DefaultScoreTimeout bounds one scoring call.
 const DefaultScoreTimeout = 10 * time.Second
 
--- a/rollout/server.go
+++ b/rollout/server.go
@@ -9,6 +9,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
+
+	"github.com/cicadasill/cicadasill/reward"
 )
 
 const tracerName = "github.com/cicadasill/cicadasill/rollout"
@@ -22,6 +24,7 @@
 	slots      *slotLimiter
 	lengths    *lengthPredictor
 	speeds     *speedTracker
+	rewards    *reward.Gate
 	ctx        context.Context
 	stop       context.CancelFunc
 	draining   context.Context // cancelled by Drain
@@ -44,11 +47,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	draining, startDrain := context.WithCancel(ctx)
-	return &Server{
+	s := &Server{
 		draining: draining, startDrain: startDrain, opts: opts, log: logger, metrics: newMetrics(opts.Registerer), slots: newSlotLimiter(opts.SlotsPerSampler),
 		lengths: newLengthPredictor(), speeds: newSpeedTracker(), ctx: ctx, stop: cancel,
 		steps: make(map[stepKey]*step), acked: make(map[stepKey]time.Time),
 	}
+	s.rewards = reward.NewGate(s.scoringLimit)
+	return s
 }
 
 // Register adds the routes of the trainers' requests to r.
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -30,12 +30,14 @@
 	done      chan struct{}
 	wake      chan struct{}
 	firstTake chan struct{} // closed by the first take
+	openedAt  time.Time
 	wg        conc.WaitGroup
 
 	mu             sync.Mutex
 	samples        []*sample
 	pending        pendingHeap
-	trainerVersion int64 // the trainer's version in its last request
+	groupPending   map[*Group]int // samples without a result
+	trainerVersion int64          // the trainer's version in its last request
 	// versionChangedAt is when trainerVersion last changed.
 	versionChangedAt time.Time
 	// awaitingNewVersion is set while finished samples are held back until engines load a newer version.
@@ -58,9 +60,11 @@
 		srv: srv, key: key, bodyHash: hash, reservedTokens: reserved,
 		done: make(chan struct{}), wake: make(chan struct{}, 1), firstTake: make(chan struct{}),
 		trainerVersion: req.Version, versionChangedAt: srv.now(), lastRequest: srv.now(), changed: make(chan struct{}),
+		openedAt: srv.now(), groupPending: map[*Group]int{},
 	}
 	for gi := range req.Groups {
 		g := &req.Groups[gi]
+		st.groupPending[g] = g.Samples
 		for i := range g.Samples {
 			st.samples = append(st.samples, &sample{
 				id:       SampleID{Service: key.service, Trainer: key.trainer, Step: key.step, Group: g.ID, Index: i},
@@ -175,6 +179,9 @@
 	for _, a := range s.running {
 		a.abort(cause)
 	}
+	if s.result != nil {
+		st.groupPending[s.group]++
+	}
 	s.running, s.resumeFrom, s.unscored, s.result = nil, nil, nil, nil
 	s.delivered, s.hedged, s.parked = false, false, false
 	if s.cancelScoring != nil {
