job: full engines are no reason to move a text

All engines are equally fast there; one with all slots taken is 1.25 to 1.4 times slower than an almost empty one, and the texts changed places at the same moment. Change: a text moves from an engine 1.6 times slower than a fast one. Test: TestLoadIsNoReasonToMove, fails before.

--- a/job/move.go
+++ b/job/move.go
@@ -28,9 +28,9 @@
 	// a new connection.
 	minMoveGain = 250 * time.Millisecond
 	// minMoveIntervalRatio is the minimum ratio of an engine's event interval to a fast engine's for an
-	// item to move away. Smaller differences are often temporary: the intervals of equally fast engines
-	// vary with their load.
-	minMoveIntervalRatio = 1.25
+	// item to move away. An engine with all slots taken is up to 1.4 times slower than an equal one that is
+	// almost empty. Moves for less only exchange load between engines, and each costs a connection.
+	minMoveIntervalRatio = 1.6
 	// minTargetIntervalRatio is the minimum ratio of the current engine's event interval to the new
 	// engine's.
 	minTargetIntervalRatio = 1.1
--- a/job/move_test.go
+++ b/job/move_test.go
@@ -104,6 +104,16 @@
 	return len(f.driver.placer.waiting)
 }
 
+// Replays the start of a step on equally fast engines: all slots of one are taken, another is almost empty.
+// Guards against a move there, which costs a connection at both engines and saves no step time, and against
+// staying at an engine that has become several times slower.
+func TestLoadIsNoReasonToMove(t *testing.T) {
+	is := is.New(t)
+	const full, empty, median = 49 * time.Millisecond, 35 * time.Millisecond, 42 * time.Millisecond
+	is.True(!isMoveWorthwhile(3*time.Second, full, empty, median))
+	is.True(isMoveWorthwhile(3*time.Second, 3*empty, empty, median))
+}
+
 // Guards against moves that lose or repeat events, and against moves that leak a slot.
 func TestMovedTextIsWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
