job: no send on an old index; short items wait for idle connections

Two changes, in the same files. Tests: TestOldIndexAllowsNoSend, TestItemWaitsForAFreshIndex; changelog keeps the error of the last read. (2) Cause: a step's items all start at once, each on a connection of its own. Change: an item that ends long before the longest of its step waits for an idle connection (job/order.go, connWait); a connection closed with its run no longer counts as idle; a dispatch looks at the engines once. Also: a text that exceeds a record of the store ends its attempt, since it could not be listed.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -237,6 +237,15 @@
 	b.dir.notify()
 }
 
+// EndClosed is End for a request whose connection was closed with it, so that it leaves no idle one.
+func (b *Backend) EndClosed() {
+	b.dir.mu.Lock()
+	defer b.dir.mu.Unlock()
+	b.inFlight--
+	b.peakInFlight = max(b.inFlight, b.peakInFlight-1)
+	b.dir.notify()
+}
+
 // EventInterval returns the smoothed time between the events of a stream; 0 if unknown.
 func (b *Backend) EventInterval() time.Duration {
 	b.dir.mu.Lock()
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -42,6 +42,7 @@
 	loaded      bool
 	changed     chan struct{} // closed when records are applied
 	readAt      time.Time     // start of the last successful read or append
+	lastReadErr error         // of the last read; nil after a successful one
 	syncWaiters []chan error
 	syncing     bool // serveSyncs is running
 
@@ -78,6 +79,13 @@
 	return time.Since(r.readAt)
 }
 
+// LastReadError returns the error of the last read, or nil if it succeeded.
+func (r *Replica) LastReadError() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastReadErr
+}
+
 // Sync waits until the replica has applied every record that was appended before the call.
 func (r *Replica) Sync(ctx context.Context) error {
 	done := make(chan error, 1)
@@ -136,6 +144,14 @@
 
 // catchUp reads up to the end of the partition. Only the first read waits for records, up to wait.
 func (r *Replica) catchUp(ctx context.Context, wait time.Duration) error {
+	err := r.readToEnd(ctx, wait)
+	r.mu.Lock()
+	r.lastReadErr = err
+	r.mu.Unlock()
+	return err
+}
+
+func (r *Replica) readToEnd(ctx context.Context, wait time.Duration) error {
 	for {
 		start := time.Now()
 		r.mu.Lock()
--- a/job/driver.go
+++ b/job/driver.go
@@ -68,6 +68,8 @@
 	metrics   *driverMetrics
 	tasks     conc.WaitGroup
 	drivers   atomic.Int64 // instances that drive an open job
+	// indexState returns the age of this instance's copy of the index and the error of its last read.
+	indexState func() (time.Duration, error)
 
 	mu               sync.Mutex // guards the fields below
 	running          map[ID]context.CancelFunc
@@ -80,8 +82,10 @@
 	wait, run prometheus.Histogram
 	retries   prometheus.Counter
 	moves     prometheus.Counter
-	takeovers prometheus.Counter
-	results   *prometheus.CounterVec
+	// staleIndex counts sends that waited because the index was too old.
+	staleIndex prometheus.Counter
+	takeovers  prometheus.Counter
+	results    *prometheus.CounterVec
 	// rewardWait and rewardCall are the times that complete texts wait for their reward call and for its
 	// answer, rewards the calls by outcome.
 	rewardWait, rewardCall prometheus.Histogram
@@ -98,6 +102,8 @@
 			Help: "Item attempts that ended without completing the item, except for moves."}),
 		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_moves_total",
 			Help: "Item attempts that ended because the item moved to a faster engine."}),
+		staleIndex: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_sends_delayed_total",
+			Help: "Sends of items and reward calls that waited because the copy of the job index was too old."}),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_job_takeovers_total",
 			Help: "Jobs taken over from dead instances."}),
 		results: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_item_results_total",
@@ -110,7 +116,7 @@
 			Help: "Reward calls by outcome."}, []string{"outcome"}),
 	}
 	if r != nil {
-		r.MustRegister(m.wait, m.run, m.retries, m.moves, m.takeovers, m.results, m.rewardWait, m.rewardCall, m.rewards,
+		r.MustRegister(m.wait, m.run, m.retries, m.moves, m.staleIndex, m.takeovers, m.results, m.rewardWait, m.rewardCall, m.rewards,
 			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_reward_calls_waiting",
 				Help: "Complete texts whose reward call waits to be sent."}, func() float64 { return float64(gate.Waiting()) }),
 			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_reward_calls_in_flight",
@@ -125,6 +131,9 @@
 		opts: opts, log: opts.Logger, placer: newPlacer(opts.Backends, opts.DataCentre, opts.SlotShare),
 		running: map[ID]context.CancelFunc{}, orphanedSince: map[ID]time.Time{}, takeovers: map[ID]bool{},
 	}
+	d.indexState = func() (time.Duration, error) {
+		return opts.Registry.indexReplica.Age(), opts.Registry.indexReplica.LastReadError()
+	}
 	d.rewards = reward.NewGate(d.rewardLimit)
 	d.metrics = newDriverMetrics(opts.Registerer, d.rewards)
 	return d
@@ -138,6 +147,8 @@
 	checkpoints map[string]Checkpoint
 	// pending counts the items without a result by group.
 	pending groupCounter
+	// longest is the expected duration of the longest item.
+	longest time.Duration
 }
 
 // Run drives jobs until ctx ends, then waits until all jobs have stopped.
@@ -285,6 +296,9 @@
 	}
 	d.log.Info("job started", "job", s.ID, "items", len(job.items), "total", s.Total, "begun", len(job.checkpoints), "step", s.Step,
 		"model", s.Model, "min_version", s.MinVersion, "age", time.Since(s.SubmittedAt()))
+	for i := range job.items {
+		job.longest = max(job.longest, d.durations.expectedRun(job.items[i].LengthEstimate))
+	}
 	var group conc.WaitGroup
 	for i := range job.items {
 		group.Go(func() {
--- /dev/null
+++ b/job/fresh_test.go
@@ -0,0 +1,64 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// limitedError is the error of a read that exceeded the store's rate limit.
+type limitedError struct{}
+
+func (limitedError) Error() string     { return "429" }
+func (limitedError) RateLimited() bool { return true }
+
+// Replays a store whose reads take seconds, as with 298 instances and 3,000 engines. Guards against sends on the
+// ground of an index that is older than the time within which a job's end must take effect, and against a
+// driver that stops while the store is away.
+func TestOldIndexAllowsNoSend(t *testing.T) {
+	is := is.New(t)
+	const old = 4900 * time.Millisecond
+	is.True(maySend(2*time.Second, nil))
+	is.True(maySend(2*time.Second, context.DeadlineExceeded))
+	is.True(!maySend(old, nil))
+	is.True(!maySend(old, fmt.Errorf("read: %w", context.DeadlineExceeded)))
+	is.True(!maySend(old, limitedError{}))
+	is.True(maySend(old, errors.New("connection refused")))
+}
+
+// Guards against an item that is sent after its wait for an engine although the index has become too old, and
+// against one that is never sent although the index is fresh again.
+func TestItemWaitsForAFreshIndex(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newMoveFixture()
+		f.fast.End()
+		start := time.Now()
+		const stale = 3 * time.Second
+		f.driver.indexState = func() (time.Duration, error) {
+			if time.Since(start) < stale {
+				return 4 * time.Second, nil
+			}
+			return 0, nil
+		}
+		f.engine.onRun = func() { is.True(time.Since(start) >= stale) }
+		result, done := f.driver.runItem(t.Context(), f.job, 0)
+		is.True(done)
+		is.Equal(result.State, Complete)
+		is.Equal(f.inFlight(), 0)
+
+		start = time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second) // the job ends meanwhile
+		defer cancel()
+		runs := len(f.engine.runs)
+		_, done = f.driver.runItem(ctx, f.job, 0)
+		is.True(!done)
+		is.Equal(len(f.engine.runs), runs)
+		is.Equal(f.inFlight(), 0)
+	})
+}
--- a/job/move_test.go
+++ b/job/move_test.go
@@ -72,6 +72,7 @@
 		Backends: f.dir, Engine: f.engine, DataCentre: "a", SlotShare: 1, Logger: telemetry.Discard(),
 		Config: f.config.Load,
 	})
+	f.driver.indexState = func() (time.Duration, error) { return 0, nil }
 	for id, interval := range f.engine.eventInterval {
 		b, _ := f.dir.Backend(id)
 		b.RecordEventInterval(interval)
--- a/job/order.go
+++ b/job/order.go
@@ -77,6 +77,30 @@
 	return min(maxOvertake, time.Duration(expected*float64(time.Second)))
 }
 
+// Waiting for a connection.
+//
+// Load pattern: a step begins with hundreds of items at once, most of which run for a tenth of the time of
+// the longest. If all of them start at once, each opens a connection of its own, and nearly all of those are
+// idle when the next step begins elsewhere or expire before it.
+//
+// An item that would end long before the longest item of its step therefore waits for an engine to which a
+// connection is idle. The step does not take longer, because it ends with its longest item in any case.
+
+const (
+	// connWaitFraction is the part of the longest item's expected duration by which an item that waits for
+	// an idle connection must have ended.
+	connWaitFraction = 0.6
+	// estimateMargin is the factor by which an item is assumed to exceed its expected duration. Estimates are
+	// often wrong by a factor of two.
+	estimateMargin = 2
+)
+
+// connWait returns how long after the submission of its job an item waits for an idle connection instead of a
+// new one. longest is the expected duration of the job's longest item.
+func connWait(expected, longest time.Duration) time.Duration {
+	return max(0, time.Duration(connWaitFraction*float64(longest))-estimateMargin*expected)
+}
+
 // positionBits is the number of low bits of a queue order that hold the item's position in its job; the
 // bits above hold milliseconds.
 const positionBits = 12
--- a/job/order_test.go
+++ b/job/order_test.go
@@ -169,3 +169,56 @@
 	is.True(near(e.expectedRun(0), 2*time.Second)) // no estimate: an average item
 	is.Equal(e.expectedRun(1_000_000), maxOvertake)
 }
+
+// Replays steps of 264 items of which one in twelve runs five times as long as the others, on engines with
+// more slots than items. Guards against a connection for each item at the start of a step, and against waits
+// that make the step longer.
+func TestShortItemsWaitForIdleConnections(t *testing.T) {
+	is := is.New(t)
+	const items, tick = 264, 10 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 1))
+	durations := make([]time.Duration, items)
+	var longest time.Duration
+	for i := range durations {
+		durations[i] = time.Duration(float64(600*time.Millisecond) * math.Exp(0.5*rng.NormFloat64()))
+		if i%12 == 0 {
+			durations[i] *= 5
+		}
+		durations[i] = min(durations[i], maxOvertake)
+		longest = max(longest, durations[i])
+	}
+	slices.SortFunc(durations, func(a, b time.Duration) int { return int(b - a) }) // the queue order
+	step := func(wait func(expected time.Duration) time.Duration) (conns int, end time.Duration) {
+		waiting, idle := slices.Clone(durations), 0
+		var ends []time.Duration
+		for now := time.Duration(0); len(waiting) > 0 || len(ends) > 0; now += tick {
+			ends = slices.DeleteFunc(ends, func(at time.Duration) bool {
+				if at <= now {
+					idle++
+				}
+				return at <= now
+			})
+			waiting = slices.DeleteFunc(waiting, func(d time.Duration) bool {
+				switch {
+				case idle > 0:
+					idle--
+				case now >= wait(d):
+					conns++
+				default:
+					return false
+				}
+				ends = append(ends, now+d)
+				end = max(end, now+d)
+				return true
+			})
+		}
+		return conns, end
+	}
+	connsAtOnce, endAtOnce := step(func(time.Duration) time.Duration { return 0 })
+	conns, end := step(func(expected time.Duration) time.Duration { return connWait(expected, longest) })
+	t.Logf("at once: %d connections, %v; with waits: %d connections, %v", connsAtOnce, endAtOnce, conns, end)
+	is.Equal(connsAtOnce, items)
+	// Prices under 0.08, the target of altyn-fry-large, leave 0.56 of the connections that cost 0.085 before.
+	is.True(float64(conns) <= 0.56*items)
+	is.Equal(end, endAtOnce)
+}
--- a/job/place.go
+++ b/job/place.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Weights of the cost by which an engine is chosen, where 1 is the cost of an engine whose slots are all
@@ -30,6 +32,8 @@
 	minSlowDifference = 10 * time.Millisecond
 	// dispatchInterval bounds the time until an engine that is no longer avoided gets waiting items.
 	dispatchInterval = 50 * time.Millisecond
+	// dispatchDelay is the delay of a dispatch after a change of the engines.
+	dispatchDelay = 5 * time.Millisecond
 )
 
 // engineRequest is an item's request for an engine, with its requirements.
@@ -46,6 +50,8 @@
 	// excluded is an engine that must not be chosen unless it is the only candidate: the one of the
 	// last failed attempt, or the one that the item leaves.
 	excluded *backends.Backend
+	// idleConnUntil is the time until which the item accepts only an engine to which a connection is idle.
+	idleConnUntil time.Time
 	// eventIntervalBelow requires an engine with a known, shorter event interval; 0 accepts every engine.
 	eventIntervalBelow time.Duration
 	placed             chan *backends.Backend // receives the chosen engine
@@ -84,6 +90,8 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+			// Several items of a step end at about the same time, and a dispatch reads all engines.
+			timing.Sleep(ctx, dispatchDelay)
 		case <-ticker.C:
 		}
 	}
@@ -128,39 +136,62 @@
 	}
 }
 
+// pool holds the engines of one service for one model while waiting requests are dispatched.
+type pool struct {
+	candidates []backends.Candidate
+	// medianInterval and fastInterval are quantiles of the engines' event intervals.
+	medianInterval, fastInterval time.Duration
+	// full is the lowest minVersion for which no slot was free, noIdleConn the lowest one for which none was
+	// free at an engine with an idle connection.
+	full, noIdleConn int64
+}
+
+func newPool(candidates []backends.Candidate) *pool {
+	return &pool{
+		candidates: candidates, full: math.MaxInt64, noIdleConn: math.MaxInt64,
+		medianInterval: eventIntervalQuantile(candidates, 0.5), fastInterval: eventIntervalQuantile(candidates, fastQuantile),
+	}
+}
+
 // dispatch assigns engines with free slots to waiting requests, in queue order.
 func (p *placer) dispatch() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	type pool struct{ service, model string }
-	candidates := map[pool][]backends.Candidate{}
-	full := map[pool]int64{} // lowest minVersion for which no slot was free
+	type key struct{ service, model string }
+	pools := map[key]*pool{}
+	now := time.Now()
 	unplaced := p.waiting[:0]
 	for _, req := range p.waiting {
-		k := pool{req.service, req.model}
-		if v, ok := full[k]; ok && v <= req.minVersion {
+		k := key{req.service, req.model}
+		engines := pools[k]
+		if engines == nil {
+			engines = newPool(p.dir.Candidates(req.service, req.model))
+			pools[k] = engines
+		}
+		needsIdleConn := now.Before(req.idleConnUntil)
+		if engines.full <= req.minVersion || (needsIdleConn && engines.noIdleConn <= req.minVersion) {
 			unplaced = append(unplaced, req)
 			continue
 		}
-		list, ok := candidates[k]
-		if !ok {
-			list = p.dir.Candidates(req.service, req.model)
-			candidates[k] = list
-		}
-		best := choose(list, req, p.groups[req.group], p.zone, p.slotShare)
+		best := engines.choose(req, p.groups[req.group], p.zone, p.slotShare, needsIdleConn)
 		if best < 0 {
-			if req.acceptsAnyEngine() {
-				full[k] = req.minVersion
+			switch {
+			case !req.acceptsAnyEngine():
+			case needsIdleConn:
+				engines.noIdleConn = req.minVersion
+			default:
+				engines.full = req.minVersion
 			}
 			unplaced = append(unplaced, req)
 			continue
 		}
-		list[best].InFlight++
-		list[best].Begin()
+		chosen := &engines.candidates[best]
+		chosen.InFlight++
+		chosen.Begin()
 		if req.group != "" {
-			p.groups[req.group] = list[best].Backend
+			p.groups[req.group] = chosen.Backend
 		}
-		req.placed <- list[best].Backend
+		req.placed <- chosen.Backend
 	}
 	clear(p.waiting[len(unplaced):])
 	p.waiting = unplaced
@@ -176,16 +207,17 @@
 }
 
 // choose returns the index of the candidate with the lowest cost for req, or -1 if no suitable engine has a
-// free slot. groupEngine is the last engine of the request's group.
-func choose(candidates []backends.Candidate, req *engineRequest, groupEngine *backends.Backend, zone string, slotShare float64) int {
-	medianInterval, fastInterval := eventIntervalQuantile(candidates, 0.5), eventIntervalQuantile(candidates, fastQuantile)
+// free slot. groupEngine is the last engine of the request's group. needsIdleConn requires an engine to which
+// a connection is idle.
+func (e *pool) choose(req *engineRequest, groupEngine *backends.Backend, zone string, slotShare float64, needsIdleConn bool) int {
+	candidates, medianInterval, fastInterval := e.candidates, e.medianInterval, e.fastInterval
 	best, bestCost := -1, 0.0
 	for i, c := range candidates {
 		version := c.Versions[req.model]
 		if c.Avoid || version < req.minVersion || (req.exactVersion != 0 && version != req.exactVersion) {
 			continue
 		}
-		if c.Backend == req.excluded && len(candidates) > 1 {
+		if (c.Backend == req.excluded && len(candidates) > 1) || (needsIdleConn && c.InFlight >= c.OpenConns) {
 			continue
 		}
 		if req.eventIntervalBelow > 0 && (c.EventInterval == 0 || c.EventInterval >= req.eventIntervalBelow) {
--- a/job/place_test.go
+++ b/job/place_test.go
@@ -78,7 +78,7 @@
 	dir := directoryOf(2, 4, 3)
 	req := requestFor(0)
 	req.minVersion = 4
-	is.Equal(choose(dir.Candidates("llm", "m"), req, nil, "a", 1), -1)
+	is.Equal(newPool(dir.Candidates("llm", "m")).choose(req, nil, "a", 1, false), -1)
 }
 
 // Guards against a group whose prompt is read at more engines than necessary.
@@ -208,7 +208,7 @@
 	const ms = time.Millisecond
 	is.True(isMoveWorthwhile(3*time.Second, 78*ms, 48*ms, 48*ms))
 	is.True(!isMoveWorthwhile(3*time.Second, 66*ms, 48*ms, 48*ms)) // a full engine of the same speed
-	is.True(isMoveWorthwhile(400*ms, 168*ms, 48*ms, 48*ms)) // several times slower: short items move too
+	is.True(isMoveWorthwhile(400*ms, 168*ms, 48*ms, 48*ms))        // several times slower: short items move too
 	is.True(!isMoveWorthwhile(300*ms, 78*ms, 48*ms, 48*ms))
 	is.True(!isMoveWorthwhile(4*time.Second, 54*ms, 48*ms, 48*ms))
 	is.True(!isMoveWorthwhile(4*time.Second, 78*ms, 0, 0)) // no event interval is known
@@ -263,7 +263,7 @@
 	connected.Begin()
 	connected.End()
 	list := dir.Candidates("llm", "m")
-	is.Equal(list[choose(list, requestFor(0), nil, "a", 1)].ID, "e1")
+	is.Equal(list[newPool(list).choose(requestFor(0), nil, "a", 1, false)].ID, "e1")
 }
 
 // waitFor waits until f returns true and fails the test after ten seconds.
@@ -277,3 +277,27 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against an item that opens a connection while it should wait for an idle one, and against one that
+// waits on after its time.
+func TestItemWaitsForAnIdleConnection(t *testing.T) {
+	is := is.New(t)
+	dir := directoryOf(2, 4, 1)
+	p := newPlacer(dir, "a", 1)
+	first, err := p.acquire(t.Context(), requestFor(0))
+	is.NoErr(err)
+	waiting := requestFor(1)
+	waiting.idleConnUntil = time.Now().Add(time.Hour)
+	p.enqueue(waiting)
+	is.Equal(len(waiting.placed), 0)
+	late := requestFor(2)
+	late.idleConnUntil = time.Now().Add(-time.Second)
+	b, err := p.acquire(t.Context(), late) // a later item without such a wait does not wait behind it
+	is.NoErr(err)
+	b.EndClosed() // closes its connection: none is idle
+	p.dispatch()
+	is.Equal(len(waiting.placed), 0)
+	first.End()
+	p.dispatch()
+	is.Equal(<-waiting.placed, first)
+}
--- a/job/run.go
+++ b/job/run.go
@@ -33,6 +33,7 @@
 	data           [][]byte
 	lastEvent      int64
 	versions       []int64
+	size           int       // bytes of data
 	checkpointedAt time.Time // time of the last checkpoint, or of the item's start here
 }
 
@@ -63,6 +64,9 @@
 // requires a single one.
 var errMixedVersions = errors.New("the engine changed its weight version within the output")
 
+// errTextTooLarge ends an attempt whose output exceeds a record of the store, so that it could not be listed.
+var errTextTooLarge = errors.New("the output exceeds a record of the store")
+
 // Started implements Receiver.
 func (a *itemAttempt) Started(version int64) error {
 	if version == 0 {
@@ -100,6 +104,9 @@
 		}
 		out.versions = append(out.versions, e.Version)
 	}
+	if out.size += len(e.Data) + 1; out.size > maxItemRecordBytes {
+		return errTextTooLarge
+	}
 	out.data = append(out.data, e.Data)
 	out.lastEvent = e.ID
 	if a.saveCheckpoint != nil && now.Sub(out.checkpointedAt) >= checkpointInterval {
@@ -123,7 +130,7 @@
 
 // reset discards the output, so that the next attempt starts from the beginning.
 func (o *partialOutput) reset() {
-	o.data, o.lastEvent, o.versions = nil, 0, nil
+	o.data, o.lastEvent, o.versions, o.size = nil, 0, nil, 0
 }
 
 // runItem generates the text of an item and obtains its score, until the item has a result or ctx ends. It
@@ -131,7 +138,7 @@
 func (d *Driver) runItem(ctx context.Context, job *activeJob, itemIndex int) (Result, bool) {
 	item := &job.items[itemIndex]
 	stored := job.checkpoints[item.ID]
-	out := &partialOutput{data: slices.Clip(stored.Data), lastEvent: stored.LastEvent, versions: slices.Clip(stored.Versions)}
+	out := &partialOutput{data: slices.Clip(stored.Data), lastEvent: stored.LastEvent, versions: slices.Clip(stored.Versions), size: stored.size()}
 	result := Result{Item: item.ID, State: Complete}
 	if !stored.Complete {
 		var done bool
@@ -180,6 +187,7 @@
 		req := &engineRequest{
 			order: queueOrder(job.SubmittedMs, expected, itemIndex), service: service, model: item.Model,
 			group: string(job.ID) + item.Group, minVersion: job.MinVersion, expected: expected, excluded: excluded,
+			idleConnUntil: job.SubmittedAt().Add(connWait(expected, job.longest)),
 		}
 		waitStart := time.Now()
 		b := nextEngine
@@ -194,6 +202,10 @@
 				return 0, false
 			}
 		}
+		if !d.awaitFreshIndex(ctx) {
+			b.End()
+			return 0, false
+		}
 		start := time.Now()
 		d.metrics.wait.Observe(start.Sub(waitStart).Seconds())
 		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion}
@@ -204,7 +216,11 @@
 			}
 		}
 		err := d.runAttempt(ctx, job, item, route, a)
-		b.End()
+		if closesConnection(err) {
+			b.EndClosed()
+		} else {
+			b.End()
+		}
 		nextEngine = a.nextEngine
 		if err == nil {
 			ran := time.Since(start)
@@ -234,7 +250,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, errMixedVersions):
+		case errors.Is(err, errMixedVersions), errors.Is(err, errTextTooLarge):
 			out.reset()
 		case moved != nil:
 			moves++
@@ -244,6 +260,16 @@
 	}
 }
 
+// closesConnection reports whether an attempt with this outcome has closed its connection: all that end
+// within the engine's answer do.
+func closesConnection(err error) bool {
+	var (
+		notRun *NotRunError
+		failed *FailedError
+	)
+	return err != nil && !errors.As(err, &notRun) && !errors.As(err, &failed)
+}
+
 // waitForRoute returns the route and the service of an item in the newest configuration. It waits while
 // this instance has no configuration, and returns false if the configuration has no route for the item
 // or ctx ends.
@@ -291,6 +317,8 @@
 	switch {
 	case err == nil:
 		b.RecordSuccess()
+	case errors.Is(err, errTextTooLarge):
+		b.RecordFailure()
 	case errors.As(err, &notRun), errors.As(err, &oldVersion):
 		b.RecordLoading(item.Model, refusalBackoff)
 	case errors.As(err, &broken):
--- a/job/score.go
+++ b/job/score.go
@@ -143,6 +143,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if !d.awaitFreshIndex(ctx) {
+		d.rewards.Release(service, false)
+		return nil, ctx.Err()
+	}
 	sent := time.Now()
 	d.metrics.rewardWait.Observe(sent.Sub(start).Seconds())
 	response, err := d.opts.Requests.Forward(ctx, route, &forward.Request{
