instance: a planned stop does not wait for peers' calls

Cause: when an instance ended, link waited up to its default of 10 s for exchanges in flight in either direction. Change: the instance drains peers for 0.4 s, a part of the second reserved for the exit.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,6 +72,10 @@
 	balancerDelay = 2500 * time.Millisecond
 	// handoverFraction is the fraction of the grace time in which the instance's own jobs may finish.
 	handoverFraction = 0.6
+	// peerDrainTimeout bounds the wait for the exchanges of peers when the instance ends. It is a part of
+	// exitMargin: a peer whose call goes through this instance to a store that does not answer would hold the
+	// process beyond its grace time.
+	peerDrainTimeout = 400 * time.Millisecond
 	// exitMargin is the time reserved at the end of the grace time for the exit of the process.
 	exitMargin = time.Second
 )
@@ -129,7 +133,7 @@
 	direct := hosted.NewStore(hosted.StoreOptions{
 		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS,
 	})
-	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout})
+	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout})
 	i.store = relay.New(relay.Options{
 		Direct: direct, Caller: i.node, Logger: logger, Registerer: i.registry,
 		Peers: func() []machine.Instance { return i.presence.Peers() },
