duty: missing heartbeats do not shorten the wait for a holder's lease

The store had been slow from 28.7 to 33.2 s. A candidate of rank 0 took the duty as soon as the holder counted as dead, and that is concluded from heartbeats: a holder whose heartbeats fail may renew its duty all the same, and acts for 1.5 s after the start of a renewal. An instance that restarted also counted as dead until its new record was read. Change: only a record that the holder has left, or of a later run, lets a candidate take the duty before it has been unchanged for 2 s (presence.Ended). Tests: TestSilentHolderKeepsTheDuty (both held the duty before), TestEndedNeedsARecord.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -4,7 +4,7 @@
 // The newest record of a duty in the store names its holder. The holder renews the record under the
 // condition that no other instance has written since, so it cannot renew after a successor has taken
 // over. It acts for leaseTTL after the start of a renewal; a successor waits longer unless the
-// holder has released the duty or counts as dead. The fencing token grows by one with each takeover.
+// holder has released the duty, has left or has restarted. The fencing token grows by one with each takeover.
 package duty
 
 import (
@@ -66,8 +66,9 @@
 
 // Peers provides the liveness of the instances and an order among them.
 type Peers interface {
-	// Dead reports whether an instance is known to have ended.
-	Dead(machine.Ref) bool
+	// Ended reports whether an instance has left or restarted. It must not conclude that from missing
+	// heartbeats, because a holder whose heartbeats fail may still renew its duty.
+	Ended(machine.Ref) bool
 	// Rank returns this instance's position among the live ones in an order that depends on key.
 	Rank(key string) int
 }
@@ -185,7 +186,7 @@
 		return delay == 0 || unchangedFor > delay
 	case current.Holder == d.self:
 		return true
-	case d.peers.Dead(current.Holder):
+	case d.peers.Ended(current.Holder):
 		return unchangedFor > delay
 	default:
 		return unchangedFor > takeoverWait+delay
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -17,11 +17,16 @@
 // waitTimeout bounds how long a test waits for a condition.
 const waitTimeout = 20 * time.Second
 
-// fakePeers ranks every instance first and reports none as dead.
+// fakePeers ranks every instance first and reports none as ended.
 type fakePeers struct{}
 
-func (fakePeers) Dead(machine.Ref) bool { return false }
-func (fakePeers) Rank(string) int       { return 0 }
+func (fakePeers) Ended(machine.Ref) bool { return false }
+func (fakePeers) Rank(string) int        { return 0 }
+
+// silentPeers takes every other instance for dead, because their heartbeats are missing. That proves no end.
+type silentPeers struct{ fakePeers }
+
+func (silentPeers) Dead(machine.Ref) bool { return true }
 
 func newDuty(store *hostedtest.Store, id string) *Duty {
 	client := hosted.NewStore(hosted.StoreOptions{Addr: store.Addr(), WritesPerS: 1000, ReadsPerS: 1000})
@@ -90,6 +95,27 @@
 	is.True(err != nil)
 }
 
+// Guards against a successor that acts beside a holder whose renewals succeed while its heartbeats fail, as after
+// a time in which the store was slow.
+func TestSilentHolderKeepsTheDuty(t *testing.T) {
+	is := is.New(t)
+	store := hostedtest.NewStore()
+	t.Cleanup(store.Close)
+	a, b := newDuty(store, "a"), newDuty(store, "b")
+	a.peers, b.peers = silentPeers{}, silentPeers{}
+	stopA := startDuty(t, a)
+	first := waitHeld(t, a)
+	startDuty(t, b)
+	for until := time.Now().Add(3 * renewInterval); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		_, err := b.Fence()
+		is.True(err != nil) // a renews the duty
+	}
+	stopA()
+	stopped := time.Now()
+	is.Equal(waitHeld(t, b), first+1)
+	is.True(time.Since(stopped) > leaseTTL-renewInterval) // the last renewal began at most renewInterval before
+}
+
 // Guards against a duty without a holder for takeoverWait after a planned stop.
 func TestReleasedDutyIsTakenAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -269,6 +269,15 @@
 		time.Since(t.readFailedAt) > deadIntervals*s.Interval+readDelay
 }
 
+// Ended reports whether the newest record shows that an instance has left or that a later run has replaced it.
+// Unlike Dead, it concludes nothing from silence, nor from the record of an earlier run.
+func (t *Table) Ended(ref machine.Ref) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, known := t.byID[ref.ID]
+	return known && (s.Incarnation > ref.Incarnation || (s.Incarnation == ref.Incarnation && s.Left))
+}
+
 // Peer returns another live instance of this data centre that takes new work, or this instance if there is none.
 // It chooses by rendezvous hashing, so equal keys give the same instance as long as the instances stay.
 func (t *Table) Peer(key string) machine.Ref {
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -142,3 +142,21 @@
 	b.Leave(context.Background())
 	eventually(t, "b has left", func() bool { return a.Dead(machine.Ref{ID: "b", Incarnation: 1}) })
 }
+
+// Guards against an instance that counts as ended because its heartbeats are missing, or because the store
+// still holds the record of its earlier run.
+func TestEndedNeedsARecord(t *testing.T) {
+	is := is.New(t)
+	store := hostedtest.NewStore()
+	t.Cleanup(store.Close)
+	a, _ := startTable(t, store, "a", "x", 1)
+	b, stopB := startTable(t, store, "b", "x", 5)
+	eventually(t, "a knows b", func() bool { return len(a.Peers()) == 1 })
+	stopB()
+	eventually(t, "b is silent", func() bool { return a.Dead(b.self) })
+	is.True(!a.Ended(b.self))
+	is.True(!a.Ended(machine.Ref{ID: "b", Incarnation: 6})) // a later run, whose record has not been read
+	is.True(a.Ended(machine.Ref{ID: "b", Incarnation: 4}))
+	b.Leave(context.Background())
+	eventually(t, "b has left", func() bool { return a.Ended(b.self) })
+}
