--- a/reward/gate.go
+++ b/reward/gate.go
@@ -97,13 +97,12 @@
 	}
 }
 
-// Waiting returns the number of calls that wait, InFlight the number of those that were sent, at all
-// services together.
+// Waiting returns the number of calls that wait, at all services together.
 func (g *Gate) Waiting() int {
 	return g.sum(func(s *service) int { return len(s.waiting) })
 }
 
-// InFlight returns the number of calls that have been admitted and not released.
+// InFlight returns the number of calls that have been admitted and not released, at all services together.
 func (g *Gate) InFlight() int {
 	return g.sum(func(s *service) int { return s.inFlight })
 }
