soak: jobs with reward calls

Every other item of the soak's jobs has a reward call to the plain service, whose first call is refused for a third of them and answered with another request's id for another third, over takeovers, planned stops, kills, pauses and store faults. Checked: the score of each result, that no result without a call has one, that each scored call ran, and that nothing of a refused job ran.

--- a/soak/checks.go
+++ b/soak/checks.go
@@ -20,6 +20,7 @@
 	State    string  `json:"state"`
 	Output   string  `json:"output"`
 	Versions []int64 `json:"versions"`
+	Score    string  `json:"score"`
 }
 
 // submittedJob is a batch job that the test's client has submitted.
@@ -120,6 +121,12 @@
 	c.obs.mu.Unlock()
 }
 
+// hasReward reports whether the item at a position has a reward call. Every other item has one.
+func hasReward(position int) bool { return position%2 == 1 }
+
+// rewardID returns the id of the reward call of an item.
+func rewardID(item string) string { return "reward-" + item }
+
 // submit submits a job up to four times, until an instance accepts it.
 func (c *client) submit(n, items int) *submittedJob {
 	s := &submittedJob{id: fmt.Sprintf("job-%d", n), items: items, refused: true}
@@ -130,6 +137,7 @@
 		Body    []byte            `json:"body"`
 		Tokens  int               `json:"tokens"`
 		Group   string            `json:"group"`
+		Scorer  any               `json:"scorer,omitempty"`
 	}
 	var list []item
 	for i := range items {
@@ -137,6 +145,9 @@
 			ID: fmt.Sprintf("%s-%d", s.id, i), Path: fmt.Sprintf("/jobs/x/%d", i),
 			Headers: map[string]string{"X-Model": "m"}, Body: []byte("body"), Tokens: 10, Group: fmt.Sprint(i / 2),
 		})
+		if hasReward(i) {
+			list[i].Scorer = map[string]any{"id": rewardID(list[i].ID), "host": host, "path": "/plain/reward", "body": []byte("record")}
+		}
 	}
 	body, err := json.Marshal(map[string]any{"step": n, "model": "m", "min_version": 1, "group_count": items / 2, "items": list})
 	if err != nil {
@@ -227,6 +238,7 @@
 		if r.State != "complete" || r.Output != strings.Join(lines, "\n") {
 			o.addViolation("%s: item %s is %s with %q", s.id, r.ID, r.State, r.Output)
 		}
+		o.checkScore(s, r, runs)
 		if len(r.Versions) == 0 {
 			o.addViolation("%s: the result of item %s has no version", s.id, r.ID)
 		}
@@ -235,12 +247,32 @@
 		o.addViolation("%s: %d of %d results listed at the end", s.id, len(s.results), s.items)
 	}
 	for i := range s.items {
-		if id := fmt.Sprintf("%s-%d", s.id, i); s.refused && runs[id] > 0 {
+		if id := fmt.Sprintf("%s-%d", s.id, i); s.refused && runs[id]+runs[rewardID(id)] > 0 {
 			o.addViolation("%s was refused as not run at every attempt, but its item %s ran", s.id, id)
 		}
 	}
 }
 
+// checkScore checks that a result has the signature of its reward call's answer as score if its item has such a
+// call, and none otherwise.
+func (o *observations) checkScore(s *submittedJob, r result, runs map[string]int) {
+	var position int
+	if _, err := fmt.Sscanf(r.ID, s.id+"-%d", &position); err != nil {
+		o.addViolation("%s: result of an unknown item %s", s.id, r.ID)
+		return
+	}
+	want := ""
+	if hasReward(position) {
+		want = "stamp"
+	}
+	if r.Score != want {
+		o.addViolation("%s: item %s has the score %q, want %q", s.id, r.ID, r.Score, want)
+	}
+	if ran := runs[rewardID(r.ID)] > 0; ran != hasReward(position) {
+		o.addViolation("%s: the reward call of item %s ran: %v, want %v", s.id, r.ID, ran, hasReward(position))
+	}
+}
+
 // checkOrders checks that all orders with the same fencing token came from one instance.
 func (o *observations) checkOrders(f *fleet) {
 	holders := map[string]string{}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -158,7 +159,9 @@
 		f.engines = append(f.engines, e)
 	}
 	for i := range 2 {
-		f.deskEngines = append(f.deskEngines, hostedtest.NewEngine(fmt.Sprintf("desk-%d", i), "desk", "a", ""))
+		e := hostedtest.NewEngine(fmt.Sprintf("desk-%d", i), "desk", "a", "")
+		e.SetAnswer(answerReward)
+		f.deskEngines = append(f.deskEngines, e)
 	}
 	for _, e := range f.backends() {
 		backendProxy, err := newProxy(e.Listener.Addr().String())
@@ -180,6 +183,22 @@
 	return f, nil
 }
 
+// answerReward makes a back end refuse the first reward call of a third of the items and lose the answer to that
+// of another third.
+func answerReward(id string, attempt int) hostedtest.Answer {
+	if !strings.HasPrefix(id, rewardID("")) || attempt > 1 {
+		return hostedtest.Complete
+	}
+	switch id[len(id)-1] % 3 {
+	case 0:
+		return hostedtest.Refuse
+	case 1:
+		return hostedtest.WrongRequestID
+	default:
+		return hostedtest.Complete
+	}
+}
+
 // backends returns all back ends: those with a model, then those without one.
 func (f *fleet) backends() []*hostedtest.Engine {
 	return append(append([]*hostedtest.Engine(nil), f.engines...), f.deskEngines...)
