forward: a timeout at a back end is no failed run of a reward call

Every answer of 500 and above counted as a server error of its reward call, a back end's 504 at the call's deadline included, so an item was given up after fewer than attempts answers of 500. Change: only status 500 counts. Test: TestFailedRewardCalls with a call that is answered 504 four times and then served; it was errored before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -37,8 +37,8 @@
 	Body   []byte
 	// Signature is the back end's signature of its response.
 	Signature string
-	// FailedRuns is the number of back ends that ran the request and answered with a server error, the one
-	// of this response included.
+	// FailedRuns is the number of back ends that ran the request and answered with status 500, the one of this
+	// response included. A timeout at the back end is no failed run: the request might succeed with more time.
 	FailedRuns int
 }
 
@@ -180,7 +180,7 @@
 	inFlight      int
 	sends         int
 	possibleRuns  int // sends that may have run
-	failedRuns    int // sends answered with a server error
+	failedRuns    int // sends answered with status 500
 	lastBackendID string
 }
 
@@ -224,7 +224,7 @@
 				}
 			} else {
 				e.possibleRuns++
-				if result.response != nil {
+				if result.response != nil && result.response.Status == http.StatusInternalServerError {
 					e.failedRuns++
 				}
 				lastFailure = result
--- a/instance/reward_test.go
+++ b/instance/reward_test.go
@@ -66,8 +66,8 @@
 	}
 }
 
-// Guards against reward calls that are not repeated after a refusal, a lost or crossed answer, and against a
-// call that always fails and holds its job, its slot or the service up.
+// Guards against reward calls that are not repeated after a refusal, a lost or crossed answer, against timeouts at
+// the service that count as its failures, and against a call that always fails and holds its job, its slot or the service up.
 func TestFailedRewardCalls(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 1, 1)
@@ -78,6 +78,8 @@
 		switch answer, fails := first[id]; {
 		case id == "reward-3":
 			return hostedtest.Fail
+		case id == "reward-5" && attempt <= 4: // more than the attempts of both routes
+			return hostedtest.TimedOut
 		case fails && attempt == 1:
 			return answer
 		}
