standin: no handler starts after a stand-in's Close has begun to wait

A connection's goroutine had read its request just before; http.Server.Close does not wait for it. Change: the server counts no handler once it is closed, and aborts the connection.

--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -35,7 +35,9 @@
 	silent     bool
 	wg         conc.WaitGroup
 
+	// handlers counts running handlers. None is added once closed is set, because Close waits for them.
 	handlers sync.WaitGroup
+	closed   bool
 }
 
 // Start serves handler at addr, or at a free loopback port if addr is empty.
@@ -63,7 +65,7 @@
 	if err != nil {
 		return &StartError{Addr: s.addr, Err: err}
 	}
-	s.addr = ln.Addr().String()
+	s.addr, s.closed = ln.Addr().String(), false
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	hs := &http.Server{
@@ -120,9 +122,23 @@
 // handler must not call it.
 func (s *Server) Close() {
 	s.Crash()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.handlers.Wait()
 }
 
+// beginHandler counts a handler as running. It returns false if the server has been closed.
+func (s *Server) beginHandler() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.handlers.Add(1)
+	return true
+}
+
 // SilenceOpen permanently silences the connections that are open now: they stay open, but data
 // in both directions is discarded. New connections are not affected.
 func (s *Server) SilenceOpen() {
@@ -156,7 +172,9 @@
 // echoRequestID wraps next so that every answer repeats the request id in its header.
 func (s *Server) echoRequestID(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.handlers.Add(1)
+		if !s.beginHandler() {
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
 		defer s.handlers.Done()
 		w.Header().Set(httpplatform.HeaderRequestID, r.Header.Get(httpplatform.HeaderRequestID))
 		next.ServeHTTP(w, r)
