--- a/backends/backends.go
+++ b/backends/backends.go
@@ -62,6 +62,17 @@
 	avoidUntil    time.Time
 	loadingUntil  map[string]time.Time // by model
 	eventInterval time.Duration        // smoothed time between the events of a stream; 0 if unknown
+	limit         RateLimit
+}
+
+// RateLimit is the rate at which a back end takes requests from all instances together.
+type RateLimit struct {
+	// PerSecond is the number of requests a second; 0 means no limit.
+	PerSecond float64
+	// Since is when this instance learned of the limit or its end; zero if there has been no limit.
+	Since time.Time
+	// Sends is the number of requests that this instance has sent to the back end since then.
+	Sends int
 }
 
 // Directory holds the known back ends by id.
@@ -334,3 +345,24 @@
 	}
 	b.eventInterval += time.Duration(eventIntervalSmoothing * float64(d-b.eventInterval))
 }
+
+// RecordSend counts a request of any kind that is sent to b.
+func (b *Backend) RecordSend() {
+	b.dir.mu.Lock()
+	defer b.dir.mu.Unlock()
+	b.limit.Sends++
+}
+
+// RecordRateLimit records the rate limit that b stated in the response to a request sent at sentAt; 0 means none. A
+// response to a request sent before the known limit was learned is ignored, because responses overtake each other.
+// RecordRateLimit returns the previous limit and whether it has changed.
+func (b *Backend) RecordRateLimit(perSecond float64, sentAt time.Time) (old RateLimit, changed bool) {
+	b.dir.mu.Lock()
+	defer b.dir.mu.Unlock()
+	old = b.limit
+	if old.PerSecond == perSecond || sentAt.Before(old.Since) {
+		return old, false
+	}
+	b.limit = RateLimit{PerSecond: perSecond, Since: time.Now()}
+	return old, true
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -153,7 +153,7 @@
 // buildServers creates the components that serve clients and engines.
 func (i *Instance) buildServers() {
 	s := i.settings
-	backendClient := hosted.NewBackends(s.Instance.ID)
+	backendClient := hosted.NewBackends(s.Instance.ID, i.log)
 	i.jobs = job.NewRegistry(job.RegistryOptions{
 		Self: i.self, Log: i.store, Partitions: s.Store.Partitions,
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Peer: i.presence.Peer, Peers: i.presence,
