--- a/backends/backends.go
+++ b/backends/backends.go
@@ -62,16 +62,24 @@
 	avoidUntil    time.Time
 	loadingUntil  map[string]time.Time // by model
 	eventInterval time.Duration        // smoothed time between the events of a stream; 0 if unknown
-	limit         RateLimit
+	sends         int                  // requests of any kind sent since the rate limit last changed
+	throttled     time.Time            // end of the time in which the rate limit allows no request of this instance
 }
 
-// RateLimit is the rate at which a back end takes requests from all instances together.
-type RateLimit struct {
-	// PerSecond is the number of requests a second; 0 means no limit.
-	PerSecond float64
-	// Since is when this instance learned of the limit or its end; zero if there has been no limit.
-	Since time.Time
-	// Sends is the number of requests that this instance has sent to the back end since then.
+// rateLimit is the rate limit that a back end has stated.
+type rateLimit struct {
+	startedUnixMs int64
+	perSecond     float64
+	since         time.Time // when this instance learned of it
+}
+
+// RateLimitChange describes a change of a back end's rate limit.
+type RateLimitChange struct {
+	// From is the limit before, in requests a second; 0 means none.
+	From float64
+	// Lasted is the time for which this instance knew that limit; 0 if there was none.
+	Lasted time.Duration
+	// Sends is the number of requests that this instance has sent to the back end since the change before.
 	Sends int
 }
 
@@ -79,13 +87,14 @@
 type Directory struct {
 	mu       sync.Mutex
 	byID     map[string]*Backend
+	limits   map[string]rateLimit // by back end; without those that have ended
 	outageAt time.Time
 	changed  chan struct{}
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{byID: map[string]*Backend{}, changed: make(chan struct{})}
+	return &Directory{byID: map[string]*Backend{}, limits: map[string]rateLimit{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed at the next change after which a back end may be able to
@@ -154,6 +163,7 @@
 		return
 	}
 	delete(d.byID, id)
+	delete(d.limits, id)
 	b.leaving = true
 }
 
@@ -195,6 +205,10 @@
 	Avoid bool
 	// EventInterval is the smoothed time between the events of a stream; 0 if unknown.
 	EventInterval time.Duration
+	// RateLimited is true if the back end has a rate limit.
+	RateLimited bool
+	// ThrottledUntil is the end of the time in which the rate limit allows no request of this instance; zero if none.
+	ThrottledUntil time.Time
 }
 
 // Candidates returns the back ends of a service that take new work, in no particular order. The
@@ -213,7 +227,8 @@
 		}
 		list = append(list, Candidate{
 			Backend: b, Slots: b.slots, Versions: b.versions, InFlight: b.inFlight, EventInterval: b.eventInterval, OpenConns: b.openConns(now),
-			Avoid: now.Before(b.avoidUntil) || now.Before(b.loadingUntil[model]),
+			Avoid:       now.Before(b.avoidUntil) || now.Before(b.loadingUntil[model]),
+			RateLimited: b.rateLimit() > 0, ThrottledUntil: b.throttled,
 		})
 	}
 	return list
@@ -350,19 +365,82 @@
 func (b *Backend) RecordSend() {
 	b.dir.mu.Lock()
 	defer b.dir.mu.Unlock()
-	b.limit.Sends++
+	b.sends++
+}
+
+// RateLimit returns the number of requests a second that b takes from all instances together, or 0 if it has stated no
+// limit.
+func (b *Backend) RateLimit() float64 {
+	b.dir.mu.Lock()
+	defer b.dir.mu.Unlock()
+	return b.rateLimit()
+}
+
+// rateLimit returns the rate limit of b, or 0. The caller holds dir.mu.
+func (b *Backend) rateLimit() float64 {
+	limit := b.dir.limits[b.ID]
+	if limit.startedUnixMs != b.StartedUnixMs {
+		return 0
+	}
+	return limit.perSecond
+}
+
+// Throttle records that the rate limit of b allows no request of this instance before until.
+func (b *Backend) Throttle(until time.Time) {
+	b.dir.mu.Lock()
+	defer b.dir.mu.Unlock()
+	b.throttled = until
+}
+
+// ThrottledUntil returns the end of the time in which the rate limit of b allows no request of this instance.
+func (b *Backend) ThrottledUntil() time.Time {
+	b.dir.mu.Lock()
+	defer b.dir.mu.Unlock()
+	return b.throttled
 }
 
 // RecordRateLimit records the rate limit that b stated in the response to a request sent at sentAt; 0 means none. A
 // response to a request sent before the known limit was learned is ignored, because responses overtake each other.
-// RecordRateLimit returns the previous limit and whether it has changed.
-func (b *Backend) RecordRateLimit(perSecond float64, sentAt time.Time) (old RateLimit, changed bool) {
+// RecordRateLimit reports whether the limit has changed.
+func (b *Backend) RecordRateLimit(perSecond float64, sentAt time.Time) (RateLimitChange, bool) {
 	b.dir.mu.Lock()
 	defer b.dir.mu.Unlock()
-	old = b.limit
-	if old.PerSecond == perSecond || sentAt.Before(old.Since) {
-		return old, false
+	old := b.dir.limits[b.ID]
+	if old.startedUnixMs != b.StartedUnixMs {
+		old = rateLimit{}
+	}
+	if old.perSecond == perSecond || sentAt.Before(old.since) {
+		return RateLimitChange{}, false
+	}
+	change := RateLimitChange{From: old.perSecond, Sends: b.sends}
+	if old.perSecond > 0 {
+		change.Lasted = time.Since(old.since)
+	}
+	b.dir.setRateLimit(b.ID, rateLimit{startedUnixMs: b.StartedUnixMs, perSecond: perSecond, since: time.Now()})
+	return change, true
+}
+
+// SetRateLimit sets the rate limit that another instance has learned of; 0 means none. The limit applies to the run of the
+// back end that started at startedUnixMs, also if its entry has not been read yet.
+func (d *Directory) SetRateLimit(id string, startedUnixMs int64, perSecond float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.limits[id]
+	if old.startedUnixMs > startedUnixMs || (old.startedUnixMs == startedUnixMs && old.perSecond == perSecond) {
+		return
+	}
+	d.setRateLimit(id, rateLimit{startedUnixMs: startedUnixMs, perSecond: perSecond, since: time.Now()})
+}
+
+// setRateLimit replaces the rate limit of a back end. The caller holds d.mu.
+func (d *Directory) setRateLimit(id string, limit rateLimit) {
+	if limit.perSecond > 0 {
+		d.limits[id] = limit
+	} else {
+		delete(d.limits, id)
+	}
+	if b := d.byID[id]; b != nil {
+		b.sends, b.throttled = 0, time.Time{}
 	}
-	b.limit = RateLimit{PerSecond: perSecond, Since: time.Now()}
-	return old, true
+	d.notify()
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/ratelimit"
 	"github.com/cicadasill/cicadasill/routes"
 )
 
@@ -102,10 +103,18 @@
 // errNoBackend is the cause of a refusal if there was no back end to send the request to.
 var errNoBackend = errors.New("no back end of the service takes requests")
 
+// RateLimits permits requests to back ends that have stated a rate limit.
+type RateLimits interface {
+	// Acquire returns nil when a request may be sent to b. It waits for maxWait at most, and fails with
+	// *ratelimit.ExceededError if that is too short.
+	Acquire(ctx context.Context, b *backends.Backend, maxWait time.Duration) error
+}
+
 // Options configure a Forwarder.
 type Options struct {
 	Backends   *backends.Directory
 	Client     Client
+	RateLimits RateLimits
 	DataCentre string
 	Logger     *log.Logger
 	Registerer prometheus.Registerer
@@ -203,7 +212,9 @@
 	ctx, cancel := context.WithCancel(e.ctx)
 	defer cancel()
 	if !e.send(ctx) {
-		return nil, &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
+		if refused := e.sendWhenPermitted(ctx); refused != nil {
+			return nil, refused
+		}
 	}
 	var lastFailure sendResult
 	for {
@@ -220,7 +231,11 @@
 					continue
 				}
 				if e.possibleRuns == 0 {
-					return nil, &RefusedError{RetryAfter: retryAfter, Err: notRun.Err}
+					refused := &RefusedError{RetryAfter: retryAfter, Err: notRun.Err}
+					if _, wait := e.f.firstPermitted(e.service); wait > 0 {
+						refused.RetryAfter = wait
+					}
+					return nil, refused
 				}
 			} else {
 				e.possibleRuns++
@@ -228,7 +243,7 @@
 					e.failedRuns++
 				}
 				lastFailure = result
-				if e.possibleRuns < attempts && e.send(ctx) {
+				if e.possibleRuns < attempts && (e.send(ctx) || (e.inFlight == 0 && e.sendWhenPermitted(ctx) == nil)) {
 					continue
 				}
 			}
@@ -279,14 +294,57 @@
 	return e.send(ctx)
 }
 
-// send sends the request to the best back end that has not been tried. It returns false if there is
-// none. The outcome arrives on e.results.
+// send sends the request to the best back end that has not been tried and whose rate limit allows a request now. It
+// returns false if there is none. The outcome arrives on e.results.
 func (e *exchange) send(ctx context.Context) bool {
-	b := e.f.choose(e.service, e.tried)
+	for {
+		b := e.f.choose(e.service, e.tried)
+		if b == nil {
+			return false
+		}
+		e.tried[b] = true
+		if err := e.f.opts.RateLimits.Acquire(ctx, b, 0); err == nil {
+			e.start(ctx, b)
+			return true
+		}
+	}
+}
+
+// sendWhenPermitted waits for the back end whose rate limit is the first to allow a request, and sends the request to it.
+// It refuses the request at once if that would be too late.
+func (e *exchange) sendWhenPermitted(ctx context.Context) *RefusedError {
+	b, wait := e.f.firstPermitted(e.service)
 	if b == nil {
-		return false
+		return &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
+	}
+	remaining := time.Duration(0)
+	if !e.request.Deadline.IsZero() {
+		remaining = time.Until(e.request.Deadline)
+	}
+	maxWait := ratelimit.MaxWait(e.route.Objective, remaining)
+	if wait > maxWait {
+		return &RefusedError{RetryAfter: wait, Err: &ratelimit.ExceededError{Backend: b.ID, RetryAfter: wait}}
+	}
+	if err := e.f.opts.RateLimits.Acquire(ctx, b, maxWait); err != nil {
+		return refusalByRateLimit(err)
 	}
 	e.tried[b] = true
+	e.start(ctx, b)
+	return nil
+}
+
+// refusalByRateLimit returns the refusal of a request that got no permission within its time.
+func refusalByRateLimit(err error) *RefusedError {
+	after := retryAfter
+	var exceeded *ratelimit.ExceededError
+	if errors.As(err, &exceeded) {
+		after = exceeded.RetryAfter
+	}
+	return &RefusedError{RetryAfter: after, Err: err}
+}
+
+// start sends the request to b. The outcome arrives on e.results.
+func (e *exchange) start(ctx context.Context, b *backends.Backend) {
 	e.sends++
 	e.inFlight++
 	b.Begin()
@@ -304,18 +362,18 @@
 		}
 		e.results <- sendResult{backend: b, response: response, err: err}
 	}()
-	return true
 }
 
 // choose returns the best back end of a service that has not been tried, or nil: one with few
 // requests of this instance in flight, preferably in the own data centre. A back end to be avoided is
-// chosen only if there is no other.
+// chosen only if there is no other, one whose rate limit allows no request now not at all.
 func (f *Forwarder) choose(service string, tried map[*backends.Backend]bool) *backends.Backend {
 	var best *backends.Candidate
 	list := f.opts.Backends.Candidates(service, "")
+	now := time.Now()
 	for i := range list {
 		c := &list[i]
-		if !tried[c.Backend] && (best == nil || f.compareCandidates(c, best) < 0) {
+		if !tried[c.Backend] && !now.Before(c.ThrottledUntil) && (best == nil || f.compareCandidates(c, best) < 0) {
 			best = c
 		}
 	}
@@ -325,6 +383,24 @@
 	return best.Backend
 }
 
+// firstPermitted returns the back end of a service whose rate limit is the first to allow a request, and the time until
+// then. It returns nil if no back end of the service is throttled.
+func (f *Forwarder) firstPermitted(service string) (*backends.Backend, time.Duration) {
+	var first *backends.Candidate
+	list := f.opts.Backends.Candidates(service, "")
+	now := time.Now()
+	for i := range list {
+		c := &list[i]
+		if now.Before(c.ThrottledUntil) && (first == nil || c.ThrottledUntil.Before(first.ThrottledUntil)) {
+			first = c
+		}
+	}
+	if first == nil {
+		return nil, 0
+	}
+	return first.Backend, first.ThrottledUntil.Sub(now)
+}
+
 // compareCandidates returns a negative number if a is the better choice, a positive one if b is.
 func (f *Forwarder) compareCandidates(a, b *backends.Candidate) int {
 	return cmp.Or(
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/ratelimit"
 	"github.com/cicadasill/cicadasill/routes"
 )
 
@@ -46,9 +47,16 @@
 	for {
 		b := f.choose(service, tried)
 		if b == nil {
-			return &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
+			refused := &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
+			if limited, wait := f.firstPermitted(service); limited != nil {
+				refused = refusalByRateLimit(&ratelimit.ExceededError{Backend: limited.ID, RetryAfter: wait})
+			}
+			return refused
 		}
 		tried[b] = true
+		if err := f.opts.RateLimits.Acquire(ctx, b, 0); err != nil {
+			continue
+		}
 		b.Begin()
 		err := client.Stream(ctx, b, r, w)
 		b.End()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -29,6 +29,7 @@
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform/hosted"
 	"github.com/cicadasill/cicadasill/presence"
+	"github.com/cicadasill/cicadasill/ratelimit"
 	"github.com/cicadasill/cicadasill/relay"
 	"github.com/cicadasill/cicadasill/routes"
 	"github.com/cicadasill/cicadasill/timing"
@@ -42,6 +43,8 @@
 	operatorReadWait = time.Second
 	// minIndexReadPause is the shortest pause between reads of the job index, used in a small deployment.
 	minIndexReadPause = 20 * time.Millisecond
+	// minRateLimitReadPause is the shortest pause between reads of the back ends' rate limits.
+	minRateLimitReadPause = 50 * time.Millisecond
 	// minEntriesReadPause is the shortest pause between reads of the back ends' entries. Each entry
 	// changes about once a second.
 	minEntriesReadPause = 250 * time.Millisecond
@@ -100,6 +103,7 @@
 	entries       *changelog.Replica
 	directory     *backends.Directory
 	presence      *presence.Table
+	rateLimits    *ratelimit.Replica
 	orders        *duty.Duty
 	jobs          *job.Registry
 	driver        *job.Driver
@@ -146,6 +150,10 @@
 		Logger: logger, Backends: i.directory,
 	})
 	i.presence = presence.New(self, i.store, logger)
+	i.rateLimits = ratelimit.NewReplica(ratelimit.ReplicaOptions{
+		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger,
+		ReadPause: func() time.Duration { return presence.LongPollPause(minRateLimitReadPause, i.presence.Count()) },
+	})
 	i.orders = duty.New(ordersDuty, i.self, i.store, i.presence, logger)
 	i.buildServers()
 }
@@ -153,23 +161,27 @@
 // buildServers creates the components that serve clients and engines.
 func (i *Instance) buildServers() {
 	s := i.settings
-	backendClient := hosted.NewBackends(s.Instance.ID, i.log)
+	backendClient := hosted.NewBackends(s.Instance.ID, i.rateLimits, i.log)
+	limiter := ratelimit.New(ratelimit.Options{
+		Self: i.self, Caller: i.node, Instances: i.presence, Logger: i.log, Registerer: i.registry,
+	})
+	i.node.Handle(ratelimit.Method, limiter.Handle)
 	i.jobs = job.NewRegistry(job.RegistryOptions{
 		Self: i.self, Log: i.store, Partitions: s.Store.Partitions,
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Peer: i.presence.Peer, Peers: i.presence,
 		IndexPause: func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
 	})
 	forwarder := forward.New(forward.Options{
-		Backends: i.directory, Client: backendClient, DataCentre: s.Instance.DataCentre,
+		Backends: i.directory, Client: backendClient, RateLimits: limiter, DataCentre: s.Instance.DataCentre,
 		Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
-		Engine: backendClient, Requests: forwarder, Peers: i.presence, Config: i.config.Load, SlotShare: s.Jobs.SlotShare,
+		Engine: backendClient, Requests: forwarder, RateLimits: limiter, Peers: i.presence, Config: i.config.Load, SlotShare: s.Jobs.SlotShare,
 		Logger: i.log, Registerer: i.registry,
 	})
 	i.loadScheduler = versions.New(versions.Options{
-		Backends: i.directory, Engine: backendClient, Duty: i.orders, Config: i.config.Load,
+		Backends: i.directory, Engine: backendClient, RateLimits: limiter, Duty: i.orders, Config: i.config.Load,
 		Targets: i.targetVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
 	ingress := &hosted.Ingress{
@@ -288,6 +300,7 @@
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
 		i.followOperators, i.followEntries, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
--- a/job/driver.go
+++ b/job/driver.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/forward"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/reward"
 	"github.com/cicadasill/cicadasill/routes"
@@ -48,6 +49,8 @@
 	Engine     Engine
 	// Requests forwards the reward calls of complete texts.
 	Requests Requests
+	// RateLimits permits items at engines that have stated a rate limit.
+	RateLimits forward.RateLimits
 	Peers    Peers
 	Config   func() *routes.Config
 	// SlotShare is the fraction of an engine's slots that this instance may use, from 0 to 1.
--- a/job/move_test.go
+++ b/job/move_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/ratelimit"
 	"github.com/cicadasill/cicadasill/routes"
 	"github.com/cicadasill/cicadasill/telemetry"
 )
@@ -68,8 +69,9 @@
 	f.job.items = []Item{{ID: "i", Path: "/p/1", Model: "m", LengthEstimate: 3000}}
 	f.route("llm")
 	f.driver = NewDriver(DriverOptions{
-		Registry: NewRegistry(RegistryOptions{Log: newCountingLog(), Partitions: 1, Logger: telemetry.Discard()}),
-		Backends: f.dir, Engine: f.engine, DataCentre: "a", SlotShare: 1, Logger: telemetry.Discard(),
+		RateLimits: ratelimit.New(ratelimit.Options{}),
+		Registry:   NewRegistry(RegistryOptions{Log: newCountingLog(), Partitions: 1, Logger: telemetry.Discard()}),
+		Backends:   f.dir, Engine: f.engine, DataCentre: "a", SlotShare: 1, Logger: telemetry.Discard(),
 		Config: f.config.Load,
 	})
 	f.driver.indexState = func() (time.Duration, error) { return 0, nil }
--- a/job/place.go
+++ b/job/place.go
@@ -212,7 +212,11 @@
 func (e *pool) choose(req *engineRequest, groupEngine *backends.Backend, zone string, slotShare float64, needsIdleConn bool) int {
 	candidates, medianInterval, fastInterval := e.candidates, e.medianInterval, e.fastInterval
 	best, bestCost := -1, 0.0
+	now := time.Now()
 	for i, c := range candidates {
+		if now.Before(c.ThrottledUntil) || (c.RateLimited && req.eventIntervalBelow > 0) {
+			continue // a move would use up a request that a waiting item needs
+		}
 		version := c.Versions[req.model]
 		if c.Avoid || version < req.minVersion || (req.exactVersion != 0 && version != req.exactVersion) {
 			continue
--- a/job/run.go
+++ b/job/run.go
@@ -196,11 +196,9 @@
 			b.End()
 			b = nil
 		}
-		if b == nil {
-			var err error
-			if b, err = d.placer.acquire(ctx, req); err != nil {
-				return 0, false
-			}
+		b, err := d.acquireEngine(ctx, req, b)
+		if err != nil {
+			return 0, false
 		}
 		if !d.awaitFreshIndex(ctx) {
 			b.End()
@@ -215,7 +213,7 @@
 				singleVersion: route.SingleVersion, longest: d.durations.longest,
 			}
 		}
-		err := d.runAttempt(ctx, job, item, route, a)
+		err = d.runAttempt(ctx, job, item, route, a)
 		if closesConnection(err) {
 			b.EndClosed()
 		} else {
@@ -260,6 +258,26 @@
 	}
 }
 
+// acquireEngine returns an engine that has a free slot for the request and whose rate limit allows a request: first, unless
+// that is nil, or else the one that the placer chooses. It fails only if ctx ends. The caller must call End on the engine.
+func (d *Driver) acquireEngine(ctx context.Context, req *engineRequest, first *backends.Backend) (*backends.Backend, error) {
+	for b := first; ; b = nil {
+		if b == nil {
+			var err error
+			if b, err = d.placer.acquire(ctx, req); err != nil {
+				return nil, err
+			}
+		}
+		if err := d.opts.RateLimits.Acquire(ctx, b, 0); err == nil {
+			return b, nil
+		}
+		b.End()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // closesConnection reports whether an attempt with this outcome has closed its connection: all that end
 // within the engine's answer do.
 func closesConnection(err error) bool {
--- a/link/account.go
+++ b/link/account.go
@@ -15,15 +15,16 @@
 
 // Causes. CauseOverhead covers the bytes that belong to no exchange: handshakes and keepalives.
 const (
-	CauseProbe    Cause = "probe"
-	CauseFeed     Cause = "feed"
-	CauseForward  Cause = "forward"
-	CauseRollout  Cause = "rollout"
-	CauseWeights  Cause = "weights"
-	CauseKV       Cause = "kv"
-	CauseClaim    Cause = "claim"
-	CauseStore    Cause = "store"
-	CauseOverhead Cause = "overhead"
+	CauseProbe     Cause = "probe"
+	CauseFeed      Cause = "feed"
+	CauseForward   Cause = "forward"
+	CauseRollout   Cause = "rollout"
+	CauseWeights   Cause = "weights"
+	CauseKV        Cause = "kv"
+	CauseClaim     Cause = "claim"
+	CauseStore     Cause = "store"
+	CauseRateLimit Cause = "rate_limit"
+	CauseOverhead  Cause = "overhead"
 	// causeOther replaces every cause that a peer names and this version does not know, which
 	// bounds the number of metric labels.
 	causeOther Cause = "other"
@@ -32,7 +33,7 @@
 // knownCause returns c, or causeOther when this version does not know c.
 func knownCause(c Cause) Cause {
 	switch c {
-	case CauseProbe, CauseFeed, CauseForward, CauseRollout, CauseWeights, CauseKV, CauseClaim, CauseStore, CauseOverhead:
+	case CauseProbe, CauseFeed, CauseForward, CauseRollout, CauseWeights, CauseKV, CauseClaim, CauseStore, CauseRateLimit, CauseOverhead:
 		return c
 	}
 	return causeOther
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -295,6 +295,29 @@
 	return best
 }
 
+// Owner returns the live instance that is responsible for key: one of the given data centre, if one that takes new work is
+// there, and this instance if none is anywhere. All instances that have read the same records choose the same one.
+func (t *Table) Owner(key, dataCentre string) machine.Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, bestHash, bestIsNear := t.instance, uint64(0), false
+	found := false
+	for id, s := range t.byID {
+		if !s.acceptsWork() {
+			continue
+		}
+		isNear, h := s.DataCentre == dataCentre, xxhash.Sum64String(key+"/"+id)
+		if found && (bestIsNear && !isNear || bestIsNear == isNear && h >= bestHash) {
+			continue
+		}
+		found, bestHash, bestIsNear = true, h, isNear
+		best = machine.Instance{
+			ID: id, Incarnation: s.Incarnation, PeerAddr: s.PeerAddr, Zone: zone.Zone{Region: s.Region, DataCentre: s.DataCentre},
+		}
+	}
+	return best
+}
+
 // Peers returns the other live instances, the nearest first.
 func (t *Table) Peers() []machine.Instance {
 	t.mu.Lock()
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -84,8 +84,17 @@
 	Invalidate(fence int64)
 }
 
+// RateLimits permits requests to engines that have stated a rate limit.
+type RateLimits interface {
+	// Acquire returns nil when a request may be sent to b. It waits for maxWait at most.
+	Acquire(ctx context.Context, b *backends.Backend, maxWait time.Duration) error
+}
+
 // Limits of a LoadScheduler.
 const (
+	// maxPermitWait is how long a call waits for an engine's rate limit. Items do not queue for a permit, so the call
+	// gets the next one.
+	maxPermitWait     = 500 * time.Millisecond
 	reconcileInterval = 60 * time.Millisecond
 	// callTimeout bounds an order or a report. Engines answer both immediately.
 	callTimeout = 700 * time.Millisecond
@@ -117,8 +126,10 @@
 type Options struct {
 	Backends *backends.Directory
 	Engine   Engine
-	Duty     Duty
-	Config   func() *routes.Config
+	// RateLimits permits the calls to the engines.
+	RateLimits RateLimits
+	Duty       Duty
+	Config     func() *routes.Config
 	// Targets returns, for each model, the newest version that a trainer has named.
 	Targets func() map[string]int64
 	// StepSize returns the number of items in a model's newest step, or 0 if it is unknown.
@@ -257,15 +268,11 @@
 	known := e.acceptedKnown
 	o.Expect = e.accepted
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
 		var complete func()
-		if known {
-			err := s.opts.Engine.Order(callCtx, b, o)
-			complete = func() { s.handleOrderResult(b, e, o, err) }
+		if err := s.awaitPermit(ctx, b, o.Fence); err != nil {
+			complete = func() { s.handleNoPermit(b, e, err) }
 		} else {
-			report, err := s.opts.Engine.Report(callCtx, b)
-			complete = func() { s.handleReport(b, e, report, err) }
+			complete = s.call(ctx, b, e, o, known)
 		}
 		select {
 		case s.completions <- complete:
@@ -274,6 +281,39 @@
 	}()
 }
 
+// awaitPermit waits until the engine's rate limit allows a call. It fails if that takes too long, or if this instance no
+// longer holds the duty with the given fencing token afterwards.
+func (s *LoadScheduler) awaitPermit(ctx context.Context, b *backends.Backend, fence int64) error {
+	if err := s.opts.RateLimits.Acquire(ctx, b, maxPermitWait); err != nil {
+		return err
+	}
+	current, err := s.opts.Duty.Fence()
+	if err == nil && current != fence {
+		err = ErrFenced
+	}
+	return err
+}
+
+// handleNoPermit records that a call was not made.
+func (s *LoadScheduler) handleNoPermit(b *backends.Backend, e *engineState, err error) {
+	e.callInFlight = false
+	e.retryAt = time.Now().Add(retryDelay)
+	s.log.Info("call to an engine postponed", "backend", b.ID, "err", err)
+}
+
+// call sends the order, or the request for a report if the number of accepted orders is not known. It returns the
+// function that records the outcome.
+func (s *LoadScheduler) call(ctx context.Context, b *backends.Backend, e *engineState, o Order, acceptedKnown bool) func() {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if acceptedKnown {
+		err := s.opts.Engine.Order(ctx, b, o)
+		return func() { s.handleOrderResult(b, e, o, err) }
+	}
+	report, err := s.opts.Engine.Report(ctx, b)
+	return func() { s.handleReport(b, e, report, err) }
+}
+
 // handleReport records the outcome of a report request.
 func (s *LoadScheduler) handleReport(b *backends.Backend, e *engineState, r Report, err error) {
 	e.callInFlight = false
