--- a/forward/stream.go
+++ b/forward/stream.go
@@ -45,7 +45,7 @@
 	tried := map[*backends.Backend]bool{}
 	service := route.ServiceFor(r.ID)
 	for {
-		b := f.choose(service, tried)
+		b := f.choose(service, tried, sparesRateLimited(r.ID))
 		if b == nil {
 			refused := &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
 			if limited, wait := f.firstPermitted(service); limited != nil {
--- a/job/driver.go
+++ b/job/driver.go
@@ -51,8 +51,8 @@
 	Requests Requests
 	// RateLimits permits items at engines that have stated a rate limit.
 	RateLimits forward.RateLimits
-	Peers    Peers
-	Config   func() *routes.Config
+	Peers      Peers
+	Config     func() *routes.Config
 	// SlotShare is the fraction of an engine's slots that this instance may use, from 0 to 1.
 	SlotShare  float64
 	Logger     *log.Logger
--- a/job/run.go
+++ b/job/run.go
@@ -21,6 +21,9 @@
 	// refusalBackoff is how long an engine is avoided for a model after it refused an item of that
 	// model. Most refusals come from engines that are loading weights, which takes about a second.
 	refusalBackoff = 350 * time.Millisecond
+	// limitedRefusalBackoff is how long an engine with a rate limit is avoided instead, about the time of one load: each
+	// attempt uses up a part of the limit.
+	limitedRefusalBackoff = 900 * time.Millisecond
 	// retryDelay is the delay between two attempts of an item. It limits the rate of attempts of an item
 	// that fails at every engine.
 	retryDelay = 20 * time.Millisecond
@@ -338,7 +341,11 @@
 	case errors.Is(err, errTextTooLarge):
 		b.RecordFailure()
 	case errors.As(err, &notRun), errors.As(err, &oldVersion):
-		b.RecordLoading(item.Model, refusalBackoff)
+		backoff := refusalBackoff
+		if b.RateLimit() > 0 {
+			backoff = limitedRefusalBackoff
+		}
+		b.RecordLoading(item.Model, backoff)
 	case errors.As(err, &broken):
 		if cause := context.Cause(ctx); cause != nil {
 			err = &BrokenError{Err: cause}
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// burstTime is the time over which unused tokens accumulate.
-	burstTime = time.Second
+	// burstTime is the time over which unused tokens accumulate, and minBurst the lowest number that accumulates. The
+	// items of a step arrive together, after seconds without any.
+	burstTime = 2 * time.Second
+	minBurst  = 4
 	// bucketIdleTime is the time without requests after which a bucket is dropped.
 	bucketIdleTime = time.Minute
 	// maxBuckets bounds the buckets that an instance keeps.
@@ -66,7 +68,7 @@
 // instance may just have given out the tokens of the last second. The caller holds b.mu.
 func (b *Buckets) bucket(now time.Time, key Key, perSecond float64) *rate.Limiter {
 	found := b.byKey[key]
-	burst := max(1, int(perSecond*burstTime.Seconds()))
+	burst := max(minBurst, int(perSecond*burstTime.Seconds()))
 	if found == nil {
 		if len(b.byKey) >= maxBuckets {
 			b.drop(now)
