--- a/forward/forward.go
+++ b/forward/forward.go
@@ -24,6 +24,8 @@
 type Request struct {
 	ID     string
 	Method string
+	// Caller identifies the client; it is empty for reward calls.
+	Caller string
 	// Target is the path and query, exactly as the client sent them.
 	Target   string
 	Host     string
@@ -61,7 +63,11 @@
 func (e *NotRunError) Unwrap() error { return e.Err }
 
 // UnknownError reports a request that may have run and has no response.
-type UnknownError struct{ Err error }
+type UnknownError struct {
+	Err error
+	// Crashed states that the back end broke the connection off and that its process has ended.
+	Crashed bool
+}
 
 // Error implements error.
 func (e *UnknownError) Error() string { return fmt.Sprintf("outcome unknown: %v", e.Err) }
@@ -126,6 +132,7 @@
 	opts    Options
 	latency *prometheus.HistogramVec
 	hedges  prometheus.Counter
+	crashes prometheus.Counter
 }
 
 // New returns a Forwarder and registers its metrics.
@@ -137,9 +144,11 @@
 			[]string{"kind", "outcome"}),
 		hedges: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_request_hedges_total",
 			Help: "Requests sent to a second back end because the first one was slow."}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_request_crashes_total",
+			Help: "Sends after which the back end's process had ended without an answer."}),
 	}
 	if opts.Registerer != nil {
-		opts.Registerer.MustRegister(f.latency, f.hedges)
+		opts.Registerer.MustRegister(f.latency, f.hedges, f.crashes)
 	}
 	return f
 }
@@ -349,6 +358,7 @@
 	e.sends++
 	e.inFlight++
 	b.Begin()
+	sentAt := time.Now()
 	go func() {
 		response, err := e.f.opts.Client.Do(ctx, b, e.request)
 		b.End()
@@ -361,10 +371,21 @@
 		case ctx.Err() == nil:
 			b.RecordFailure()
 		}
+		e.logUnanswered(b, err, time.Since(sentAt))
 		e.results <- sendResult{backend: b, response: response, err: err}
 	}()
 }
 
+// logUnanswered logs a send after which the back end's process has ended.
+func (e *exchange) logUnanswered(b *backends.Backend, err error, ran time.Duration) {
+	var unknown *UnknownError
+	if errors.As(err, &unknown) && unknown.Crashed {
+		e.f.crashes.Inc()
+		e.f.opts.Logger.Warn("back end crashed during a request", "request", e.request.ID, "fingerprint", FingerprintOf(e.request).String(),
+			"caller", e.request.Caller, "backend", b.ID, "started_ms", b.StartedUnixMs, "ran", ran, "err", unknown.Err)
+	}
+}
+
 // choose returns the best back end of a service that has not been tried, or nil: one with few
 // requests of this instance in flight, preferably in the own data centre. A back end to be avoided is
 // chosen only if there is no other, one whose rate limit allows no request now not at all.
