--- a/backends/backends.go
+++ b/backends/backends.go
@@ -420,7 +420,7 @@
 	return change, true
 }
 
-// SetRateLimit sets the rate limit that another instance has learned of; 0 means none. The limit applies to the run of the
+// SetRateLimit sets the rate limit that another instance has learned of. The limit applies to the run of the
 // back end that started at startedUnixMs, also if its entry has not been read yet.
 func (d *Directory) SetRateLimit(id string, startedUnixMs int64, perSecond float64) {
 	d.mu.Lock()
@@ -432,6 +432,15 @@
 	d.setRateLimit(id, rateLimit{startedUnixMs: startedUnixMs, perSecond: perSecond, since: time.Now()})
 }
 
+// EndRateLimit ends the rate limit of a back end, as another instance has found out.
+func (d *Directory) EndRateLimit(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if old, known := d.limits[id]; known {
+		d.setRateLimit(id, rateLimit{startedUnixMs: old.startedUnixMs})
+	}
+}
+
 // setRateLimit replaces the rate limit of a back end. The caller holds d.mu.
 func (d *Directory) setRateLimit(id string, limit rateLimit) {
 	if limit.perSecond > 0 {
--- /dev/null
+++ b/changelog/map.go
@@ -0,0 +1,180 @@
+package changelog
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cicadasill/cicadasill/timing"
+)
+
+// Limits of a Map.
+const (
+	// mapReadWait is how long a read waits for a change. Changes are rare, and a longer wait makes fewer calls.
+	mapReadWait = 20 * time.Second
+	// mapWriteTimeout bounds an attempt to write an update.
+	mapWriteTimeout = 3 * time.Second
+	// maxMapUpdates bounds the updates that wait to be written.
+	maxMapUpdates = 256
+)
+
+// MapOptions configure a Map.
+type MapOptions[V any] struct {
+	Log Log
+	// Topic is the topic whose first partition holds the map.
+	Topic  string
+	Logger *log.Logger
+	// OnChange is called with each value that is read, and with nil for a key that has been deleted. It must not call
+	// methods of the Map.
+	OnChange func(key string, value *V)
+	// ReadPause returns the pause between reads.
+	ReadPause func() time.Duration
+}
+
+// Map is a map that the instances share through the store. Reads follow the store; updates are written in the background.
+type Map[V any] struct {
+	opts    MapOptions[V]
+	replica *Replica
+	updates chan mapUpdate[V]
+	entries map[string]mapEntry[V] // the replica guards it and replaced
+	// replaced holds the entries before a reload until the reload has read them again.
+	replaced map[string]mapEntry[V]
+}
+
+// mapUpdate is an update that waits to be written.
+type mapUpdate[V any] struct {
+	key    string
+	change func(old *V) (next *V, write bool)
+}
+
+// mapEntry is a value with the time at which this instance has read it.
+type mapEntry[V any] struct {
+	value  V
+	readAt time.Time
+}
+
+// NewMap returns a Map that has read nothing yet. Run starts it.
+func NewMap[V any](opts MapOptions[V]) *Map[V] {
+	m := &Map[V]{opts: opts, updates: make(chan mapUpdate[V], maxMapUpdates), entries: map[string]mapEntry[V]{}}
+	m.replica = NewReplica(opts.Log, Partition{Topic: opts.Topic}, m)
+	return m
+}
+
+// Reset implements State.
+func (m *Map[V]) Reset() {
+	m.replaced, m.entries = m.entries, map[string]mapEntry[V]{}
+}
+
+// Loaded implements LoadObserver.
+func (m *Map[V]) Loaded() {
+	for key := range m.replaced {
+		if _, kept := m.entries[key]; !kept {
+			m.opts.OnChange(key, nil)
+		}
+	}
+	m.replaced = nil
+}
+
+// Apply implements State.
+func (m *Map[V]) Apply(r Record) {
+	if r.Value == nil {
+		delete(m.entries, r.Key)
+		m.opts.OnChange(r.Key, nil)
+		return
+	}
+	var value V
+	if err := cbor.Unmarshal(r.Value, &value); err != nil {
+		m.opts.Logger.Error("record not readable", "topic", m.opts.Topic, "key", r.Key, "offset", r.Offset, "err", err)
+		return
+	}
+	m.entries[r.Key] = mapEntry[V]{value: value, readAt: time.Now()}
+	m.opts.OnChange(r.Key, &value)
+}
+
+// Update changes the value of a key in the background. change gets the stored value, or nil, and returns the new one, with
+// nil for a deletion, and whether it is to be written. It may be called several times. An update that finds too many others
+// waiting is dropped.
+func (m *Map[V]) Update(key string, change func(old *V) (next *V, write bool)) {
+	select {
+	case m.updates <- mapUpdate[V]{key: key, change: change}:
+	default:
+		m.opts.Logger.Warn("update not written", "topic", m.opts.Topic, "key", key, "reason", "too many updates wait")
+	}
+}
+
+// Run follows the map and writes updates until ctx ends. onRead is called with the outcome of each read.
+func (m *Map[V]) Run(ctx context.Context, onRead func(error)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.replica.Follow(ctx, mapReadWait, m.opts.ReadPause, onRead)
+	}()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case u := <-m.updates:
+			m.writeWithRetry(ctx, u)
+		}
+	}
+	<-done
+}
+
+// writeWithRetry writes an update, again after each failure, until ctx ends.
+func (m *Map[V]) writeWithRetry(ctx context.Context, u mapUpdate[V]) {
+	for attempt := 1; ; attempt++ {
+		err := m.write(ctx, u)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		if attempt == 1 {
+			m.opts.Logger.Warn("update not written yet", "topic", m.opts.Topic, "key", u.key, "err", err)
+		}
+		timing.Sleep(ctx, retryDelay)
+	}
+}
+
+// write makes one attempt to write an update.
+func (m *Map[V]) write(ctx context.Context, u mapUpdate[V]) error {
+	ctx, cancel := context.WithTimeout(ctx, mapWriteTimeout)
+	defer cancel()
+	var encodeErr error
+	_, err := m.replica.Commit(ctx, func() []Record {
+		var old *V
+		if entry, ok := m.entries[u.key]; ok {
+			old = &entry.value
+		}
+		next, write := u.change(old)
+		switch {
+		case !write || (next == nil && old == nil):
+			return nil
+		case next == nil:
+			return []Record{{Key: u.key}}
+		}
+		var data []byte
+		if data, encodeErr = cbor.Marshal(next); encodeErr != nil {
+			return nil
+		}
+		return []Record{{Key: u.key, Value: data}}
+	})
+	if encodeErr != nil {
+		m.opts.Logger.Error("update not encoded", "topic", m.opts.Topic, "key", u.key, "err", encodeErr)
+	}
+	return err
+}
+
+// DeleteIf deletes the keys that match, in the background. age is the time since this instance has read the value.
+func (m *Map[V]) DeleteIf(match func(key string, value V, age time.Duration) bool) {
+	var keys []string
+	m.replica.View(func() {
+		for key, entry := range m.entries {
+			if match(key, entry.value, time.Since(entry.readAt)) {
+				keys = append(keys, key)
+			}
+		}
+	})
+	for _, key := range keys {
+		m.Update(key, func(*V) (*V, bool) { return nil, true })
+	}
+}
--- /dev/null
+++ b/changelog/map_test.go
@@ -0,0 +1,98 @@
+package changelog
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/telemetry"
+)
+
+// observedMap is a Map with the values that it has reported.
+type observedMap struct {
+	*Map[int]
+	mu     sync.Mutex
+	values map[string]int
+}
+
+func newObservedMap(log Log) *observedMap {
+	o := &observedMap{values: map[string]int{}}
+	o.Map = NewMap(MapOptions[int]{
+		Log: log, Topic: "numbers", Logger: telemetry.Discard(), ReadPause: func() time.Duration { return time.Millisecond },
+		OnChange: func(key string, value *int) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			if value == nil {
+				delete(o.values, key)
+				return
+			}
+			o.values[key] = *value
+		},
+	})
+	return o
+}
+
+func (o *observedMap) get(key string) (int, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	value, ok := o.values[key]
+	return value, ok
+}
+
+// start runs the map until the test ends.
+func (o *observedMap) start(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.Run(ctx, func(error) {})
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// Guards against updates that are lost between instances, an instance that starts later and knows nothing, and a value that
+// a reload drops for a moment.
+func TestMapIsShared(t *testing.T) {
+	is := is.New(t)
+	store := &memoryLog{}
+	first, second := newObservedMap(store), newObservedMap(store)
+	first.start(t)
+	second.start(t)
+	for n, m := range []*observedMap{first, second, first} {
+		m.Update("sum", func(old *int) (*int, bool) {
+			next := n + 1
+			if old != nil {
+				next += *old
+			}
+			return &next, true
+		})
+	}
+	waitFor(t, func() bool { a, _ := first.get("sum"); b, _ := second.get("sum"); return a == 6 && b == 6 })
+	third := newObservedMap(store)
+	third.start(t)
+	waitFor(t, func() bool { c, _ := third.get("sum"); return c == 6 })
+	third.Reset()
+	value, ok := third.get("sum")
+	is.True(ok)
+	is.Equal(value, 6)
+	first.DeleteIf(func(key string, value int, _ time.Duration) bool { return value == 6 })
+	waitFor(t, func() bool {
+		_, a := first.get("sum")
+		_, b := second.get("sum")
+		return !a && !b
+	})
+}
+
+// waitFor waits until condition holds.
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	for start := time.Now(); !condition(); time.Sleep(time.Millisecond) {
+		if time.Since(start) > 10*time.Second {
+			t.Fatal("timed out")
+		}
+	}
+}
