--- a/changelog/map_test.go
+++ b/changelog/map_test.go
@@ -75,7 +75,7 @@
 	third := newObservedMap(store)
 	third.start(t)
 	waitFor(t, func() bool { c, _ := third.get("sum"); return c == 6 })
-	third.Reset()
+	third.replica.View(third.Reset)
 	value, ok := third.get("sum")
 	is.True(ok)
 	is.Equal(value, 6)
--- /dev/null
+++ b/instance/quarantine_test.go
@@ -0,0 +1,115 @@
+package instance
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/platform/hosted/hostedtest"
+)
+
+// crashingDesks adds back ends to the desk service, n in all, that crash when they run a request whose id starts with
+// "crash".
+func crashingDesks(c *cluster, n int) []*hostedtest.Engine {
+	desks := []*hostedtest.Engine{c.desk}
+	for i := 2; i <= n; i++ {
+		e := hostedtest.NewEngine(fmt.Sprintf("desk-%d", i), "desk", "a", "")
+		c.t.Cleanup(e.Close)
+		c.register(e)
+		desks = append(desks, e)
+	}
+	for _, e := range desks {
+		e.Delay = 30 * time.Millisecond
+		e.SetAnswer(func(id string, _ int) hostedtest.Answer {
+			if id[:5] == "crash" {
+				return hostedtest.Crash
+			}
+			return hostedtest.Complete
+		})
+	}
+	for _, m := range c.members {
+		c.waitUntil("instance knows the back ends", func() bool { return len(m.directory.Candidates("desk", "")) == n })
+	}
+	return desks
+}
+
+// crashed returns the number of engines that have run a request that crashes them.
+func crashed(desks []*hostedtest.Engine) int {
+	n := 0
+	for _, e := range desks {
+		for _, r := range e.Runs() {
+			if r.ID[:5] == "crash" {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// Guards against one request that crashes back end after back end: its caller sends it again and again, at any instance,
+// and to each back end it is a new request.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 3, 1)
+	desks := crashingDesks(c, 6)
+	for n := range 9 {
+		r := c.call(c.members[n%3], http.MethodPost, "/plain/x", fmt.Sprintf("crash-%d", n), nil, "the same body")
+		is.True(r.status >= 500)
+		if n > 0 {
+			is.Equal(r.status, http.StatusServiceUnavailable) // it has not run
+			is.True(r.header.Get("Retry-After") != "")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if n := crashed(desks); n > 2 {
+		t.Errorf("%d back ends have crashed", n)
+	}
+	for n, m := range c.members {
+		r := c.call(m, http.MethodPost, "/plain/x", fmt.Sprintf("other-%d", n), nil, "another body")
+		is.Equal(r.status, http.StatusOK)
+	}
+}
+
+// Guards against a quarantine that an instance which started later, or which replaced the one that saw the crashes, does not
+// know.
+func TestQuarantineOutlivesItsInstance(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	desks := crashingDesks(c, 4)
+	is.Equal(c.call(c.members[0], http.MethodPost, "/plain/x", "crash-1", nil, "body").status, http.StatusBadGateway)
+	before := crashed(desks)
+	is.True(before <= 2)
+	time.Sleep(200 * time.Millisecond) // the store has the crashes
+	c.members[0].kill()
+	m := c.startInstance("instance-later")
+	c.waitUntil("instance is ready", m.isReady)
+	c.waitUntil("instance knows the back ends", func() bool { return len(m.directory.Candidates("desk", "")) == 4 })
+	is.Equal(c.call(m, http.MethodPost, "/plain/x", "crash-2", nil, "body").status, http.StatusServiceUnavailable)
+	is.Equal(crashed(desks), before)
+}
+
+// Guards against a verdict on requests that were answered by a back end which a restart or an operator ended, and on those
+// whose connection broke although the process lives.
+func TestRequestsBesideACrashAreServed(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, 1)
+	desks := crashingDesks(c, 4)
+	for n := range 3 {
+		replies := make(chan reply)
+		for i := range 2 {
+			go func() {
+				replies <- c.call(c.members[i], http.MethodPost, "/plain/x", fmt.Sprintf("good-%d-%d", n, i), nil, fmt.Sprint("body ", i))
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+		desks[n].Crash()
+		for range 2 {
+			is.Equal((<-replies).status, http.StatusOK)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
