--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -25,6 +25,8 @@
 	minBurst  = 4
 	// bucketIdleTime is the time without requests after which a bucket is dropped.
 	bucketIdleTime = time.Minute
+	// shareIdleTime is the time without requests after which the tokens of a share are lost.
+	shareIdleTime = time.Second
 	// maxBuckets bounds the buckets that an instance keeps.
 	maxBuckets = 4096
 )
@@ -35,8 +37,14 @@
 	StartedUnixMs int64  `cbor:"2,keyasint"`
 }
 
-// Buckets holds the token buckets that this instance owns. It is safe for concurrent use.
+// Buckets holds token buckets by back end. It is safe for concurrent use.
 type Buckets struct {
+	// burstTime and minBurst determine the number of tokens that accumulate, maxIdle the time without requests after
+	// which they are lost; 0 keeps them.
+	burstTime time.Duration
+	minBurst  int
+	maxIdle   time.Duration
+
 	mu    sync.Mutex
 	byKey map[Key]*bucket
 }
@@ -46,8 +54,16 @@
 	usedAt time.Time
 }
 
-// NewBuckets returns an instance's buckets, of which there are none yet.
-func NewBuckets() *Buckets { return &Buckets{byKey: map[Key]*bucket{}} }
+// NewBuckets returns the buckets that an instance owns, of which there are none yet.
+func NewBuckets() *Buckets {
+	return &Buckets{byKey: map[Key]*bucket{}, burstTime: burstTime, minBurst: minBurst}
+}
+
+// NewShares returns the buckets of an instance's shares of rate limits, of which there are none yet. They keep no unused
+// tokens: shares are used while an owner is silent, and all instances would spend theirs at once.
+func NewShares() *Buckets {
+	return &Buckets{byKey: map[Key]*bucket{}, minBurst: 1, maxIdle: shareIdleTime}
+}
 
 // Reserve takes a token for one request at the given rate. The request may be sent after the returned delay if
 // granted is true. Otherwise a token would take longer than maxWait, namely delay, and none is taken.
@@ -68,8 +84,8 @@
 // instance may just have given out the tokens of the last second. The caller holds b.mu.
 func (b *Buckets) bucket(now time.Time, key Key, perSecond float64) *rate.Limiter {
 	found := b.byKey[key]
-	burst := max(minBurst, int(perSecond*burstTime.Seconds()))
-	if found == nil {
+	burst := max(b.minBurst, int(perSecond*b.burstTime.Seconds()))
+	if found == nil || (b.maxIdle > 0 && now.Sub(found.usedAt) > b.maxIdle) {
 		if len(b.byKey) >= maxBuckets {
 			b.drop(now)
 		}
--- a/ratelimit/bucket_test.go
+++ b/ratelimit/bucket_test.go
@@ -85,6 +85,26 @@
 	is.True(!granted)
 }
 
+// Guards against shares that pile up while the owner answers: when it falls silent, all instances would spend theirs at once.
+func TestUnusedSharesDoNotPileUp(t *testing.T) {
+	is := is.New(t)
+	shares, key, now := NewShares(), Key{Backend: "b"}, time.Now()
+	shares.Reserve(now, key, 0.25, 0)
+	now = now.Add(time.Minute)
+	for range 3 {
+		_, granted := shares.Reserve(now, key, 0.25, 0)
+		is.True(!granted)
+	}
+	granted := 0
+	for range 80 { // 40 s of steady demand
+		now = now.Add(500 * time.Millisecond)
+		if _, ok := shares.Reserve(now, key, 0.25, 0); ok {
+			granted++
+		}
+	}
+	is.True(granted >= 9 && granted <= 11)
+}
+
 // Guards against tokens of an earlier, higher limit, and of an earlier run of the back end.
 func TestBucketFollowsTheLimit(t *testing.T) {
 	is := is.New(t)
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -79,7 +79,7 @@
 // New returns a Limiter and registers its metrics.
 func New(opts Options) *Limiter {
 	l := &Limiter{
-		opts: opts, buckets: NewBuckets(), shares: NewBuckets(), ownerFailedAt: map[machine.Ref]time.Time{},
+		opts: opts, buckets: NewBuckets(), shares: NewShares(), ownerFailedAt: map[machine.Ref]time.Time{},
 		outcome: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_rate_limited_requests_total",
 			Help: "Requests to back ends with a rate limit, by outcome, and by whether the owner of the limit or this instance's share decided."},
 			[]string{"outcome", "decided_by"}),
