--- a/changelog/map.go
+++ b/changelog/map.go
@@ -58,7 +58,10 @@
 
 // NewMap returns a Map that has read nothing yet. Run starts it.
 func NewMap[V any](opts MapOptions[V]) *Map[V] {
-	m := &Map[V]{opts: opts, updates: make(chan mapUpdate[V], maxMapUpdates), puts: make(chan Record, maxMapUpdates), entries: map[string]mapEntry[V]{}}
+	m := &Map[V]{
+		opts: opts, updates: make(chan mapUpdate[V], maxMapUpdates), puts: make(chan Record, maxMapUpdates),
+		entries: map[string]mapEntry[V]{},
+	}
 	m.replica = NewReplica(opts.Log, Partition{Topic: opts.Topic}, m)
 	return m
 }
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -31,7 +31,10 @@
 
 // mayRisk reports whether a request with the given verdict may be sent to one more back end of a service.
 func (f *Forwarder) mayRisk(service string, v quarantine.Verdict) bool {
-	return !v.IsSuspect() || v.MayRisk(len(f.opts.Backends.Candidates(service, "")), f.opts.Backends.Crashed(service))
+	if !v.IsSuspect() {
+		return true // the usual case, without a look at the back ends
+	}
+	return v.MayRisk(len(f.opts.Backends.Candidates(service, "")), f.opts.Backends.Crashed(service))
 }
 
 // check returns the verdict on a request before it is sent.
@@ -42,9 +45,6 @@
 	return f.opts.Quarantine.Check(fingerprintOf(r), thresholdOf(r))
 }
 
-// blocked returns the refusal of a quarantined request.
-func (e *exchange) blocked() *RefusedError { return refusalByQuarantine(e.request, e.verdict) }
-
 // refusalByQuarantine returns the refusal of a quarantined request.
 func refusalByQuarantine(r *Request, v quarantine.Verdict) *RefusedError {
 	return &RefusedError{RetryAfter: v.BlockedFor, Err: &quarantine.BlockedError{Fingerprint: fingerprintOf(r), Crashes: v.Crashes}}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -235,7 +235,7 @@
 // or the deadline passes. Refused sends do not count as attempts.
 func (e *exchange) run() (*Response, error) {
 	if e.verdict = e.f.check(e.request); e.verdict.BlockedFor > 0 {
-		return nil, e.blocked()
+		return nil, refusalByQuarantine(e.request, e.verdict)
 	}
 	attempts := 1
 	hedgeDue := make(<-chan time.Time)
@@ -286,7 +286,7 @@
 				if e.verdict.IsSuspect() && e.inFlight > 0 {
 					continue // the outcome of the other send tells whether the request is the cause
 				}
-				if e.possibleRuns < attempts && !e.verdict.IsConvicted && (e.send(ctx) || (e.inFlight == 0 && e.sendWhenPermitted(ctx) == nil)) {
+				if e.possibleRuns < attempts && !e.verdict.IsConvicted && e.sendAgain(ctx) {
 					continue
 				}
 			}
@@ -337,6 +337,12 @@
 	return e.send(ctx)
 }
 
+// sendAgain sends the request to another back end after a failure. It waits for a rate limit only if no other send is in
+// flight.
+func (e *exchange) sendAgain(ctx context.Context) bool {
+	return e.send(ctx) || (e.inFlight == 0 && e.sendWhenPermitted(ctx) == nil)
+}
+
 // send sends the request to the best back end that has not been tried and whose rate limit allows a request now. It
 // returns false if there is none. The outcome arrives on e.results.
 func (e *exchange) send(ctx context.Context) bool {
--- a/job/place.go
+++ b/job/place.go
@@ -214,7 +214,10 @@
 	best, bestCost := -1, 0.0
 	now := time.Now()
 	for i, c := range candidates {
-		if now.Before(c.ThrottledUntil) || (c.RateLimited && req.eventIntervalBelow > 0) {
+		if now.Before(c.ThrottledUntil) {
+			continue
+		}
+		if c.RateLimited && req.eventIntervalBelow > 0 {
 			continue // a move would use up a request that a waiting item needs
 		}
 		version := c.Versions[req.model]
--- a/quarantine/history_test.go
+++ b/quarantine/history_test.go
@@ -38,7 +38,8 @@
 		for i := range rapid.IntRange(1, 9).Draw(t, "back_ends") {
 			at := now.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "ms")) * time.Millisecond)
 			h, _ = h.with(crashAt(i, at))
-			h, _ = h.with(crashAt(i, at.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "again_ms"))*time.Millisecond))) // seen by another instance
+			again := at.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "again_ms")) * time.Millisecond)
+			h, _ = h.with(crashAt(i, again)) // seen by another instance
 		}
 		if v := h.verdict(now.Add(time.Second), CallerThreshold); v.IsConvicted || v.BlockedFor > 0 {
 			t.Fatalf("verdict %+v", v)
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -25,7 +25,7 @@
 	askTimeout = 80 * time.Millisecond
 	// ownerBackoff is the time after a failed call to an owner in which it is not called.
 	ownerBackoff = 300 * time.Millisecond
-	// permitLifetime is how long after its time a token may be used. A process that was suspended meanwhile asks again.
+	// permitLifetime is how long after its time a token may be used. An instance that was suspended meanwhile asks again.
 	permitLifetime = 500 * time.Millisecond
 )
 
@@ -81,7 +81,7 @@
 	l := &Limiter{
 		opts: opts, buckets: NewBuckets(), shares: NewShares(), ownerFailedAt: map[machine.Ref]time.Time{},
 		outcome: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_rate_limited_requests_total",
-			Help: "Requests to back ends with a rate limit, by outcome, and by whether the owner of the limit or this instance's share decided."},
+			Help: "Requests to back ends with a rate limit. The owner of the limit or this instance's share decides."},
 			[]string{"outcome", "decided_by"}),
 	}
 	if opts.Registerer != nil {
@@ -98,7 +98,7 @@
 		if perSecond <= 0 {
 			return nil
 		}
-		now := time.Now()
+		now, askedAt := time.Now(), timing.SinceBoot()
 		if wait := b.ThrottledUntil().Sub(now); wait > maxWait {
 			return &ExceededError{Backend: b.ID, RetryAfter: wait}
 		}
@@ -110,18 +110,19 @@
 			b.Throttle(now.Add(delay))
 			return &ExceededError{Backend: b.ID, RetryAfter: delay}
 		}
-		start := timing.SinceBoot()
 		if delay > 0 && !timing.Sleep(ctx, delay) {
 			return ctx.Err()
 		}
-		if timing.SinceBoot()-start <= delay+permitLifetime {
+		if timing.SinceBoot()-askedAt <= delay+permitLifetime {
 			return nil
 		}
 	}
 }
 
 // reserve takes a token from the owner of b's bucket, or from this instance's share if the owner does not answer.
-func (l *Limiter) reserve(ctx context.Context, b *backends.Backend, perSecond float64, maxWait time.Duration) (delay time.Duration, granted bool, err error) {
+func (l *Limiter) reserve(
+	ctx context.Context, b *backends.Backend, perSecond float64, maxWait time.Duration,
+) (delay time.Duration, granted bool, err error) {
 	key := Key{Backend: b.ID, StartedUnixMs: b.StartedUnixMs}
 	decidedBy := "owner"
 	owner := l.opts.Instances.Owner(b.ID, b.Zone)
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -94,7 +94,7 @@
 const (
 	// maxPermitWait is how long a call waits for an engine's rate limit. Items do not queue for a permit, so the call
 	// gets the next one.
-	maxPermitWait     = 500 * time.Millisecond
+	maxPermitWait     = 1200 * time.Millisecond
 	reconcileInterval = 60 * time.Millisecond
 	// callTimeout bounds an order or a report. Engines answer both immediately.
 	callTimeout = 700 * time.Millisecond
