--- a/instance/quarantine_test.go
+++ b/instance/quarantine_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/platform/hosted/hostedtest"
+	"github.com/cicadasill/cicadasill/quarantine"
 )
 
 // crashingDesks adds back ends to the desk service, n in all, that crash when they run a request whose id starts with
@@ -36,6 +37,15 @@
 	return desks
 }
 
+// waitUntilKnown waits until an instance knows the given number of crashes under a POST to /plain/x with a body.
+func (c *cluster) waitUntilKnown(m *member, body string, crashes int) {
+	c.t.Helper()
+	fingerprint := quarantine.FingerprintOf(testHost, http.MethodPost, "/plain/x", []byte(body))
+	c.waitUntil("instance knows the crashes", func() bool {
+		return m.quarantine.Check(fingerprint, quarantine.CallerThreshold).Crashes >= crashes
+	})
+}
+
 // crashed returns the number of engines that have run a request that crashes them.
 func crashed(desks []*hostedtest.Engine) int {
 	n := 0
@@ -63,7 +73,9 @@
 			is.Equal(r.status, http.StatusServiceUnavailable) // it has not run
 			is.True(r.header.Get("Retry-After") != "")
 		}
-		time.Sleep(50 * time.Millisecond)
+		for _, m := range c.members {
+			c.waitUntilKnown(m, "the same body", 2)
+		}
 	}
 	if n := crashed(desks); n > 2 {
 		t.Errorf("%d back ends have crashed", n)
@@ -78,16 +90,18 @@
 // know.
 func TestQuarantineOutlivesItsInstance(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, 1, 1)
+	c := newCluster(t, 2, 1)
 	desks := crashingDesks(c, 4)
 	is.Equal(c.call(c.members[0], http.MethodPost, "/plain/x", "crash-1", nil, "body").status, http.StatusBadGateway)
 	before := crashed(desks)
 	is.True(before <= 2)
-	time.Sleep(200 * time.Millisecond) // the store has the crashes
+	c.waitUntilKnown(c.members[1], "body", 2) // so that the store has them
 	c.members[0].kill()
+	c.members[1].kill()
 	m := c.startInstance("instance-later")
 	c.waitUntil("instance is ready", m.isReady)
 	c.waitUntil("instance knows the back ends", func() bool { return len(m.directory.Candidates("desk", "")) == 4 })
+	c.waitUntilKnown(m, "body", 2)
 	is.Equal(c.call(m, http.MethodPost, "/plain/x", "crash-2", nil, "body").status, http.StatusServiceUnavailable)
 	is.Equal(crashed(desks), before)
 }
@@ -120,10 +134,10 @@
 	c := newCluster(t, 2, 1)
 	desks := crashingDesks(c, 3)
 	is.Equal(c.call(c.members[0], http.MethodPost, "/once/x", "crash-1", nil, "body").status, http.StatusBadGateway)
-	time.Sleep(100 * time.Millisecond) // the other instance knows of the crash
+	c.waitUntil("the other instance knows of the crash", func() bool { return c.members[1].quarantine.Len() > 0 })
 	is.True(c.call(c.members[1], http.MethodPost, "/plain/x", "crash-2", nil, "another body").status >= 500)
 	is.Equal(crashed(desks), 2)
-	time.Sleep(100 * time.Millisecond)
+	c.waitUntilKnown(c.members[0], "another body", 1)
 	for n := range 4 {
 		is.True(c.call(c.members[n%2], http.MethodPost, "/plain/x", fmt.Sprintf("crash-more-%d", n), nil, "another body").status >= 500)
 		is.Equal(c.call(c.members[n%2], http.MethodPost, "/plain/x", fmt.Sprintf("other-%d", n), nil, "other").status, http.StatusOK)
