health: a poll reports to the peers only what it saw itself

A poll compared the state before and after itself and reported any change to leaving as its own observation. If a response or a peer's report marked the back end while the poll was in flight, it was reported again: a peer's report comes back as an observation of this instance, and reports that instances echo do not lapse.

A poll now reports only if its own answer says that the back end is leaving.

--- a/health/health_test.go
+++ b/health/health_test.go
@@ -19,6 +19,8 @@
 type fakeEngines struct {
 	mu      sync.Mutex
 	reports map[string]*platform.LoadReport
+	// onLoad, if set, runs during each poll.
+	onLoad func(addr string)
 }
 
 func (e *fakeEngines) set(addr string, r *platform.LoadReport) {
@@ -30,6 +32,9 @@
 func (e *fakeEngines) Load(_ context.Context, addr string) (platform.LoadReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.onLoad != nil {
+		e.onLoad(addr)
+	}
 	if r := e.reports[addr]; r != nil {
 		return *r, nil
 	}
@@ -123,6 +128,28 @@
 	eventually(t, func() bool { return !tracker.Ready("engine-2") })
 }
 
+// Guards against a poll that reports to the peers, as seen by this instance, what another source said
+// while the poll was in flight: reports that instances echo to one another never lapse.
+func TestPollReportsOnlyWhatItSaw(t *testing.T) {
+	is := is.New(t)
+	reported := make(chan string, 10)
+	tracker, e := startTracker(t, health.Options{ReportLeaving: func(id string) { reported <- id }}, 1)
+	polled := make(chan struct{})
+	var once sync.Once
+	e.mu.Lock()
+	e.onLoad = func(id string) {
+		once.Do(func() {
+			tracker.ObserveLeaving(id)
+			close(polled)
+		})
+	}
+	e.mu.Unlock()
+	<-polled
+	is.Equal(<-reported, "engine-0") // the response itself
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(len(reported), 0)
+}
+
 // Guards against a failing back end that keeps its share of requests, and against the ejection of
 // all back ends of a service when the failures have another cause.
 func TestEjectionAndGradualReturn(t *testing.T) {
--- a/health/poll.go
+++ b/health/poll.go
@@ -46,7 +46,8 @@
 		return
 	}
 	t.log.Info("back end state changed", "backend", b.ID, "from", oldState, "to", newState, "err", err)
-	if newState == Leaving && t.opts.ReportLeaving != nil {
+	// The state may also have changed because of another source while the poll was in flight.
+	if err == nil && report.Leaving && t.opts.ReportLeaving != nil {
 		t.opts.ReportLeaving(b.ID)
 	}
 	if newState == Ready {
