ratelimit: one late answer of an owner does not starve an instance (LIMIT)

While the owner of a token bucket does not answer, an instance uses its share of the limit. A refusal by the share was recorded like one by the owner: a limit of 1 a second shared by 58 instances left the engine alone for 58 s, on 195 instances for more than three minutes, although the owner is asked again after 0.3 s. Instances that drive many items at once are the ones that see late answers, so the trainers' steps starved while the engines' limits were not used. Callers were told the same time as Retry-After.

A refusal by a share now lasts until the owner is asked again.

TestLateOwnerIsAskedAgain failed before.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -129,7 +129,7 @@
 	switch {
 	case owner.Ref() == l.opts.Self:
 		delay, granted = l.buckets.Reserve(time.Now(), key, perSecond, maxWait)
-	case l.recentlyFailed(owner.Ref()):
+	case l.backoff(owner.Ref()) > 0:
 		err = errOwnerSilent
 	default:
 		delay, granted, err = l.ask(ctx, owner, &request{Key: key, PerSecond: perSecond, MaxWait: maxWait})
@@ -140,7 +140,9 @@
 		}
 		decidedBy = "share"
 		share := perSecond / float64(max(1, l.opts.Instances.Count()))
-		delay, granted = l.shares.Reserve(time.Now(), key, share, maxWait)
+		if delay, granted = l.shares.Reserve(time.Now(), key, share, maxWait); !granted {
+			delay = min(delay, l.backoff(owner.Ref())) // then the owner may permit more than the share
+		}
 	}
 	outcome := "sent"
 	if !granted {
@@ -153,10 +155,11 @@
 // errOwnerSilent reports an owner that has recently not answered.
 var errOwnerSilent = errors.New("the owner of the rate limit has not answered recently")
 
-func (l *Limiter) recentlyFailed(owner machine.Ref) bool {
+// backoff returns the time until an owner that has not answered is asked again, or 0.
+func (l *Limiter) backoff(owner machine.Ref) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Since(l.ownerFailedAt[owner]) < ownerBackoff
+	return max(0, ownerBackoff-time.Since(l.ownerFailedAt[owner]))
 }
 
 // request asks the owner of a bucket for a token.
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -88,6 +88,27 @@
 	is.True(p.calls <= 2)
 }
 
+// Guards against an instance that is starved by one late answer of an owner: a share of a low limit among many instances
+// permits the next request only after a minute.
+func TestLateOwnerIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	p := &peers{owner: machine.Instance{ID: "other"}, count: 58}
+	p.handle = func([]byte) ([]byte, error) {
+		if p.calls == 1 {
+			return nil, context.DeadlineExceeded
+		}
+		return cbor.Marshal(&response{Granted: true})
+	}
+	l := newTestLimiter(p)
+	b := limited(t, 1)
+	var exceeded *ExceededError
+	is.True(errors.As(l.Acquire(t.Context(), b, 0), &exceeded))
+	is.True(exceeded.RetryAfter <= ownerBackoff)
+	time.Sleep(ownerBackoff + 10*time.Millisecond)
+	is.NoErr(l.Acquire(t.Context(), b, 0))
+	is.Equal(p.calls, 2)
+}
+
 // Guards against a token of an owner that is used although the limit has ended, and against waiting for it then.
 func TestEndedLimitPermitsAtOnce(t *testing.T) {
 	is := is.New(t)
