--- a/forward/crash.go
+++ b/forward/crash.go
@@ -7,9 +7,9 @@
 	"github.com/cicadasill/cicadasill/quarantine"
 )
 
-// fingerprintOf returns the fingerprint of a request.
-func fingerprintOf(r *Request) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(r.Host, r.Method, r.Target, r.Body)
+// identityOf returns the fingerprints of a request.
+func identityOf(r *Request) quarantine.Identity {
+	return quarantine.IdentityOf(r.Host, r.Method, r.Target, r.Body)
 }
 
 // thresholdOf returns the number of crashes after which a request is quarantined.
@@ -42,12 +42,12 @@
 	if f.opts.Quarantine.Len() == 0 {
 		return quarantine.Verdict{}
 	}
-	return f.opts.Quarantine.Check(fingerprintOf(r), thresholdOf(r))
+	return f.opts.Quarantine.Check(identityOf(r), thresholdOf(r))
 }
 
 // refusalByQuarantine returns the refusal of a quarantined request.
 func refusalByQuarantine(r *Request, v quarantine.Verdict) *RefusedError {
-	return &RefusedError{RetryAfter: v.BlockedFor, Err: &quarantine.BlockedError{Fingerprint: fingerprintOf(r), Crashes: v.Crashes}}
+	return &RefusedError{RetryAfter: v.BlockedFor, Err: &quarantine.BlockedError{Identity: identityOf(r), Crashes: v.Crashes}}
 }
 
 // recordCrash counts the crash that err reports, if any, and updates the verdict on further sends. It reports whether there
@@ -62,16 +62,16 @@
 		return false
 	}
 	f.crashes.Inc()
-	fingerprint := fingerprintOf(r)
-	*v = f.opts.Quarantine.RecordCrash(fingerprint, thresholdOf(r), b.ID, b.StartedUnixMs)
-	f.opts.Logger.Warn("back end crashed during a request", "request", r.ID, "fingerprint", fingerprint.String(),
-		"backend", b.ID, "started_ms", b.StartedUnixMs, "crashes", v.Crashes, "blocked_for", v.BlockedFor, "err", err)
+	id := identityOf(r)
+	*v = f.opts.Quarantine.RecordCrash(id, thresholdOf(r), b.ID, b.StartedUnixMs)
+	f.opts.Logger.Warn("back end crashed during a request", "request", r.ID, "fingerprint", id.Request.String(),
+		"endpoint", id.Endpoint.String(), "backend", b.ID, "started_ms", b.StartedUnixMs, "crashes", v.Crashes, "blocked_for", v.BlockedFor, "err", err)
 	return true
 }
 
-// recordAnswer clears a request under which back ends have crashed, after an answer to it.
-func (f *Forwarder) recordAnswer(r *Request, v quarantine.Verdict) {
-	if v.IsSuspect() {
-		f.opts.Quarantine.RecordAnswer(fingerprintOf(r))
+// recordAnswer clears a request and its endpoint, after an answer.
+func (f *Forwarder) recordAnswer(r *Request) {
+	if f.opts.Quarantine.Len() > 0 {
+		f.opts.Quarantine.RecordAnswer(identityOf(r))
 	}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -124,14 +124,14 @@
 
 // Quarantine knows the requests that crash back ends.
 type Quarantine interface {
-	// Len returns the number of fingerprints under which back ends have crashed.
+	// Len returns the number of fingerprints, of requests and endpoints, under which back ends have crashed.
 	Len() int
 	// Check returns the verdict on a request before it is sent.
-	Check(f quarantine.Fingerprint, threshold quarantine.Threshold) quarantine.Verdict
+	Check(id quarantine.Identity, threshold quarantine.Threshold) quarantine.Verdict
 	// RecordCrash counts a crash of a run of a back end and returns the verdict on further sends.
-	RecordCrash(f quarantine.Fingerprint, threshold quarantine.Threshold, backend string, startedUnixMs int64) quarantine.Verdict
+	RecordCrash(id quarantine.Identity, threshold quarantine.Threshold, backend string, startedUnixMs int64) quarantine.Verdict
 	// RecordAnswer states that a back end has run the request and answered it.
-	RecordAnswer(f quarantine.Fingerprint)
+	RecordAnswer(id quarantine.Identity)
 }
 
 // Options configure a Forwarder.
@@ -257,7 +257,7 @@
 			e.inFlight--
 			if result.err == nil && result.response.Status < http.StatusInternalServerError {
 				e.lastBackendID = result.backend.ID
-				e.f.recordAnswer(e.request, e.verdict)
+				e.f.recordAnswer(e.request)
 				return result.response, nil
 			}
 			var notRun *NotRunError
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -79,7 +79,7 @@
 		switch {
 		case err == nil:
 			b.RecordSuccess()
-			f.recordAnswer(r, verdict)
+			f.recordAnswer(r)
 			return nil
 		case errors.As(err, &notRun):
 			recordRefusal(b, notRun)
--- a/instance/quarantine_test.go
+++ b/instance/quarantine_test.go
@@ -37,12 +37,12 @@
 	return desks
 }
 
-// waitUntilKnown waits until an instance knows the given number of crashes under a POST to /plain/x with a body.
-func (c *cluster) waitUntilKnown(m *member, body string, crashes int) {
+// waitUntilKnown waits until an instance knows the given number of crashes under a POST to a target with a body.
+func (c *cluster) waitUntilKnown(m *member, target, body string, crashes int) {
 	c.t.Helper()
-	fingerprint := quarantine.FingerprintOf(testHost, http.MethodPost, "/plain/x", []byte(body))
+	id := quarantine.IdentityOf(testHost, http.MethodPost, target, []byte(body))
 	c.waitUntil("instance knows the crashes", func() bool {
-		return m.quarantine.Check(fingerprint, quarantine.CallerThreshold).Crashes >= crashes
+		return m.quarantine.Check(id, quarantine.CallerThreshold).Crashes >= crashes
 	})
 }
 
@@ -74,7 +74,7 @@
 			is.True(r.header.Get("Retry-After") != "")
 		}
 		for _, m := range c.members {
-			c.waitUntilKnown(m, "the same body", 2)
+			c.waitUntilKnown(m, "/plain/x", "the same body", 2)
 		}
 	}
 	if n := crashed(desks); n > 2 {
@@ -95,13 +95,13 @@
 	is.Equal(c.call(c.members[0], http.MethodPost, "/plain/x", "crash-1", nil, "body").status, http.StatusBadGateway)
 	before := crashed(desks)
 	is.True(before <= 2)
-	c.waitUntilKnown(c.members[1], "body", 2) // so that the store has them
+	c.waitUntilKnown(c.members[1], "/plain/x", "body", 2) // so that the store has them
 	c.members[0].kill()
 	c.members[1].kill()
 	m := c.startInstance("instance-later")
 	c.waitUntil("instance is ready", m.isReady)
 	c.waitUntil("instance knows the back ends", func() bool { return len(m.directory.Candidates("desk", "")) == 4 })
-	c.waitUntilKnown(m, "body", 2)
+	c.waitUntilKnown(m, "/plain/x", "body", 2)
 	is.Equal(c.call(m, http.MethodPost, "/plain/x", "crash-2", nil, "body").status, http.StatusServiceUnavailable)
 	is.Equal(crashed(desks), before)
 }
@@ -137,7 +137,7 @@
 	c.waitUntil("the other instance knows of the crash", func() bool { return c.members[1].quarantine.Len() > 0 })
 	is.True(c.call(c.members[1], http.MethodPost, "/plain/x", "crash-2", nil, "another body").status >= 500)
 	is.Equal(crashed(desks), 2)
-	c.waitUntilKnown(c.members[0], "another body", 1)
+	c.waitUntilKnown(c.members[0], "/plain/x", "another body", 1)
 	for n := range 4 {
 		is.True(c.call(c.members[n%2], http.MethodPost, "/plain/x", fmt.Sprintf("crash-more-%d", n), nil, "another body").status >= 500)
 		is.Equal(c.call(c.members[n%2], http.MethodPost, "/plain/x", fmt.Sprintf("other-%d", n), nil, "other").status, http.StatusOK)
--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -4,7 +4,7 @@
 // instance and goes to another back end. The package counts crashes by the request's fingerprint, shares them with all
 // instances through the store, and quarantines a fingerprint after crashes of two back ends. One crash convicts nobody,
 // because every request that ran at the back end is equally suspect, and a request that only stood beside the cause is
-// answered by the next back end.
+// answered by the next back end. Crashes are also counted by endpoint, see EndpointOf.
 //
 // Load pattern: a service has three back ends; a request ends each that begins to run it, within a tenth of a second, and
 // its caller tries again for seconds. A back end is back after some seconds.
@@ -52,8 +52,12 @@
 
 // FingerprintOf returns the fingerprint of a request.
 func FingerprintOf(host, method, target string, body []byte) Fingerprint {
+	return fingerprintOf([]byte(host), []byte(method), []byte(target), body)
+}
+
+func fingerprintOf(parts ...[]byte) Fingerprint {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(host), []byte(method), []byte(target), body} {
+	for _, part := range parts {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
 		h.Write(length[:]) // separates the parts
@@ -145,11 +149,11 @@
 
 // Verdict is what a history says about further sends.
 type Verdict struct {
-	// Crashes is the number of crashes.
+	// Crashes is the number of crashes under the request.
 	Crashes int
-	// BlockedFor is the remaining time of the quarantine; 0 if there is none.
+	// BlockedFor is the remaining time of the quarantine of the request or its endpoint; 0 if there is none.
 	BlockedFor time.Duration
-	// IsConvicted states that the request is not sent again after a failure, even if it is not quarantined at the moment.
+	// IsConvicted states that the request is not sent again after a failure, even if nothing blocks it at the moment.
 	IsConvicted bool
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -28,15 +28,17 @@
 	maxFingerprints = 4096
 )
 
-// BlockedError reports a request that has not been sent, because requests with its fingerprint have crashed back ends.
+// BlockedError reports a request that has not been sent, because back ends have crashed under it or at its endpoint.
 type BlockedError struct {
-	Fingerprint Fingerprint
-	Crashes     int
+	Identity Identity
+	// Crashes is the number of crashes under the request itself.
+	Crashes int
 }
 
 // Error implements error.
 func (e *BlockedError) Error() string {
-	return fmt.Sprintf("quarantined after crashes of %d back ends under fingerprint %s", e.Crashes, e.Fingerprint)
+	return fmt.Sprintf("quarantined: %d back ends crashed under request %s, or others at endpoint %s", e.Crashes,
+		e.Identity.Request, e.Identity.Endpoint)
 }
 
 // Options configure a Table.
@@ -60,12 +62,14 @@
 
 	mu    sync.Mutex
 	known map[Fingerprint]History
+	// probes holds the times of the last requests to quarantined endpoints.
+	probes map[Fingerprint]time.Time
 }
 
 // New returns a Table that has read no crashes yet, and registers its metrics.
 func New(opts Options) *Table {
 	t := &Table{
-		opts: opts, known: map[Fingerprint]History{},
+		opts: opts, known: map[Fingerprint]History{}, probes: map[Fingerprint]time.Time{},
 		blocked: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_requests_quarantined_total",
 			Help: "Requests refused because requests with the same fingerprint have crashed back ends."}),
 	}
@@ -79,7 +83,7 @@
 	return t
 }
 
-// Len returns the number of fingerprints under which back ends have crashed.
+// Len returns the number of fingerprints, of requests and endpoints, under which back ends have crashed.
 func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -141,40 +145,56 @@
 }
 
 // Check returns the verdict on a request before it is sent.
-func (t *Table) Check(f Fingerprint, threshold Threshold) Verdict {
+func (t *Table) Check(id Identity, threshold Threshold) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h, found := t.known[f]
-	if !found {
-		return Verdict{}
+	now := time.Now()
+	v := t.known[id.Request].verdict(now, threshold)
+	if v.BlockedFor == 0 {
+		blockedFor, quarantined := t.checkEndpoint(now, id.Endpoint)
+		v.BlockedFor, v.IsConvicted = blockedFor, v.IsConvicted || quarantined
 	}
-	v := h.verdict(time.Now(), threshold)
 	if v.BlockedFor > 0 {
 		t.blocked.Inc()
 	}
 	return v
 }
 
-// RecordCrash counts a crash under a fingerprint, at once here and soon at the other instances. It returns the verdict on
-// further sends.
-func (t *Table) RecordCrash(f Fingerprint, threshold Threshold, backend string, startedUnixMs int64) Verdict {
-	t.opts.Backends.RecordCrash(backend, startedUnixMs, time.Now())
-	crash := Crash{Backend: backend, StartedUnixMs: startedUnixMs, AtUnixMs: time.Now().UnixMilli()}
+// RecordCrash counts a crash under a request and its endpoint, at once here and soon at the other instances. It returns the
+// verdict on further sends.
+func (t *Table) RecordCrash(id Identity, threshold Threshold, backend string, startedUnixMs int64) Verdict {
+	now := time.Now()
+	t.opts.Backends.RecordCrash(backend, startedUnixMs, now)
+	crash := Crash{Backend: backend, StartedUnixMs: startedUnixMs, AtUnixMs: now.UnixMilli()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	next, counts := addCrash(t.known[f], crash)
-	v := next.verdict(time.Now(), threshold)
-	if !counts {
-		return v
-	}
-	t.put(f, next)
-	if v.IsConvicted {
-		t.opts.Logger.Warn("request quarantined", "fingerprint", f.String(), "crashes", v.Crashes, "for", v.BlockedFor)
+	endpoint, isNewAtEndpoint := t.add(id.Endpoint, crash)
+	request, isNew := t.add(id.Request, crash)
+	v := request.verdict(now, threshold)
+	if isNew && v.IsConvicted {
+		t.opts.Logger.Warn("request quarantined", "fingerprint", id.Request.String(), "crashes", v.Crashes, "for", v.BlockedFor)
+	}
+	if endpoint.isQuarantinedEndpoint(now) {
+		blockedFor := endpoint.probeAfter(now, 0)
+		v.BlockedFor, v.IsConvicted = max(v.BlockedFor, blockedFor), true
+		if isNewAtEndpoint {
+			t.opts.Logger.Warn("endpoint quarantined", "endpoint", id.Endpoint.String(), "crashes", endpoint.count(), "for", blockedFor)
+		}
 	}
-	t.shared.Put(keyOf(f, crash), &crash)
 	return v
 }
 
+// add counts a crash under a fingerprint and shares it, unless it is known. It returns the crashes under the fingerprint.
+// The caller holds t.mu.
+func (t *Table) add(f Fingerprint, crash Crash) (h History, isNew bool) {
+	h, isNew = addCrash(t.known[f], crash)
+	if isNew {
+		t.put(f, h)
+		t.shared.Put(keyOf(f, crash), &crash)
+	}
+	return h, isNew
+}
+
 // addCrash adds a crash to a history, or starts a new one if the crashes before are forgotten.
 func addCrash(h History, c Crash) (History, bool) {
 	if h.isForgotten(time.UnixMilli(c.AtUnixMs)) {
@@ -183,19 +203,26 @@
 	return h.with(c)
 }
 
-// RecordAnswer clears a fingerprint: a back end has run the request and answered it.
-func (t *Table) RecordAnswer(f Fingerprint) {
+// RecordAnswer clears a request and its endpoint: a back end has run the request and answered it.
+func (t *Table) RecordAnswer(id Identity) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h, found := t.known[f]
-	if !found {
-		return
+	if n := t.clear(id.Request); n > 0 {
+		t.opts.Logger.Info("request cleared", "fingerprint", id.Request.String(), "crashes", n)
+	}
+	if n := t.clear(id.Endpoint); n > 0 {
+		t.opts.Logger.Info("endpoint cleared", "endpoint", id.Endpoint.String(), "crashes", n)
 	}
-	t.opts.Logger.Info("request cleared", "fingerprint", f.String(), "crashes", len(h.Crashes))
+}
+
+// clear deletes the crashes under a fingerprint, here and in the store, and returns their number. The caller holds t.mu.
+func (t *Table) clear(f Fingerprint) int {
+	crashes := t.known[f].Crashes
 	delete(t.known, f)
-	for _, c := range h.Crashes {
+	for _, c := range crashes {
 		t.shared.Put(keyOf(f, c), nil)
 	}
+	return len(crashes)
 }
 
 // Run shares the crashes with the other instances until ctx ends. onRead is called with the outcome of each read.
@@ -217,6 +244,7 @@
 	for f, h := range t.known {
 		if h.isForgotten(now) {
 			delete(t.known, f)
+			delete(t.probes, f)
 		}
 	}
 	t.mu.Unlock()
