ratelimit: the burst leaves room for a second owner (LIMIT)

Around a change of owner, instances ask two owners until they have read the same heartbeats.

Lower limits have the burst that they had.

TestTwoOwnersKeepTheRate failed before (33 requests at 4.5 a second, 32 allowed), and passes 3 times 1,000 draws from 0.2 to 100 a second now.

--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -23,6 +23,9 @@
 	// items of a step arrive together, after seconds without any.
 	burstTime = 2 * time.Second
 	minBurst  = 4
+	// ownerOverlap is the longest time for which instances ask two owners of a bucket: the time between two of their
+	// reads of the heartbeats, in a deployment of hundreds.
+	ownerOverlap = 1500 * time.Millisecond
 	// bucketIdleTime is the time without requests after which a bucket is dropped.
 	bucketIdleTime = time.Minute
 	// shareIdleTime is the time without requests after which the tokens of a share are lost.
@@ -84,7 +87,7 @@
 // instance may just have given out the tokens of the last second. The caller holds b.mu.
 func (b *Buckets) bucket(now time.Time, key Key, perSecond float64) *rate.Limiter {
 	found := b.byKey[key]
-	burst := max(b.minBurst, int(perSecond*b.burstTime.Seconds()))
+	burst := b.burst(perSecond)
 	if found == nil || (b.maxIdle > 0 && now.Sub(found.usedAt) > b.maxIdle) {
 		if len(b.byKey) >= maxBuckets {
 			b.drop(now)
@@ -101,6 +104,13 @@
 	return found.tokens
 }
 
+// burst returns the number of tokens that accumulate at a rate. At a high rate it leaves room for what a second owner gives
+// out during ownerOverlap.
+func (b *Buckets) burst(perSecond float64) int {
+	overlapFree := max(0, b.burstTime-ownerOverlap)
+	return max(b.minBurst, min(int(perSecond*b.burstTime.Seconds()), b.minBurst+int(perSecond*overlapFree.Seconds())))
+}
+
 // drop removes the buckets that have not been used for bucketIdleTime, or all if there are none. The caller holds b.mu.
 func (b *Buckets) drop(now time.Time) {
 	for key, found := range b.byKey {
--- a/ratelimit/bucket_test.go
+++ b/ratelimit/bucket_test.go
@@ -50,6 +50,37 @@
 	})
 }
 
+// Guards against more requests than the rate allows around a change of owner, when instances ask both owners for as long as
+// their heartbeats differ.
+func TestTwoOwnersKeepTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.2, 100).Draw(t, "per_second")
+		before, after, key := NewBuckets(), NewBuckets(), Key{Backend: "b"}
+		start := time.Now()
+		before.Reserve(start, key, perSecond, 0)
+		var sent []time.Duration
+		take := func(owner *Buckets, at time.Duration) {
+			for {
+				if _, granted := owner.Reserve(start.Add(at), key, perSecond, 0); !granted {
+					return
+				}
+				sent = append(sent, at)
+			}
+		}
+		change := time.Duration(rapid.IntRange(0, 5000).Draw(t, "change_ms")) * time.Millisecond
+		for at := change; at < change+window+ownerOverlap; at += 10 * time.Millisecond {
+			if at < change+ownerOverlap {
+				take(before, at)
+			}
+			take(after, at)
+		}
+		allowed := int(1.5*perSecond*window.Seconds()) + 5
+		if most := mostWithin(sent, window); most > allowed {
+			t.Fatalf("%d requests within %v at %v a second, %d allowed", most, window, perSecond, allowed)
+		}
+	})
+}
+
 // Replays callers that come to a few of 195 instances, each of which knows of a limit of four requests a second. Guards
 // against equal shares of the limit, which starve the instances to which the callers come.
 func TestOneBucketServesFewBusyInstances(t *testing.T) {
