backends: the comment of minBackoff stands at its constant

The constants of crashed back ends had been put between the comment and its constant, so that it read as theirs. No change of the code's behaviour; the package's build and vet pass.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -35,13 +35,13 @@
 	// idleConnLifetime is how long an idle connection is counted as open. It is shorter than the
 	// connection's idle timeout by a margin.
 	idleConnLifetime = 7 * time.Second
-	// minBackoff is how long a back end is avoided after its first failure; each further failure
-	// doubles the time, up to maxBackoff.
 	// crashMemory is how long a back end whose process has ended gets no requests. A new process has an entry of its
 	// own, which counts at once.
 	crashMemory = 10 * time.Second
 	// downMemory is how long a back end whose port refuses connections gets no requests.
 	downMemory = time.Second
+	// minBackoff is how long a back end is avoided after its first failure; each further failure
+	// doubles the time, up to maxBackoff.
 	minBackoff = 300 * time.Millisecond
 	maxBackoff = 4 * time.Second
 )
