--- a/changelog/map.go
+++ b/changelog/map.go
@@ -66,6 +66,9 @@
 	return m
 }
 
+// HasRead reports whether all values that were in the store have been read.
+func (m *Map[V]) HasRead() bool { return m.replica.HasRead() }
+
 // Reset implements State.
 func (m *Map[V]) Reset() {
 	m.replaced, m.entries = m.entries, map[string]mapEntry[V]{}
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -79,6 +79,13 @@
 	return time.Since(r.readAt)
 }
 
+// HasRead reports whether the replica has read the whole partition once.
+func (r *Replica) HasRead() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
 // LastReadError returns the error of the last read, or nil if it succeeded.
 func (r *Replica) LastReadError() error {
 	r.mu.Lock()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -259,9 +259,11 @@
 }
 
 // isReady reports whether the instance should get new connections: it is not draining, has a
-// configuration, and has read the back ends' entries within maxStoreSilence.
+// configuration, knows the quarantined requests, and has read the back ends'
+// entries within maxStoreSilence.
 func (i *Instance) isReady() bool {
-	return !i.draining.Load() && i.config.Load() != nil && i.entries.Age() < maxStoreSilence
+	return !i.draining.Load() && i.config.Load() != nil && i.quarantine.HasRead() &&
+		i.entries.Age() < maxStoreSilence
 }
 
 // ListenError reports an address on which the instance cannot listen.
--- a/instance/quarantine_test.go
+++ b/instance/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,6 +47,17 @@
 	})
 }
 
+// refuseReads returns the fault of a store that refuses all calls about a topic for some time.
+func refuseReads(topic string, d time.Duration) func(*http.Request) hostedtest.Fault {
+	until := time.Now().Add(d)
+	return func(r *http.Request) hostedtest.Fault {
+		if strings.HasSuffix(r.URL.Query().Get("topic"), topic) && time.Now().Before(until) {
+			return hostedtest.Busy
+		}
+		return hostedtest.None
+	}
+}
+
 // crashed returns the number of engines that have run a request that crashes them.
 func crashed(desks []*hostedtest.Engine) int {
 	n := 0
@@ -106,6 +118,25 @@
 	is.Equal(crashed(desks), before)
 }
 
+// Guards against an instance that takes requests before it has read which of them crash back ends: the store refuses its first
+// reads of the crashes and serves the others.
+func TestStartingInstanceKnowsTheQuarantine(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	desks := crashingDesks(c, 4)
+	is.Equal(c.call(c.members[0], http.MethodPost, "/plain/x", "crash-1", nil, "body").status, http.StatusBadGateway)
+	request := quarantine.FingerprintOf(testHost, http.MethodPost, "/plain/x", []byte("body"))
+	c.waitUntil("the store has both crashes", func() bool { return c.store.KeyCount(request.String()) == 2 })
+	before := crashed(desks)
+	c.members[0].kill()
+	c.store.SetFault(refuseReads("request-crashes", time.Second))
+	m := c.startInstance("instance-later")
+	c.waitUntil("instance is ready", m.isReady)
+	c.waitUntil("instance knows the back ends", func() bool { return len(m.directory.Candidates("desk", "")) >= 2 })
+	is.Equal(c.call(m, http.MethodPost, "/plain/x", "crash-2", nil, "body").status, http.StatusServiceUnavailable)
+	is.Equal(crashed(desks), before)
+}
+
 // Guards against a verdict on requests that were cut off by the end of their back end for another reason, which ends two of
 // four back ends here.
 func TestRequestsBesideACrashAreServed(t *testing.T) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -90,6 +90,9 @@
 	return len(t.known)
 }
 
+// HasRead reports whether the crashes that other instances have seen have been read.
+func (t *Table) HasRead() bool { return t.shared.HasRead() }
+
 // keyOf returns the key of a crash in the store. Instances that see the same crash write the same key.
 func keyOf(f Fingerprint, c Crash) string {
 	return fmt.Sprintf("%s/%s/%d", f, c.Backend, c.StartedUnixMs)
