--- a/instance/ratelimit_test.go
+++ b/instance/ratelimit_test.go
@@ -132,3 +132,25 @@
 		}
 	}
 }
+
+// Guards against an instance that takes requests before it has read the rate limits: the store refuses its first reads of
+// them and serves the others.
+func TestStartingInstanceKnowsTheRateLimits(t *testing.T) {
+	c := limitedCluster(t, 2)
+	driveDesk(c, c.members, "limited", time.Second)
+	idle := c.startInstance("instance-idle") // can learn of the limit from the store only
+	c.waitUntil("the store has the limit", func() bool {
+		b, ok := idle.directory.Backend(c.desk.ID)
+		return ok && b.RateLimit() > 0
+	})
+	for _, m := range c.members {
+		m.kill()
+	}
+	c.store.SetFault(refuseReads("rate-limits", time.Second))
+	m := c.startInstance("instance-later")
+	c.waitUntil("instance is ready", m.isReady)
+	c.waitUntil("instance knows the back end", func() bool { _, ok := m.directory.Backend(c.desk.ID); return ok })
+	if b, _ := m.directory.Backend(c.desk.ID); b.RateLimit() == 0 {
+		t.Error("the instance is ready and does not know the rate limit")
+	}
+}
--- a/ratelimit/replica.go
+++ b/ratelimit/replica.go
@@ -53,6 +53,9 @@
 	return r
 }
 
+// HasRead reports whether the limits that other instances have learned have been read.
+func (r *Replica) HasRead() bool { return r.limits.HasRead() }
+
 // apply passes a limit that was read to the directory.
 func (r *Replica) apply(backend string, limit *record) {
 	if limit == nil {
