changelog: after a change, reads of a shared map wait half a second at most (BUDGET)

Callers saw a service lose its last back end: an instance knew of one crash under a request, not of the second one 8 ms later, and sent the request on. Its read had begun while the second crash was being written and was not answered until the third one a second later; it would have waited for 20 s.

For 5 s after a change, reads now wait half a second at most, since changes often follow one another. Without changes the number of reads stays as it was.

--- a/changelog/map.go
+++ b/changelog/map.go
@@ -14,6 +14,10 @@
 const (
 	// mapReadWait is how long a read waits for a change. Changes are rare, and a longer wait makes fewer calls.
 	mapReadWait = 20 * time.Second
+	// After a change, reads wait only shortReadWait for as long as changesFollowTime: changes often follow one
+	// another, and a read that begins while a change is written may miss it until the read ends.
+	shortReadWait     = 500 * time.Millisecond
+	changesFollowTime = 5 * time.Second
 	// mapWriteTimeout bounds an attempt to write an update.
 	mapWriteTimeout = 3 * time.Second
 	// maxMapUpdates bounds the updates that wait to be written.
@@ -39,9 +43,11 @@
 	replica *Replica
 	updates chan mapUpdate[V]
 	puts    chan Record
-	entries map[string]mapEntry[V] // the replica guards it and replaced
+	entries map[string]mapEntry[V] // the replica guards it, replaced and changedAt
 	// replaced holds the entries before a reload until the reload has read them again.
 	replaced map[string]mapEntry[V]
+	// changedAt is when this instance read the last change.
+	changedAt time.Time
 }
 
 // mapUpdate is an update that waits to be written.
@@ -86,6 +92,7 @@
 
 // Apply implements State.
 func (m *Map[V]) Apply(r Record) {
+	m.changedAt = time.Now()
 	if r.Value == nil {
 		delete(m.entries, r.Key)
 		m.opts.OnChange(r.Key, nil)
@@ -155,7 +162,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		m.replica.Follow(ctx, mapReadWait, m.opts.ReadPause, onRead)
+		m.replica.Follow(ctx, m.readWait, m.opts.ReadPause, onRead)
 	}()
 	for ctx.Err() == nil {
 		select {
@@ -169,6 +176,16 @@
 	<-done
 }
 
+// readWait returns how long the next read waits for a change.
+func (m *Map[V]) readWait() (wait time.Duration) {
+	m.replica.View(func() {
+		if wait = mapReadWait; time.Since(m.changedAt) < changesFollowTime {
+			wait = shortReadWait
+		}
+	})
+	return wait
+}
+
 // writeWithRetry writes an update, again after each failure, until ctx ends.
 func (m *Map[V]) writeWithRetry(ctx context.Context, u mapUpdate[V]) {
 	for attempt := 1; ; attempt++ {
--- a/changelog/map_test.go
+++ b/changelog/map_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/telemetry"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // observedMap is a Map with the values that it has reported.
@@ -96,3 +99,44 @@
 		}
 	}
 }
+
+// deafLog is a log whose reads notice the first records at once; later ones end a read only when its wait is over.
+type deafLog struct {
+	*memoryLog
+	deaf atomic.Bool
+}
+
+func (l *deafLog) Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Batch, error) {
+	for end := time.Now().Add(wait); ; {
+		batch, err := l.memoryLog.Read(ctx, p, from, 0)
+		isOver := time.Now().After(end) || (!l.deaf.Load() && len(batch.Records) > 0)
+		if err != nil || isOver {
+			l.deaf.Store(l.deaf.Load() || len(batch.Records) > 0)
+			return batch, err
+		}
+		if !timing.Sleep(ctx, 5*time.Millisecond) {
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+// Guards against a change that is missed for the time of a long read: the read began while the change was written, and
+// the log does not answer it. Changes often follow one another.
+func TestChangeAfterAChangeIsSeenSoon(t *testing.T) {
+	is := is.New(t)
+	log := &deafLog{memoryLog: &memoryLog{}}
+	m := newObservedMap(log)
+	m.start(t)
+	for n := range 3 {
+		key, value := fmt.Sprint("key ", n), n
+		start := time.Now()
+		m.Put(key, &value)
+		for _, ok := m.get(key); !ok; _, ok = m.get(key) {
+			if time.Since(start) > 2*time.Second {
+				t.Fatalf("change %d is not seen", n)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	is.True(m.HasRead())
+}
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -130,11 +130,11 @@
 	}
 }
 
-// Follow keeps the replica current until ctx ends. Each read waits for records up to wait, and pause returns the
-// pause after it. onRead is called with the outcome of each read, nil for a successful one.
-func (r *Replica) Follow(ctx context.Context, wait time.Duration, pause func() time.Duration, onRead func(error)) {
+// Follow keeps the replica current until ctx ends. wait returns how long the next read waits for records, and pause
+// the pause after it. onRead is called with the outcome of each read, nil for a successful one.
+func (r *Replica) Follow(ctx context.Context, wait, pause func() time.Duration, onRead func(error)) {
 	for ctx.Err() == nil {
-		err := r.catchUp(ctx, wait)
+		err := r.catchUp(ctx, wait())
 		if ctx.Err() != nil {
 			return
 		}
@@ -149,6 +149,9 @@
 	}
 }
 
+// Wait returns a function for Follow that always returns d.
+func Wait(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // catchUp reads up to the end of the partition. Only the first read waits for records, up to wait.
 func (r *Replica) catchUp(ctx context.Context, wait time.Duration) error {
 	err := r.readToEnd(ctx, wait)
