changelog, quarantine: names that a newcomer reads without the commits

ConstantWait instead of Wait, which read as if it waited, and a line on what fingerprintOf depends on.

--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -149,8 +149,8 @@
 	}
 }
 
-// Wait returns a function for Follow that always returns d.
-func Wait(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+// ConstantWait returns a wait for Follow that is always d.
+func ConstantWait(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
 // catchUp reads up to the end of the partition. Only the first read waits for records, up to wait.
 func (r *Replica) catchUp(ctx context.Context, wait time.Duration) error {
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -150,7 +150,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		d.replica.Follow(ctx, changelog.Wait(0), d.readPause, func(error) {})
+		d.replica.Follow(ctx, changelog.ConstantWait(0), d.readPause, func(error) {})
 	}()
 	for timing.Sleep(ctx, renewInterval) {
 		if d.shouldAcquireOrRenew() {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -333,7 +333,7 @@
 
 // followOperators reads the operators' records until ctx ends.
 func (i *Instance) followOperators(ctx context.Context) {
-	i.operators.Follow(ctx, changelog.Wait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
+	i.operators.Follow(ctx, changelog.ConstantWait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
 // entriesReadPause returns the pause between an instance's reads of the back ends' entries.
@@ -344,7 +344,7 @@
 // followEntries reads the back ends' entries until ctx ends, and tells the directory of failed reads.
 func (i *Instance) followEntries(ctx context.Context) {
 	logOutcome := i.storeMonitor("entries")
-	i.entries.Follow(ctx, changelog.Wait(0), func() time.Duration { return entriesReadPause(i.presence.Count()) }, func(err error) {
+	i.entries.Follow(ctx, changelog.ConstantWait(0), func() time.Duration { return entriesReadPause(i.presence.Count()) }, func(err error) {
 		if err != nil {
 			i.directory.RecordOutage()
 		}
--- a/job/registry.go
+++ b/job/registry.go
@@ -111,7 +111,7 @@
 func (g *Registry) Run(ctx context.Context) {
 	g.tasks.Go(func() { g.runDeletion(ctx) })
 	g.tasks.Go(func() { g.flushCheckpoints(ctx) })
-	g.indexReplica.Follow(ctx, changelog.Wait(indexReadWait), g.opts.IndexPause, g.opts.IndexRead)
+	g.indexReplica.Follow(ctx, changelog.ConstantWait(indexReadWait), g.opts.IndexPause, g.opts.IndexRead)
 	time.AfterFunc(stopTimeout, g.cancelWrites)
 	g.tasks.Wait()
 }
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -123,7 +123,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		t.replica.Follow(ctx, changelog.Wait(0), func() time.Duration { return ReadPause(t.Count()) }, t.handleReadResult)
+		t.replica.Follow(ctx, changelog.ConstantWait(0), func() time.Duration { return ReadPause(t.Count()) }, t.handleReadResult)
 	}()
 	for {
 		if !timing.Sleep(ctx, t.writeHeartbeat(ctx)) {
--- a/quarantine/history.go
+++ b/quarantine/history.go
@@ -55,12 +55,13 @@
 	return fingerprintOf([]byte(host), []byte(method), []byte(target), body)
 }
 
+// fingerprintOf returns a hash of the parts that also depends on where one ends and the next begins.
 func fingerprintOf(parts ...[]byte) Fingerprint {
 	h := sha256.New()
 	for _, part := range parts {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		h.Write(length[:]) // separates the parts
+		h.Write(length[:])
 		h.Write(part)
 	}
 	return Fingerprint(h.Sum(nil)[:16])
