--- a/instance/ratelimit_test.go
+++ b/instance/ratelimit_test.go
@@ -83,6 +83,30 @@
 	checkRateLimit(c, perSecond, start.Add(rateLimitGrace))
 }
 
+// Guards against instances that each use the whole rate limit: no back end is without one, so that clients press on the limits
+// at all instances.
+func TestInstancesKeepTheRateLimitOfTheOnlyBackEndTogether(t *testing.T) {
+	const perSecond = 3.0
+	c := newCluster(t, 3, 1)
+	c.desk.SetRateLimit(perSecond)
+	start := time.Now()
+	var group sync.WaitGroup
+	for n := 0; time.Since(start) < rateLimitGrace+rateLimitWindow+time.Second; n++ {
+		group.Go(func() {
+			r := c.call(c.members[n%3], http.MethodPost, "/plain/x", fmt.Sprint("request-", n), nil, "body")
+			if r.status != http.StatusOK && r.status != http.StatusServiceUnavailable {
+				t.Errorf("request %d: status %d, neither answered nor refused", n, r.status)
+			}
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	group.Wait()
+	checkRateLimit(c, perSecond, start.Add(rateLimitGrace))
+	if most := busiestWindow(c.desk.Runs(), start.Add(rateLimitGrace)); most < int(perSecond*rateLimitWindow.Seconds())-1 {
+		t.Errorf("the back end got %d requests at most within %v: its limit is not used", most, rateLimitWindow)
+	}
+}
+
 // Guards against a limit that ends with the instance that owns its token bucket, and against an instance that starts during the
 // limit and does not know of it.
 func TestRateLimitOutlivesItsOwner(t *testing.T) {
--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -72,4 +72,8 @@
 check H22 versions/plan.go 's/rank = float64\(p\.usable\) \/ p\.enginesPerStep/rank = 0/' versions TestModelsThatCatchUpShareTheLoads
 check H23 link/exchange.go 's/if s\.opened\.After\(start\)/if true || s.opened.After(start)/' link TestSessionsRetiredByThePeerCostNoAttempt
 check H24 link/session.go 's/if s\.used\.Load\(\)/if true/' link TestUnusedSessionOutlivesTheIdleTimeout
+check H25 ratelimit/limiter.go 's/case owner\.Ref\(\) == l\.opts\.Self:/case true:/' instance TestInstancesKeepTheRateLimitOfTheOnlyBackEndTogether
+check H26 ratelimit/limiter.go 's/delay = min\(delay, l\.backoff\(owner\.Ref\(\)\)\)/_ = delay/' ratelimit TestLateOwnerIsAskedAgain
+check H27 ratelimit/bucket.go 's/return max\(b\.minBurst, min\(/return max(b.minBurst, max(/' ratelimit TestTwoOwnersKeepTheRate
+check H28 instance/instance.go 's/ && i\.rateLimits\.HasRead\(\)//' instance TestStartingInstanceKnowsTheRateLimits
 exit "$status"
