--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -76,4 +76,9 @@
 check H26 ratelimit/limiter.go 's/delay = min\(delay, l\.backoff\(owner\.Ref\(\)\)\)/_ = delay/' ratelimit TestLateOwnerIsAskedAgain
 check H27 ratelimit/bucket.go 's/return max\(b\.minBurst, min\(/return max(b.minBurst, max(/' ratelimit TestTwoOwnersKeepTheRate
 check H28 instance/instance.go 's/ && i\.rateLimits\.HasRead\(\)//' instance TestStartingInstanceKnowsTheRateLimits
+check H29 quarantine/history.go 's/if crashes < int\(t\)/if true || crashes < int(t)/' instance TestCrashingRequestIsStopped
+check H30 quarantine/endpoint.go 's/endpointThreshold = 3/endpointThreshold = 100/' instance TestCrashingEndpointIsStopped
+check H31 instance/instance.go 's/ && i\.quarantine\.HasRead\(\)//' instance TestStartingInstanceKnowsTheQuarantine
+check H32 changelog/map.go 's/m\.readWait, m\.opts/ConstantWait(mapReadWait), m.opts/' changelog TestChangeAfterAChangeIsSeenSoon
+check H33 platform/hosted/backend.go 's/\tpreventResend\(request\)\n//' platform/hosted TestBrokenRequestIsSentOnce
 exit "$status"
