--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -313,13 +313,12 @@
 	processes []*Process
 }
 
-// endAll ends the processes that this program has started.
+// endAll ends the processes that this program has started, and waits for their end.
 func endAll() {
 	started.mu.Lock()
 	defer started.mu.Unlock()
 	for _, p := range started.processes {
-		p.Signal(syscall.SIGCONT)
-		p.Signal(syscall.SIGKILL)
+		p.Kill()
 	}
 }
 
