--- a/forward/forward.go
+++ b/forward/forward.go
@@ -25,6 +25,9 @@
 	Method string
 	// Owed is set for reward calls, which are made later rather than not at all if back ends crash under them.
 	Owed bool
+	// Repeated is set if the same request has been sent to the same back end before. It then needs a connection of its own,
+	// because a late copy of the earlier answer bears its id too.
+	Repeated bool
 	// Target is the path and query, exactly as the client sent them.
 	Target   string
 	Host     string
@@ -187,6 +190,7 @@
 	e := &exchange{
 		f: f, ctx: ctx, route: route, request: r, service: route.ServiceFor(r.ID),
 		results: make(chan sendResult, maxSends), tried: map[*backends.Backend]bool{},
+		sentTo: map[*backends.Backend]bool{},
 	}
 	response, err := e.run()
 	outcome := "answered"
@@ -214,6 +218,7 @@
 
 	results       chan sendResult
 	tried         map[*backends.Backend]bool
+	sentTo        map[*backends.Backend]bool // unlike tried, over all rounds
 	inFlight      int
 	sends         int
 	possibleRuns  int // sends that may have run
@@ -400,9 +405,16 @@
 func (e *exchange) start(ctx context.Context, b *backends.Backend) {
 	e.sends++
 	e.inFlight++
+	request := e.request
+	if e.sentTo[b] {
+		repeated := *request
+		repeated.Repeated = true
+		request = &repeated
+	}
+	e.sentTo[b] = true
 	b.Begin()
 	go func() {
-		response, err := e.f.opts.Client.Do(ctx, b, e.request)
+		response, err := e.f.opts.Client.Do(ctx, b, request)
 		b.End()
 		var notRun *NotRunError
 		switch {
--- a/job/engine.go
+++ b/job/engine.go
@@ -14,6 +14,9 @@
 	// After is the id of the last event received in earlier attempts, after which the engine resumes; 0
 	// starts from the beginning.
 	After int64
+	// Repeated is set if this engine has answered an earlier attempt of the item. The attempt then needs a connection of its
+	// own, because a late copy of that answer bears the item's id too.
+	Repeated bool
 }
 
 // Event is one chunk of an item's output.
--- a/job/run.go
+++ b/job/run.go
@@ -56,6 +56,8 @@
 	eventCount    int
 	// mover looks for a faster engine; nil if the item may not move.
 	mover *mover
+	// repeated states that the engine has failed this item before.
+	repeated bool
 	// nextEngine is the engine at which the item resumes after *MovedError.
 	nextEngine *backends.Backend
 	// saveCheckpoint queues a checkpoint for an instance that takes the job over; nil if the item cannot
@@ -170,6 +172,7 @@
 	failures, moves := 0, 0
 	expected := d.durations.expectedRun(item.LengthEstimate)
 	var excluded, nextEngine *backends.Backend
+	failedAt := map[*backends.Backend]bool{}
 	defer func() {
 		if nextEngine != nil {
 			nextEngine.End()
@@ -209,7 +212,7 @@
 		}
 		start := time.Now()
 		d.metrics.wait.Observe(start.Sub(waitStart).Seconds())
-		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion}
+		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion, repeated: failedAt[b]}
 		if route.Resumable && moves < maxMoves {
 			a.mover = &mover{
 				placer: d.placer, backend: b, request: *req, submitted: job.SubmittedAt(), itemIndex: itemIndex,
@@ -246,6 +249,7 @@
 		var failed *FailedError
 		if errors.As(err, &failed) {
 			failures++
+			failedAt[b] = true
 			if failed.Impossible || failures >= max(1, route.Attempts) {
 				return Errored, true
 			}
@@ -329,7 +333,7 @@
 	if route.Resumable {
 		a.saveCheckpoint = func() { d.opts.Registry.queueCheckpoint(&job.Summary, item.ID, out.checkpoint()) }
 	}
-	err := d.opts.Engine.Generate(ctx, b, Call{Host: job.Host, Item: item, After: out.lastEvent}, a)
+	err := d.opts.Engine.Generate(ctx, b, Call{Host: job.Host, Item: item, After: out.lastEvent, Repeated: a.repeated}, a)
 	var (
 		notRun     *NotRunError
 		broken     *BrokenError
--- a/job/score.go
+++ b/job/score.go
@@ -91,7 +91,7 @@
 			policy.Failures = max(1, itemRoute.Attempts, rewardRoute.Attempts)
 			rewardRoute.Attempts = min(max(1, rewardRoute.Attempts), policy.Failures-failedRuns)
 			var response *forward.Response
-			if response, err = d.callReward(ctx, job, item, itemRoute, rewardRoute, policy.GiveUp); err == nil {
+			if response, err = d.callReward(ctx, job, item, itemRoute, rewardRoute, policy.GiveUp, failedRuns > 0); err == nil {
 				if response.Status/100 == 2 {
 					return response.Signature, true
 				}
@@ -132,8 +132,8 @@
 	return itemRoute, &repeatable, true
 }
 
-// callReward waits for its turn and makes one reward call.
-func (d *Driver) callReward(ctx context.Context, job *activeJob, item *Item, itemRoute, route *routes.Route, giveUp time.Time) (*forward.Response, error) {
+// callReward waits for its turn and makes one reward call. repeated states that a back end has failed the call before.
+func (d *Driver) callReward(ctx context.Context, job *activeJob, item *Item, itemRoute, route *routes.Route, giveUp time.Time, repeated bool) (*forward.Response, error) {
 	call := item.Reward
 	service := route.ServiceFor(call.ID)
 	start := time.Now()
@@ -150,7 +150,7 @@
 	sent := time.Now()
 	d.metrics.rewardWait.Observe(sent.Sub(start).Seconds())
 	response, err := d.opts.Requests.Forward(ctx, route, &forward.Request{
-		ID: call.ID, Method: http.MethodPost, Target: call.Path, Host: call.Host, Body: call.Body, Owed: true,
+		ID: call.ID, Method: http.MethodPost, Target: call.Path, Host: call.Host, Body: call.Body, Owed: true, Repeated: repeated,
 		Deadline: reward.Deadline(sent, job.SubmittedAt().Add(itemRoute.RunObjective), giveUp, route.Objective, route.Timeout),
 	})
 	d.rewards.Release(service, err != nil && ctx.Err() == nil && !forward.IsHeldBack(err))
--- a/versions/versions.go
+++ b/versions/versions.go
@@ -342,7 +342,7 @@
 		e.loadingModel, e.loadingVersion, e.orderedAt = o.Model, o.Version, time.Now()
 		b.RecordLoading(o.Model, loadTime)
 	case errors.Is(err, ErrAlreadyHeld):
-		b.RecordVersion(o.Model, o.Version)
+		e.acceptedKnown = false // the report tells the version; the answer to an order has no id that proves it is this one's
 	case errors.Is(err, ErrFenced):
 		s.opts.Duty.Invalidate(o.Fence)
 	default:
