forward: one account of the back ends that a request may reach (BUDGET)

Cause: after a failure the next send was allowed by the ended sends alone. A hedge that fails while the first back end still works opened a third send; the hedge itself counted correctly.

Change: attempts counts each send from its start, and for good unless it was refused. All ways to send ask it: first send, hedge, retry, round after refusals, wait for a rate limit.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -118,6 +118,9 @@
 // errNoBackend is the cause of a refusal if there was no back end to send the request to.
 var errNoBackend = errors.New("no back end of the service takes requests")
 
+// errAttemptsUsedUp is the cause of a refusal if the request may have reached as many back ends as its route allows.
+var errAttemptsUsedUp = errors.New("the attempts of the route are used up")
+
 // RateLimits permits requests to back ends that have stated a rate limit.
 type RateLimits interface {
 	// Acquire returns nil when a request may be sent to b. It waits for maxWait at most, and fails with
@@ -219,9 +222,8 @@
 	results       chan sendResult
 	tried         map[*backends.Backend]bool
 	sentTo        map[*backends.Backend]bool // unlike tried, over all rounds
-	inFlight      int
+	attempts      attempts
 	sends         int
-	possibleRuns  int // sends that may have run
 	verdict       quarantine.Verdict
 	failedRuns    int // sends answered with status 500
 	lastBackendID string
@@ -240,12 +242,12 @@
 	if e.verdict = e.f.check(e.request); e.verdict.BlockedFor > 0 {
 		return nil, refusalByQuarantine(e.request, e.verdict)
 	}
-	attempts := 1
+	e.attempts.limit = 1
 	hedgeDue := make(<-chan time.Time)
 	if e.route.Kind == routes.Idempotent && !e.verdict.IsConvicted {
-		attempts = max(1, e.route.Attempts)
+		e.attempts.limit = max(1, e.route.Attempts)
 	}
-	if attempts > 1 && !e.verdict.IsSuspect() {
+	if e.attempts.limit > 1 && !e.verdict.IsSuspect() {
 		hedgeDue = time.After(max(minHedgeDelay, time.Duration(hedgeObjectiveFraction*float64(e.route.Objective))))
 	}
 	ctx, cancel := context.WithCancel(e.ctx)
@@ -259,18 +261,22 @@
 	for {
 		select {
 		case result := <-e.results:
-			e.inFlight--
+			var notRun *NotRunError
+			if errors.As(result.err, &notRun) {
+				e.attempts.endRefused()
+			} else {
+				e.attempts.endPossiblyRun()
+			}
 			if result.err == nil && result.response.Status < http.StatusInternalServerError {
 				e.lastBackendID = result.backend.ID
 				e.f.recordAnswer(e.request)
 				return result.response, nil
 			}
-			var notRun *NotRunError
-			if errors.As(result.err, &notRun) {
-				if e.inFlight > 0 || e.sendAfterRefusal(ctx, notRun) {
+			if notRun != nil {
+				if e.attempts.inFlight > 0 || e.sendAfterRefusal(ctx, notRun) {
 					continue
 				}
-				if e.possibleRuns == 0 {
+				if e.attempts.possibleRuns == 0 {
 					refused := &RefusedError{RetryAfter: retryAfter, Err: notRun.Err}
 					if _, wait := e.f.firstPermitted(e.service); wait > 0 {
 						refused.RetryAfter = wait
@@ -278,7 +284,6 @@
 					return nil, refused
 				}
 			} else {
-				e.possibleRuns++
 				if result.response != nil && result.response.Status == http.StatusInternalServerError {
 					e.failedRuns++
 				}
@@ -286,20 +291,20 @@
 				if e.f.recordCrash(e.request, result.backend, result.err, &e.verdict) {
 					hedgeDue = nil
 				}
-				if e.verdict.IsSuspect() && e.inFlight > 0 {
+				if e.verdict.IsSuspect() && e.attempts.inFlight > 0 {
 					continue // the outcome of the other send tells whether the request is the cause
 				}
-				if e.possibleRuns < attempts && !e.verdict.IsConvicted && e.sendAgain(ctx) {
+				if !e.verdict.IsConvicted && e.sendAgain(ctx) {
 					continue
 				}
 			}
-			if e.inFlight > 0 {
+			if e.attempts.inFlight > 0 {
 				continue
 			}
 			return e.failureResponse(lastFailure)
 		case <-hedgeDue:
 			hedgeDue = nil
-			if e.inFlight+e.possibleRuns < attempts && e.send(ctx) {
+			if e.send(ctx) {
 				e.f.hedges.Inc()
 			}
 		case <-e.ctx.Done():
@@ -343,13 +348,13 @@
 // sendAgain sends the request to another back end after a failure. It waits for a rate limit only if no other send is in
 // flight.
 func (e *exchange) sendAgain(ctx context.Context) bool {
-	return e.send(ctx) || (e.inFlight == 0 && e.sendWhenPermitted(ctx) == nil)
+	return e.send(ctx) || (e.attempts.inFlight == 0 && e.sendWhenPermitted(ctx) == nil)
 }
 
 // send sends the request to the best back end that has not been tried and whose rate limit allows a request now. It
-// returns false if there is none. The outcome arrives on e.results.
+// returns false if there is none or the attempts are used up. The outcome arrives on e.results.
 func (e *exchange) send(ctx context.Context) bool {
-	if !e.f.mayRisk(e.service, e.verdict) {
+	if !e.attempts.allowOneMore() || !e.f.mayRisk(e.service, e.verdict) {
 		return false
 	}
 	for {
@@ -368,6 +373,9 @@
 // sendWhenPermitted waits for the back end whose rate limit is the first to allow a request, and sends the request to it.
 // It refuses the request at once if that would be too late.
 func (e *exchange) sendWhenPermitted(ctx context.Context) *RefusedError {
+	if !e.attempts.allowOneMore() {
+		return &RefusedError{RetryAfter: retryAfter, Err: errAttemptsUsedUp}
+	}
 	if !e.f.mayRisk(e.service, e.verdict) {
 		return &RefusedError{RetryAfter: retryAfter, Err: errLastBackend}
 	}
@@ -404,7 +412,7 @@
 // start sends the request to b. The outcome arrives on e.results.
 func (e *exchange) start(ctx context.Context, b *backends.Backend) {
 	e.sends++
-	e.inFlight++
+	e.attempts.begin()
 	request := e.request
 	if e.sentTo[b] {
 		repeated := *request
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -32,7 +32,7 @@
 // Unwrap returns the cause.
 func (e *TruncatedError) Unwrap() error { return e.Err }
 
-// Stream forwards a request and copies the response to w while it arrives. It tries another back end
+// Stream forwards a request and copies the response to w while it arrives. It has one attempt: it tries another back end
 // only if the previous one has not run the request. If the response is truncated, Stream aborts the
 // client's connection, so that the client cannot take the response for a complete one.
 func (f *Forwarder) Stream(ctx context.Context, route *routes.Route, r *Request, w http.ResponseWriter) error {
