--- a/job/driver.go
+++ b/job/driver.go
@@ -298,7 +298,7 @@
 		return
 	}
 	d.log.Info("job started", "job", s.ID, "items", len(job.items), "total", s.Total, "begun", len(job.checkpoints), "step", s.Step,
-		"model", s.Model, "min_version", s.MinVersion, "age", time.Since(s.SubmittedAt()))
+		"model", s.Model, "min_version", s.MinVersion, "age", time.Since(s.AcceptedAt()))
 	for i := range job.items {
 		job.longest = max(job.longest, d.durations.expectedRun(job.items[i].LengthEstimate))
 	}
--- a/job/index.go
+++ b/job/index.go
@@ -1,8 +1,10 @@
 package job
 
 import (
+	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
@@ -12,19 +14,30 @@
 
 // index is the replicated state of the index partition: the summaries of all jobs.
 type index struct {
-	log  *log.Logger
-	jobs map[ID]*Summary
+	log     *log.Logger
+	jobs    map[ID]*Summary
+	reads   map[ID]firstRead // kept over loads
+	loading bool
 }
 
-func newIndex(logger *log.Logger) *index { return &index{log: logger, jobs: map[ID]*Summary{}} }
+func newIndex(logger *log.Logger) *index {
+	return &index{log: logger, jobs: map[ID]*Summary{}, reads: map[ID]firstRead{}}
+}
 
 // Reset implements changelog.State.
-func (x *index) Reset() { x.jobs = map[ID]*Summary{} }
+func (x *index) Reset() { x.jobs, x.loading = map[ID]*Summary{}, true }
+
+// Loaded implements changelog.LoadObserver.
+func (x *index) Loaded() {
+	x.loading = false
+	maps.DeleteFunc(x.reads, func(id ID, _ firstRead) bool { return x.jobs[id] == nil })
+}
 
 // Apply implements changelog.State.
 func (x *index) Apply(r changelog.Record) {
 	if r.Value == nil {
 		delete(x.jobs, ID(r.Key))
+		delete(x.reads, ID(r.Key))
 		return
 	}
 	var s Summary
@@ -32,6 +45,10 @@
 		x.log.Error("index record not readable", "job", r.Key, "offset", r.Offset, "err", err)
 		return
 	}
+	if _, known := x.reads[ID(r.Key)]; !known {
+		x.reads[ID(r.Key)] = newFirstRead(time.Now(), time.UnixMilli(s.SubmittedMs), !x.loading)
+	}
+	s.read = x.reads[ID(r.Key)]
 	x.jobs[ID(r.Key)] = &s
 }
 
--- a/job/job.go
+++ b/job/job.go
@@ -10,7 +10,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/cicadasill/cicadasill/machine"
 )
@@ -83,11 +82,12 @@
 
 // Summary is the record of a job in the index.
 type Summary struct {
-	ID          ID          `cbor:"1,keyasint"`
-	Partition   int         `cbor:"2,keyasint"`
-	Host        string      `cbor:"3,keyasint"`
-	Path        string      `cbor:"4,keyasint"`
-	Total       int         `cbor:"5,keyasint"`
+	ID        ID     `cbor:"1,keyasint"`
+	Partition int    `cbor:"2,keyasint"`
+	Host      string `cbor:"3,keyasint"`
+	Path      string `cbor:"4,keyasint"`
+	Total     int    `cbor:"5,keyasint"`
+	// SubmittedMs is the wall-clock time of the acceptance at the accepting instance, in Unix milliseconds.
 	SubmittedMs int64       `cbor:"6,keyasint"`
 	Step        int64       `cbor:"7,keyasint"`
 	Model       string      `cbor:"8,keyasint"`
@@ -98,10 +98,9 @@
 	Ended bool `cbor:"12,keyasint"`
 	// Listed states that every item has a listed result.
 	Listed bool `cbor:"13,keyasint"`
-}
 
-// SubmittedAt returns the wall-clock time at which the job was accepted.
-func (s *Summary) SubmittedAt() time.Time { return time.UnixMilli(s.SubmittedMs) }
+	read firstRead
+}
 
 // Open reports whether the job may still have items to run.
 func (s *Summary) Open() bool { return !s.Ended && !s.Listed }
--- a/job/move.go
+++ b/job/move.go
@@ -139,7 +139,7 @@
 	if m.singleVersion && len(out.versions) > 0 {
 		req.exactVersion = out.versions[0]
 	}
-	req.order = queueOrder(m.submitted.UnixMilli(), remaining, m.itemIndex)
+	req.order = queueOrder(queueTime(m.submitted), remaining, m.itemIndex)
 	m.pending, m.move = &req, MovedError{EventInterval: interval, FastEventInterval: fastInterval, Remaining: remaining}
 	m.placer.enqueue(&req)
 }
--- a/job/move_test.go
+++ b/job/move_test.go
@@ -64,7 +64,7 @@
 	f := &moveFixture{
 		dir:    directoryOf(2, 1, 1),
 		engine: &fixedIntervalEngine{events: 40, eventInterval: map[string]time.Duration{"e0": slowInterval, "e1": fastInterval}},
-		job:    &activeJob{Summary: Summary{ID: "j", Host: "h", MinVersion: 1, SubmittedMs: time.Now().UnixMilli()}},
+		job:    &activeJob{Summary: Summary{ID: "j", Host: "h", MinVersion: 1, read: newFirstRead(time.Now(), time.Now(), true)}},
 	}
 	f.job.items = []Item{{ID: "i", Path: "/p/1", Model: "m", LengthEstimate: 3000}}
 	f.route("llm")
--- a/job/order.go
+++ b/job/order.go
@@ -106,7 +106,7 @@
 const positionBits = 12
 
 // queueOrder returns the sort key of an item in the queue; the lowest is served first. Its high bits are,
-// up to a constant, the wall-clock time at which the item must start to end in time. Items with equal
+// up to a constant, the time at which the item must start to end in time. Items with equal
 // times are served by their position in the job.
 func queueOrder(submittedMs int64, expected time.Duration, itemIndex int) int64 {
 	return (submittedMs-expected.Milliseconds())<<positionBits + int64(itemIndex)
--- a/job/registry.go
+++ b/job/registry.go
@@ -228,7 +228,7 @@
 	var latest *Summary
 	g.indexReplica.View(func() {
 		for _, s := range g.index.jobs {
-			if s.Host == spec.Host && s.Model == spec.Model && s.Step >= 0 && (latest == nil || s.SubmittedMs > latest.SubmittedMs) {
+			if s.Host == spec.Host && s.Model == spec.Model && s.Step >= 0 && (latest == nil || s.AcceptedAt().After(latest.AcceptedAt())) {
 				latest = s
 			}
 		}
@@ -276,11 +276,11 @@
 
 // StepSize returns the number of items in the newest step of a model, or 0 if there is none.
 func (g *Registry) StepSize(model string) int {
-	size, newest := 0, int64(0)
+	size, newest := 0, time.Time{}
 	g.indexReplica.View(func() {
 		for _, s := range g.index.jobs {
-			if s.Model == model && s.Step >= 0 && s.SubmittedMs > newest {
-				size, newest = s.Total, s.SubmittedMs
+			if s.Model == model && s.Step >= 0 && s.AcceptedAt().After(newest) {
+				size, newest = s.Total, s.AcceptedAt()
 			}
 		}
 	})
@@ -429,7 +429,7 @@
 	var expired []Summary
 	g.indexReplica.View(func() {
 		for _, s := range g.index.jobs {
-			if !s.Open() && now.Sub(s.SubmittedAt()) > g.opts.Retention+deletionDelay && g.shouldDelete(s) {
+			if !s.Open() && s.isOlderThan(g.opts.Retention+deletionDelay, now) && g.shouldDelete(s) {
 				expired = append(expired, *s)
 			}
 		}
--- a/job/run.go
+++ b/job/run.go
@@ -183,17 +183,18 @@
 		if !ok {
 			return Errored, ctx.Err() == nil
 		}
-		if age := time.Since(job.SubmittedAt()); route.GiveUpAfter > 0 && age > route.GiveUpAfter {
-			d.log.Info("item given up", "job", job.ID, "item", item.ID, "reason", "too old", "age", age, "attempts", attemptNumber-1)
+		if route.GiveUpAfter > 0 && job.isOlderThan(route.GiveUpAfter, time.Now()) {
+			d.log.Info("item given up", "job", job.ID, "item", item.ID, "reason", "too old", "age", time.Since(job.AcceptedAt()),
+				"known_for", time.Since(job.read.at), "attempts", attemptNumber-1)
 			return Errored, true
 		}
 		if !route.Resumable {
 			out.reset()
 		}
 		req := &engineRequest{
-			order: queueOrder(job.SubmittedMs, expected, itemIndex), service: service, model: item.Model,
+			order: queueOrder(queueTime(job.AcceptedAt()), expected, itemIndex), service: service, model: item.Model,
 			group: string(job.ID) + item.Group, minVersion: job.MinVersion, expected: expected, excluded: excluded,
-			idleConnUntil: job.SubmittedAt().Add(connWait(expected, job.longest)),
+			idleConnUntil: job.AcceptedAt().Add(connWait(expected, job.longest)),
 		}
 		waitStart := time.Now()
 		b := nextEngine
@@ -215,7 +216,7 @@
 		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion, repeated: failedAt[b]}
 		if route.Resumable && moves < maxMoves {
 			a.mover = &mover{
-				placer: d.placer, backend: b, request: *req, submitted: job.SubmittedAt(), itemIndex: itemIndex,
+				placer: d.placer, backend: b, request: *req, submitted: job.AcceptedAt(), itemIndex: itemIndex,
 				singleVersion: route.SingleVersion, longest: d.durations.longest,
 			}
 		}
--- a/job/score.go
+++ b/job/score.go
@@ -83,7 +83,7 @@
 		}
 		policy := reward.Policy{MinDelay: minRewardDelay, MaxDelay: maxRewardDelay}
 		if itemRoute.GiveUpAfter > 0 {
-			policy.GiveUp = job.SubmittedAt().Add(itemRoute.GiveUpAfter)
+			policy.GiveUp = job.read.at.Add(itemRoute.GiveUpAfter)
 		}
 		err := error(errNoRewardRoute)
 		calls++
@@ -138,7 +138,7 @@
 	service := route.ServiceFor(call.ID)
 	start := time.Now()
 	err := d.rewards.Acquire(ctx, service, func() reward.Waiting {
-		return reward.Waiting{StepStart: job.SubmittedAt(), GroupPending: job.pending.count(item.Group)}
+		return reward.Waiting{StepStart: job.AcceptedAt(), GroupPending: job.pending.count(item.Group)}
 	})
 	if err != nil {
 		return nil, err
@@ -151,7 +151,7 @@
 	d.metrics.rewardWait.Observe(sent.Sub(start).Seconds())
 	response, err := d.opts.Requests.Forward(ctx, route, &forward.Request{
 		ID: call.ID, Method: http.MethodPost, Target: call.Path, Host: call.Host, Body: call.Body, Owed: true, Repeated: repeated,
-		Deadline: reward.Deadline(sent, job.SubmittedAt().Add(itemRoute.RunObjective), giveUp, route.Objective, route.Timeout),
+		Deadline: reward.Deadline(sent, job.AcceptedAt().Add(itemRoute.RunObjective), giveUp, route.Objective, route.Timeout),
 	})
 	d.rewards.Release(service, err != nil && ctx.Err() == nil && !forward.IsHeldBack(err))
 	d.metrics.rewardCall.Observe(time.Since(sent).Seconds())
