--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -46,12 +46,12 @@
 	syncWaiters []chan error
 	syncing     bool // serveSyncs is running
 
-	commitMu sync.Mutex // serializes this instance's own commits
+	commitTurn chan struct{} // holds a value while one of this instance's commits runs
 }
 
 // NewReplica returns a Replica that has read no records yet.
 func NewReplica(log Log, p Partition, state State) *Replica {
-	return &Replica{log: log, partition: p, state: state, changed: make(chan struct{})}
+	return &Replica{log: log, partition: p, state: state, changed: make(chan struct{}), commitTurn: make(chan struct{}, 1)}
 }
 
 // View calls f while the state cannot change. f must not call methods of the Replica.
@@ -265,8 +265,12 @@
 // the state alone and return none if nothing is left to do. Commit returns the offset after its records, or 0
 // if build returned none. After an error other than *NotDoneError the records may still be appended later.
 func (r *Replica) Commit(ctx context.Context, build func() []Record) (int64, error) {
-	r.commitMu.Lock()
-	defer r.commitMu.Unlock()
+	select {
+	case r.commitTurn <- struct{}{}:
+		defer func() { <-r.commitTurn }()
+	case <-ctx.Done():
+		return 0, &NotDoneError{Call: "commit to " + r.partition.String(), Err: ctx.Err()}
+	}
 	outcomeUnknown := false
 	for {
 		end, err := r.tryCommit(ctx, build)
