--- a/job/registry.go
+++ b/job/registry.go
@@ -36,8 +36,10 @@
 	maxItemAppendBytes = 1 << 20
 	// maxPageBytes limits the size of the results in one page.
 	maxPageBytes = 900 << 10
-	// deletionDelay is how long a closed job is kept after its retention.
+	// deletionDelay is how long an ended job is kept after its retention.
 	deletionDelay = 15 * time.Second
+	// abandonedAfter is how long a job is kept that its client never ends.
+	abandonedAfter = 24 * time.Hour
 	// deletionInterval is the time between two deletions of expired jobs.
 	deletionInterval = 5 * time.Second
 )
@@ -423,13 +425,12 @@
 	}
 }
 
-// deleteExpired deletes the closed jobs whose retention has passed, as far as this instance is responsible
-// for them.
+// deleteExpired deletes the jobs that clients can no longer ask for, as far as this instance is responsible for them.
 func (g *Registry) deleteExpired(ctx context.Context, now time.Time) {
 	var expired []Summary
 	g.indexReplica.View(func() {
 		for _, s := range g.index.jobs {
-			if !s.Open() && s.isOlderThan(g.opts.Retention+deletionDelay, now) && g.shouldDelete(s) {
+			if g.isExpired(s, now) && g.shouldDelete(s) {
 				expired = append(expired, *s)
 			}
 		}
@@ -441,6 +442,15 @@
 	}
 }
 
+// isExpired reports whether clients can no longer ask for a job: its retention has passed and its client has ended it. A job
+// whose results are all listed is still the client's to read until then.
+func (g *Registry) isExpired(s *Summary, now time.Time) bool {
+	if s.Ended {
+		return s.isOlderThan(g.opts.Retention+deletionDelay, now)
+	}
+	return s.Listed && s.isOlderThan(g.opts.Retention+abandonedAfter, now)
+}
+
 // shouldDelete reports whether this instance is responsible for deleting a job: the job's driver is, or the
 // live instance of rank 0 if the driver is dead.
 func (g *Registry) shouldDelete(s *Summary) bool {
--- a/job/submit_test.go
+++ b/job/submit_test.go
@@ -136,6 +136,36 @@
 func (p fixedPeers) Dead(machine.Ref) bool { return p.dead }
 func (p fixedPeers) Rank(string) int       { return p.rank }
 
+// Guards against results that are deleted although the client has not ended its job and may come back for them.
+func TestJobThatNobodyHasEndedIsKept(t *testing.T) {
+	is := is.New(t)
+	g := testRegistry(newCountingLog())
+	g.opts.Peers = fixedPeers{dead: true}
+	g.opts.Retention = 2 * time.Minute
+	is.NoErr(g.Submit(t.Context(), &Spec{ID: "job-1", Host: "h", Step: -1, Items: []Item{{ID: "a"}}}))
+	s, _ := g.Summary("job-1")
+	is.NoErr(g.markListed(t.Context(), &s))
+	known := func() bool { _, ok := g.Summary("job-1"); return ok }
+	g.deleteExpired(t.Context(), time.Now().Add(time.Hour))
+	is.True(known())
+	is.NoErr(g.End(t.Context(), "job-1"))
+	g.deleteExpired(t.Context(), time.Now().Add(time.Hour))
+	is.True(!known())
+}
+
+// Guards against jobs that stay in the store for good because their clients never end them.
+func TestAbandonedJobIsDeleted(t *testing.T) {
+	is := is.New(t)
+	g := testRegistry(newCountingLog())
+	g.opts.Peers = fixedPeers{dead: true}
+	is.NoErr(g.Submit(t.Context(), &Spec{ID: "job-1", Host: "h", Step: -1, Items: []Item{{ID: "a"}}}))
+	s, _ := g.Summary("job-1")
+	is.NoErr(g.markListed(t.Context(), &s))
+	g.deleteExpired(t.Context(), time.Now().Add(abandonedAfter+time.Minute))
+	_, known := g.Summary("job-1")
+	is.True(!known)
+}
+
 // Guards against records that are never deleted because the job's driver is dead.
 func TestOldJobOfADeadDriverIsDeleted(t *testing.T) {
 	for name, tc := range map[string]struct {
