--- a/job/job.go
+++ b/job/job.go
@@ -54,7 +54,9 @@
 	Model      string
 	MinVersion int64
 	GroupCount int
-	Items      []Item
+	// ConfigVersion is the version of the configuration by which the job is accepted.
+	ConfigVersion int64
+	Items         []Item
 }
 
 // State is the outcome of an item.
@@ -98,6 +100,9 @@
 	Ended bool `cbor:"12,keyasint"`
 	// Listed states that every item has a listed result.
 	Listed bool `cbor:"13,keyasint"`
+	// ConfigVersion is the version of the configuration by which the job was accepted. An older one says nothing about the
+	// routes of its items.
+	ConfigVersion int64 `cbor:"14,keyasint,omitempty"`
 
 	read firstRead
 }
--- a/job/registry.go
+++ b/job/registry.go
@@ -170,7 +170,7 @@
 	summary := Summary{
 		ID: spec.ID, Partition: partitionNumber, Host: spec.Host, Path: spec.Path, Total: len(spec.Items),
 		SubmittedMs: time.Now().UnixMilli(), Step: spec.Step, Model: spec.Model,
-		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, Driver: g.driverFor(spec),
+		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, Driver: g.driverFor(spec), ConfigVersion: spec.ConfigVersion,
 	}
 	_, err = g.update(ctx, spec.ID, func(old *Summary) *Summary {
 		if old != nil {
--- a/job/run.go
+++ b/job/run.go
@@ -27,7 +27,7 @@
 	// retryDelay is the delay between two attempts of an item. It limits the rate of attempts of an item
 	// that fails at every engine.
 	retryDelay = 20 * time.Millisecond
-	// configPollInterval is the time between two checks for the first configuration.
+	// configPollInterval is the time between two checks for the configuration of a job.
 	configPollInterval = 50 * time.Millisecond
 )
 
@@ -301,23 +301,22 @@
 }
 
 // waitForRoute returns the route and the service of an item in the newest configuration. It waits while
-// this instance has no configuration, and returns false if the configuration has no route for the item
-// or ctx ends.
+// this instance has no configuration, or has no route for the item in one that is older than the job's. It returns
+// false if a newer one has no route for the item or ctx ends.
 func (d *Driver) waitForRoute(ctx context.Context, job *activeJob, item *Item) (*routes.Route, string, bool) {
 	for {
-		config := d.opts.Config()
-		if config == nil {
-			if !timing.Sleep(ctx, configPollInterval) {
+		if config := d.opts.Config(); config != nil {
+			if route, ok := config.Match(job.Host, item.Path); ok {
+				return route, route.ServiceFor(item.ID), true
+			}
+			if config.Version >= job.ConfigVersion {
+				d.log.Info("item given up", "job", job.ID, "item", item.ID, "reason", "no route", "config", config.Version)
 				return nil, "", false
 			}
-			continue
 		}
-		route, ok := config.Match(job.Host, item.Path)
-		if !ok {
-			d.log.Info("item given up", "job", job.ID, "item", item.ID, "reason", "no route", "config", config.Version)
+		if !timing.Sleep(ctx, configPollInterval) {
 			return nil, "", false
 		}
-		return route, route.ServiceFor(item.ID), true
 	}
 }
 
