--- a/job/place.go
+++ b/job/place.go
@@ -47,7 +47,7 @@
 	exactVersion int64
 	// expected is the item's expected duration at a typical engine.
 	expected time.Duration
-	// excluded is an engine that must not be chosen unless it is the only candidate: the one of the
+	// excluded is an engine that must not be chosen unless no other candidate has the item's version: the one of the
 	// last failed attempt, or the one that the item leaves.
 	excluded *backends.Backend
 	// idleConnUntil is the time until which the item accepts only an engine to which a connection is idle.
@@ -62,6 +62,11 @@
 	return r.excluded == nil && r.eventIntervalBelow == 0 && r.exactVersion == 0
 }
 
+// acceptsVersion reports whether an engine with the given version of the model's weights can run the item.
+func (r *engineRequest) acceptsVersion(version int64) bool {
+	return version >= r.minVersion && (r.exactVersion == 0 || version == r.exactVersion)
+}
+
 // placer assigns engines to waiting items in their queue order. It gives an engine no more items
 // at once than this instance's share of the engine's slots, which is at least one slot.
 type placer struct {
@@ -213,6 +218,9 @@
 	candidates, medianInterval, fastInterval := e.candidates, e.medianInterval, e.fastInterval
 	best, bestCost := -1, 0.0
 	now := time.Now()
+	hasOther := req.excluded != nil && slices.ContainsFunc(candidates, func(c backends.Candidate) bool {
+		return c.Backend != req.excluded && req.acceptsVersion(c.Versions[req.model])
+	})
 	for i, c := range candidates {
 		if now.Before(c.ThrottledUntil) {
 			continue
@@ -220,11 +228,10 @@
 		if c.RateLimited && req.eventIntervalBelow > 0 {
 			continue // a move would use up a request that a waiting item needs
 		}
-		version := c.Versions[req.model]
-		if c.Avoid || version < req.minVersion || (req.exactVersion != 0 && version != req.exactVersion) {
+		if c.Avoid || !req.acceptsVersion(c.Versions[req.model]) {
 			continue
 		}
-		if (c.Backend == req.excluded && len(candidates) > 1) || (needsIdleConn && c.InFlight >= c.OpenConns) {
+		if (c.Backend == req.excluded && hasOther) || (needsIdleConn && c.InFlight >= c.OpenConns) {
 			continue
 		}
 		if req.eventIntervalBelow > 0 && (c.EventInterval == 0 || c.EventInterval >= req.eventIntervalBelow) {
--- a/job/place_test.go
+++ b/job/place_test.go
@@ -301,3 +301,25 @@
 	p.dispatch()
 	is.Equal(<-waiting.placed, first)
 }
+
+// Guards against an item that waits for good, because the engine that failed it last is excluded beside one that can never run it.
+func TestOnlyUsableEnginesReplaceTheLastOne(t *testing.T) {
+	is := is.New(t)
+	dir := directoryOf(1, 4, 5)
+	dir.Put(backends.Entry{ID: "other", Service: "llm", Addr: "127.0.0.1:9", Zone: "a", Slots: 4, Versions: map[string]int64{}})
+	p := newPlacer(dir, "a", 1)
+	last, _ := dir.Backend("e0")
+	req := requestFor(1)
+	req.excluded = last
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	b, err := p.acquire(ctx, req)
+	is.NoErr(err)
+	is.Equal(b, last)
+	b.End()
+	other, _ := dir.Backend("other")
+	other.RecordVersion("m", 5) // now it can
+	b, err = p.acquire(ctx, req)
+	is.NoErr(err)
+	is.Equal(b, other)
+}
