--- a/changelog/changelog_test.go
+++ b/changelog/changelog_test.go
@@ -265,3 +265,26 @@
 		}
 	})
 }
+
+// silentLog is a Log that states a later end than it returns records for.
+type silentLog struct {
+	memoryLog
+	calls int
+}
+
+// Read implements Log.
+func (l *silentLog) Read(context.Context, Partition, int64, time.Duration) (Batch, error) {
+	l.calls++
+	return Batch{End: 5}, nil
+}
+
+// Guards against a replica that reads without a pause because the log returns no records although it states that there are more.
+func TestReadWithoutProgressFails(t *testing.T) {
+	is := is.New(t)
+	log := &silentLog{}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	err := NewReplica(log, testPartition, mapState{}).Sync(ctx)
+	is.True(errors.Is(err, errNoProgress))
+	is.Equal(log.calls, 1)
+}
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -152,6 +152,9 @@
 // ConstantWait returns a wait for Follow that is always d.
 func ConstantWait(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
+// errNoProgress reports a read without records before the end of the partition.
+var errNoProgress = errors.New("the log returned no records although there are more")
+
 // catchUp reads up to the end of the partition. Only the first read waits for records, up to wait.
 func (r *Replica) catchUp(ctx context.Context, wait time.Duration) error {
 	err := r.readToEnd(ctx, wait)
@@ -185,9 +188,13 @@
 			return err
 		}
 		wait = 0
-		if r.apply(batch.Records, start) >= batch.End {
+		next := r.apply(batch.Records, start)
+		if next >= batch.End {
 			return nil
 		}
+		if next <= from {
+			return errNoProgress
+		}
 	}
 }
 
