--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -118,6 +118,8 @@
 		return
 	}
 	if crash != nil {
+		// The clock of the instance that has seen the crash may be ahead of this one's.
+		crash.AtUnixMs = min(crash.AtUnixMs, time.Now().UnixMilli())
 		t.opts.Backends.RecordCrash(backend, startedUnixMs, time.UnixMilli(crash.AtUnixMs))
 	}
 	t.mu.Lock()
@@ -251,7 +253,7 @@
 		}
 	}
 	t.mu.Unlock()
-	t.shared.DeleteIf(func(key string, c Crash, _ time.Duration) bool {
-		return now.Sub(time.UnixMilli(c.AtUnixMs)) > maxHold+suspicionTime && t.opts.Rank(key) == 0
+	t.shared.DeleteIf(func(key string, _ Crash, age time.Duration) bool {
+		return age > maxHold+suspicionTime && t.opts.Rank(key) == 0
 	})
 }
