gateway: the caller of a paused cell gives up during the pause, not before it

Cause: the caller's 60 ms, half of the pause, began when the request was sent. Beside load a request takes longer than that to reach a late step, so that no fault is injected.

Change: the 60 ms begin when the pause does. As strict as before: the fault must be injected, and the caller still gives up in the middle of the pause.

--- a/gateway/matrix_test.go
+++ b/gateway/matrix_test.go
@@ -149,14 +149,12 @@
 		if at == step && !injected {
 			injected = true
 			f.inject(d, inst, b, c)
+			if f.name == "instance paused" { // the caller gives up during the pause
+				time.AfterFunc(pauseDuration/2, cancelCaller)
+			}
 		}
 	}
 	d.mu.Unlock()
-	if f.name == "instance paused" {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, pauseDuration/2)
-		defer cancel()
-	}
 	first := d.send(ctx, "a", kind, "1")
 	d.mu.Lock()
 	reached := injected
