hosted: failed calls log and count the connection they used

A call that waits on a silent connection and one whose server does not answer looked the same: nothing was logged.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -140,6 +140,7 @@
 	}
 	direct := hosted.NewStore(hosted.StoreOptions{
 		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS,
+		Logger: logger, Registerer: i.registry,
 	})
 	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout})
 	i.store = relay.New(relay.Options{
