--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -113,3 +113,15 @@
 
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Err }
+
+// SilentConnectionError is the cause of a failure on a connection that earlier calls had used: it has gone silent, which says
+// nothing about the log. The next call uses a new connection.
+type SilentConnectionError struct{ Err error }
+
+// Error implements error.
+func (e *SilentConnectionError) Error() string {
+	return fmt.Sprintf("connection has gone silent: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *SilentConnectionError) Unwrap() error { return e.Err }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -166,11 +166,13 @@
 	return l.callDirect(ctx, r)
 }
 
-// callDirect executes a call on the store and records whether the store completed it.
+// callDirect executes a call on the store and records whether the store completed it. A connection that has gone silent does
+// not count: the store may be reached on a new one.
 func (l *Log) callDirect(ctx context.Context, r *request) (response, error) {
 	start := time.Now()
 	resp, err := execute(ctx, l.opts.Direct, r)
-	if err == nil || isStoreResult(err) || ctx.Err() == nil {
+	var silent *changelog.SilentConnectionError
+	if err == nil || isStoreResult(err) || (ctx.Err() == nil && !errors.As(err, &silent)) {
 		l.recordDirect(err == nil || isStoreResult(err), start)
 	}
 	return resp, err
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -157,3 +157,18 @@
 	l.recordDirect(false, time.Now())
 	is.True(!l.directAvailable())
 }
+
+// Guards against an instance that sends its store calls through peers, because one of its own connections has gone silent.
+func TestSilentConnectionSuspendsNoDirectCalls(t *testing.T) {
+	is := is.New(t)
+	silent := &changelog.UnknownError{Call: "append", Err: &changelog.SilentConnectionError{Err: context.DeadlineExceeded}}
+	direct, peer := &fakeStore{err: silent}, &fakeStore{}
+	l := newLog(direct, peer, nil)
+	_, err := l.Append(context.Background(), partition, []changelog.Record{{Key: "k"}}, 6)
+	is.True(errors.As(err, new(*changelog.UnknownError)))
+	direct.err = nil
+	_, err = l.Append(context.Background(), partition, []changelog.Record{{Key: "k"}}, 6)
+	is.NoErr(err)
+	is.Equal(direct.calls, 2)
+	is.Equal(peer.calls, 0)
+}
