--- a/instance/instance.go
+++ b/instance/instance.go
@@ -171,6 +171,7 @@
 func (i *Instance) buildServers() {
 	s := i.settings
 	backendClient := hosted.NewBackends(s.Instance.ID, i.rateLimits, i.log)
+	backendClient.RegisterMetrics(i.registry)
 	limiter := ratelimit.New(ratelimit.Options{
 		Self: i.self, Caller: i.node, Instances: i.presence, Logger: i.log, Registerer: i.registry,
 	})
