--- a/changelog/map.go
+++ b/changelog/map.go
@@ -12,8 +12,6 @@
 
 // Limits of a Map.
 const (
-	// mapReadWait is how long a read waits for a change. Changes are rare, and a longer wait makes fewer calls.
-	mapReadWait = 20 * time.Second
 	// After a change, reads wait only shortReadWait for as long as changesFollowTime: changes often follow one
 	// another, and a read that begins while a change is written may miss it until the read ends.
 	shortReadWait     = 500 * time.Millisecond
@@ -33,8 +31,9 @@
 	// OnChange is called with each value that is read, and with nil for a key that has been deleted. It must not call
 	// methods of the Map.
 	OnChange func(key string, value *V)
-	// ReadPause returns the pause between reads.
-	ReadPause func() time.Duration
+	// ReadWait returns how long a read waits for a change, and ReadPause the pause between reads. A longer wait makes fewer
+	// calls, but a read whose connection has gone silent is noticed only after the wait and the time limit of a call.
+	ReadWait, ReadPause func() time.Duration
 }
 
 // Map is a map that the instances share through the store. Reads follow the store; updates are written in the background.
@@ -179,8 +178,8 @@
 // readWait returns how long the next read waits for a change.
 func (m *Map[V]) readWait() (wait time.Duration) {
 	m.replica.View(func() {
-		if wait = mapReadWait; time.Since(m.changedAt) < changesFollowTime {
-			wait = shortReadWait
+		if wait = m.opts.ReadWait(); time.Since(m.changedAt) < changesFollowTime {
+			wait = min(wait, shortReadWait)
 		}
 	})
 	return wait
--- a/changelog/map_test.go
+++ b/changelog/map_test.go
@@ -24,7 +24,8 @@
 func newObservedMap(log Log) *observedMap {
 	o := &observedMap{values: map[string]int{}}
 	o.Map = NewMap(MapOptions[int]{
-		Log: log, Topic: "numbers", Logger: telemetry.Discard(), ReadPause: func() time.Duration { return time.Millisecond },
+		Log: log, Topic: "numbers", Logger: telemetry.Discard(), ReadWait: ConstantWait(20 * time.Second),
+		ReadPause: func() time.Duration { return time.Millisecond },
 		OnChange: func(key string, value *int) {
 			o.mu.Lock()
 			defer o.mu.Unlock()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -157,10 +157,12 @@
 	i.presence = presence.New(self, i.store, logger)
 	i.rateLimits = ratelimit.NewReplica(ratelimit.ReplicaOptions{
 		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger,
+		ReadWait:  func() time.Duration { return presence.LongPollWait(i.presence.Count()) },
 		ReadPause: func() time.Duration { return presence.LongPollPause(minRateLimitReadPause, i.presence.Count()) },
 	})
 	i.quarantine = quarantine.New(quarantine.Options{
 		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger, Registerer: i.registry,
+		ReadWait:  func() time.Duration { return presence.LongPollWait(i.presence.Count()) },
 		ReadPause: func() time.Duration { return presence.LongPollPause(minCrashReadPause, i.presence.Count()) },
 	})
 	i.orders = duty.New(ordersDuty, i.self, i.store, i.presence, logger)
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -45,6 +45,13 @@
 	// longPollPausePerInstance limits the reads of a partition whose changes wake all instances to 1,700 a
 	// second in total, under a third of the smallest limit of a store for a deployment of this size.
 	longPollPausePerInstance = 600 * time.Microsecond
+	// minLongPollWait is how long a read of rare changes waits. Until the wait and the time limit of a call are over, a read
+	// whose connection has gone silent passes for one without changes, which has to be less than deployments allow an
+	// instance to be without the store.
+	minLongPollWait = 1500 * time.Millisecond
+	// longPollWaitPerInstance lengthens the wait with the number of instances, so that all instances together make at most
+	// some 300 such reads a second of a partition.
+	longPollWaitPerInstance = 3 * time.Millisecond
 	// appendTimeout bounds the append of a record.
 	appendTimeout = 2 * time.Second
 	// maxReadAge is the age of the last successful read up to which the copy counts as current if reads are
@@ -146,6 +153,11 @@
 	return max(minPause, time.Duration(instances)*longPollPausePerInstance)
 }
 
+// LongPollWait returns how long a read waits for rare changes.
+func LongPollWait(instances int) time.Duration {
+	return max(minLongPollWait, time.Duration(instances)*longPollWaitPerInstance)
+}
+
 // heartbeatInterval returns the time between an instance's records.
 func heartbeatInterval(instances int) time.Duration {
 	return max(minHeartbeatInterval, time.Duration(instances)*heartbeatIntervalPerInstance)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -50,8 +50,8 @@
 	Rank       func(key string) int
 	Logger     *log.Logger
 	Registerer prometheus.Registerer
-	// ReadPause returns the pause between reads.
-	ReadPause func() time.Duration
+	// ReadWait returns how long a read waits for a change, and ReadPause the pause between reads.
+	ReadWait, ReadPause func() time.Duration
 }
 
 // Table holds the crashes that any instance has seen. It is safe for concurrent use.
@@ -74,7 +74,7 @@
 			Help: "Requests refused because requests with the same fingerprint have crashed back ends."}),
 	}
 	t.shared = changelog.NewMap(changelog.MapOptions[Crash]{
-		Log: opts.Log, Topic: topic, Logger: opts.Logger, ReadPause: opts.ReadPause, OnChange: t.apply,
+		Log: opts.Log, Topic: topic, Logger: opts.Logger, ReadWait: opts.ReadWait, ReadPause: opts.ReadPause, OnChange: t.apply,
 	})
 	if opts.Registerer != nil {
 		opts.Registerer.MustRegister(t.blocked, prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_request_fingerprints",
--- a/ratelimit/replica.go
+++ b/ratelimit/replica.go
@@ -34,8 +34,8 @@
 	// Rank returns this instance's position among the live ones, in an order that depends on key.
 	Rank   func(key string) int
 	Logger *log.Logger
-	// ReadPause returns the pause between reads.
-	ReadPause func() time.Duration
+	// ReadWait returns how long a read waits for a change, and ReadPause the pause between reads.
+	ReadWait, ReadPause func() time.Duration
 }
 
 // Replica shares the stated limits of the back ends with the other instances through the store.
@@ -48,7 +48,7 @@
 func NewReplica(opts ReplicaOptions) *Replica {
 	r := &Replica{opts: opts}
 	r.limits = changelog.NewMap(changelog.MapOptions[record]{
-		Log: opts.Log, Topic: topic, Logger: opts.Logger, ReadPause: opts.ReadPause, OnChange: r.apply,
+		Log: opts.Log, Topic: topic, Logger: opts.Logger, ReadWait: opts.ReadWait, ReadPause: opts.ReadPause, OnChange: r.apply,
 	})
 	return r
 }
