--- a/forward/forward.go
+++ b/forward/forward.go
@@ -25,8 +25,8 @@
 	Method string
 	// Owed is set for reward calls, which are made later rather than not at all if back ends crash under them.
 	Owed bool
-	// Repeated is set if the same request has been sent to the same back end before. It then needs a connection of its own,
-	// because a late copy of the earlier answer bears its id too.
+	// Repeated is set if the request needs a connection of its own: if it has been sent to the same back end before, because a
+	// late copy of the earlier answer bears its id too, or if its last send met a silent connection.
 	Repeated bool
 	// Target is the path and query, exactly as the client sent them.
 	Target   string
@@ -75,6 +75,8 @@
 	RetryAfter time.Duration
 	// Crashed states that the back end broke the connection off and that its process has ended.
 	Crashed bool
+	// SilentConn states that a kept connection has gone silent, which says nothing about the back end.
+	SilentConn bool
 }
 
 // Error implements error.
@@ -225,7 +227,8 @@
 	attempts      attempts
 	sends         int
 	verdict       quarantine.Verdict
-	failedRuns    int // sends answered with status 500
+	failedRuns    int  // sends answered with status 500
+	sawSilentConn bool // further sends use new connections
 	lastBackendID string
 }
 
@@ -288,6 +291,10 @@
 					e.failedRuns++
 				}
 				lastFailure = result
+				if isSilentConn(result.err) {
+					e.sawSilentConn = true
+					delete(e.tried, result.backend) // a new connection may reach it
+				}
 				if e.f.recordCrash(e.request, result.backend, result.err, &e.verdict) {
 					hedgeDue = nil
 				}
@@ -417,7 +424,7 @@
 	e.sends++
 	e.attempts.begin()
 	request := e.request
-	if e.sentTo[b] {
+	if e.sentTo[b] || e.sawSilentConn {
 		repeated := *request
 		repeated.Repeated = true
 		request = &repeated
@@ -433,13 +440,19 @@
 			b.RecordSuccess()
 		case errors.As(err, &notRun):
 			recordRefusal(b, notRun)
-		case ctx.Err() == nil:
+		case ctx.Err() == nil && !isSilentConn(err):
 			b.RecordFailure()
 		}
 		e.results <- sendResult{backend: b, response: response, err: err}
 	}()
 }
 
+// isSilentConn reports whether a send failed because of a kept connection rather than the back end.
+func isSilentConn(err error) bool {
+	var unknown *UnknownError
+	return errors.As(err, &unknown) && unknown.SilentConn
+}
+
 // recordRefusal records that b has not run a request.
 func recordRefusal(b *backends.Backend, refusal *NotRunError) {
 	if refusal.Down {
--- a/job/engine.go
+++ b/job/engine.go
@@ -66,7 +66,11 @@
 func (e *FailedError) Error() string { return fmt.Sprintf("failed with status %d", e.Status) }
 
 // BrokenError reports a stream that ended before its last event or never started.
-type BrokenError struct{ Err error }
+type BrokenError struct {
+	Err error
+	// SilentConn states that a kept connection has gone silent, which says nothing about the engine.
+	SilentConn bool
+}
 
 // Error implements error.
 func (e *BrokenError) Error() string { return "stream broken: " + e.Err.Error() }
--- a/job/run.go
+++ b/job/run.go
@@ -356,9 +356,9 @@
 		b.RecordLoading(item.Model, backoff)
 	case errors.As(err, &broken):
 		if cause := context.Cause(ctx); cause != nil {
-			err = &BrokenError{Err: cause}
+			err = &BrokenError{Err: cause, SilentConn: broken.SilentConn}
 		}
-		if !b.Unavailable() {
+		if !broken.SilentConn && !b.Unavailable() {
 			b.RecordFailure()
 		}
 	}
