--- a/forward/forward.go
+++ b/forward/forward.go
@@ -449,8 +449,11 @@
 
 // isSilentConn reports whether a send failed because of a kept connection rather than the back end.
 func isSilentConn(err error) bool {
-	var unknown *UnknownError
-	return errors.As(err, &unknown) && unknown.SilentConn
+	var (
+		unknown   *UnknownError
+		truncated *TruncatedError
+	)
+	return (errors.As(err, &unknown) && unknown.SilentConn) || (errors.As(err, &truncated) && truncated.SilentConn)
 }
 
 // recordRefusal records that b has not run a request.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -24,6 +24,8 @@
 	Err error
 	// Crashed states that the back end broke the response off and that its process has ended.
 	Crashed bool
+	// SilentConn states that a kept connection has gone silent, which says nothing about the back end.
+	SilentConn bool
 }
 
 // Error implements error.
@@ -35,6 +37,7 @@
 // Stream forwards a request and copies the response to w while it arrives. It has one attempt: it tries another back end
 // only if the previous one has not run the request. If the response is truncated, Stream aborts the
 // client's connection, so that the client cannot take the response for a complete one.
+// The route's timeout bounds the time until the response begins; maxSilence bounds each pause after that.
 func (f *Forwarder) Stream(ctx context.Context, route *routes.Route, r *Request, w http.ResponseWriter) error {
 	start := time.Now()
 	if !r.Deadline.IsZero() {
@@ -42,6 +45,9 @@
 		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
 		defer cancel()
 	}
+	ctx, timer := newSilenceTimer(ctx, route.Timeout, maxSilence(route))
+	defer timer.stop()
+	w = &timedWriter{ResponseWriter: w, timer: timer}
 	client, ok := f.opts.Client.(StreamClient)
 	if !ok {
 		return &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
@@ -85,6 +91,15 @@
 			recordRefusal(b, notRun)
 			continue
 		}
+		var silent *SilenceError
+		if errors.As(context.Cause(ctx), &silent) {
+			if silent.Begun && !isSilentConn(err) {
+				b.RecordFailure()
+			}
+			if !errors.As(err, &truncated) {
+				err = &UnknownError{Err: silent}
+			}
+		}
 		f.recordCrash(r, b, err, &verdict)
 		if errors.As(err, &truncated) {
 			panic(http.ErrAbortHandler)
