--- a/instance/instance.go
+++ b/instance/instance.go
@@ -101,6 +101,7 @@
 	targets map[string]int64 // newest announced version of the weights by model
 
 	store         *relay.Log
+	directStore   *hosted.Store
 	node          *link.Node
 	operators     *changelog.Replica
 	entries       *changelog.Replica
@@ -138,13 +139,13 @@
 		ID: i.self.ID, Incarnation: i.self.Incarnation, PeerAddr: i.peerListener.Addr().String(),
 		Zone: zone.Zone{Region: s.Instance.Region, DataCentre: s.Instance.DataCentre},
 	}
-	direct := hosted.NewStore(hosted.StoreOptions{
+	i.directStore = hosted.NewStore(hosted.StoreOptions{
 		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS,
 		Logger: logger, Registerer: i.registry,
 	})
 	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout})
 	i.store = relay.New(relay.Options{
-		Direct: direct, Caller: i.node, Logger: logger, Registerer: i.registry,
+		Direct: i.directStore, Caller: i.node, Logger: logger, Registerer: i.registry,
 		Peers: func() []machine.Instance { return i.presence.Peers() },
 	})
 	i.node.Handle(relay.Method, i.store.Handle)
@@ -174,6 +175,7 @@
 	s := i.settings
 	backendClient := hosted.NewBackends(s.Instance.ID, i.rateLimits, i.log)
 	backendClient.RegisterMetrics(i.registry)
+	backendClient.ShareBuffers(i.directStore)
 	limiter := ratelimit.New(ratelimit.Options{
 		Self: i.self, Caller: i.node, Instances: i.presence, Logger: i.log, Registerer: i.registry,
 	})
