--- a/instance/instance.go
+++ b/instance/instance.go
@@ -84,6 +84,8 @@
 	peerDrainTimeout = 400 * time.Millisecond
 	// exitMargin is the time reserved at the end of the grace time for the exit of the process.
 	exitMargin = time.Second
+	// answerMargin is the time, before exitMargin begins, in which the requests that the stop ends get their answers.
+	answerMargin = 200 * time.Millisecond
 )
 
 // Instance is one entry instance. Listen must be called before Run. For a planned stop, call Stop and
@@ -96,6 +98,8 @@
 
 	config   atomic.Pointer[routes.Config]
 	draining atomic.Bool
+	// answersEnd is the time at which a stopping instance ends the requests that have no answer yet. It is set before draining.
+	answersEnd atomic.Pointer[time.Time]
 
 	mu      sync.Mutex       // guards targets
 	targets map[string]int64 // newest announced version of the weights by model
@@ -199,8 +203,12 @@
 		Targets: i.targetVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
 	ingress := &hosted.Ingress{
-		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, Logger: i.log, Forwarder: forwarder,
+		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
+		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
+			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
+		Logger: i.log, Forwarder: forwarder,
 	}
+	i.registry.MustRegister(ingress.StopRefusals)
 	i.server = &http.Server{
 		Handler: ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ErrorLog: i.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
@@ -389,6 +397,8 @@
 func (i *Instance) Stop(ctx context.Context) {
 	start := time.Now()
 	grace := seconds(i.settings.Stop.GraceS)
+	answersEnd := start.Add(grace - exitMargin - answerMargin)
+	i.answersEnd.Store(&answersEnd)
 	i.draining.Store(true)
 	i.driver.StopTakeovers()
 	ctx, cancel := context.WithDeadline(ctx, start.Add(grace-exitMargin))
