instance: a stop drops no request that arrives on an accepted connection

What callers saw: a connection closed without an answer, with the request read, 2.5 s after a planned stop began. Nothing was passed on, but such a request may not be repeated unless it can be.

Cause: http.Server.Shutdown returns from a connection without an answer if the head of a request is complete only after its start, and closes idle connections at once, though the instance works on for seconds.

Change: the stop closes the listener first, serves all open connections while requests are in flight or new connections have sent none (5 s at most, as before), and calls Shutdown after that. Answers bear Connection: close.

Before: 2 of 3 cases of TestStopAnswersOnAcceptedConnections and TestStopServesKeptConnectionsWhileItWorks failed with unexpected EOF. TestStopDoesNotWaitForIdleConnections held before.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -86,6 +86,8 @@
 	exitMargin = time.Second
 	// answerMargin is the time, before exitMargin begins, in which the requests that the stop ends get their answers.
 	answerMargin = 200 * time.Millisecond
+	// stopPollInterval is how often a stopping instance looks whether its jobs and requests have ended.
+	stopPollInterval = 20 * time.Millisecond
 )
 
 // Instance is one entry instance. Listen must be called before Run. For a planned stop, call Stop and
@@ -125,6 +127,7 @@
 	readyListener  net.Listener
 	peerListener   net.Listener
 	server         *http.Server
+	clientConns    *connTracker
 	readyServer    *http.Server
 }
 
@@ -213,10 +216,11 @@
 		Logger: i.log, Forwarder: forwarder,
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
+	i.clientConns = newConnTracker()
 	i.server = &http.Server{
 		Handler: ingress, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		BaseContext: func(net.Listener) context.Context { return i.requests },
-		ErrorLog:    i.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		BaseContext: func(net.Listener) context.Context { return i.requests }, ConnState: i.clientConns.observe,
+		ErrorLog: i.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	router := httprouter.New()
 	router.GET(hosted.ReadyPath, i.serveReady)
@@ -371,9 +375,9 @@
 	})
 }
 
-// serve runs an HTTP server until it is closed.
+// serve runs an HTTP server until it or its listener is closed.
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		i.log.Error("HTTP server failed", "addr", listener.Addr().String(), "err", err)
 	}
 }
@@ -413,13 +417,17 @@
 	i.presence.AnnounceDraining(ctx)
 	i.orders.Release(ctx)
 	for time.Since(start) < time.Duration(handoverFraction*float64(grace)) && i.driver.Active() > 0 {
-		if !timing.Sleep(ctx, 20*time.Millisecond) {
+		if !timing.Sleep(ctx, stopPollInterval) {
 			break
 		}
 	}
 	i.log.Info("jobs handed over", "left", i.driver.Active(), "after", time.Since(start))
 	i.presence.Leave(ctx)
 	timing.Sleep(ctx, time.Until(start.Add(balancerDelay)))
+	_ = i.clientListener.Close() // an error means that it is closed
+	// Shutdown drops requests that arrive after its start, so that it may start only when none is expected.
+	for timing.Sleep(ctx, stopPollInterval) && i.clientConns.isBusy() {
+	}
 	if err := i.server.Shutdown(ctx); err != nil {
 		i.log.Warn("planned stop interrupted requests", "err", err)
 	}
--- a/instance/stopanswer_test.go
+++ b/instance/stopanswer_test.go
@@ -283,3 +283,59 @@
 	is.Equal(len(c.desk.Runs()), 0)
 	<-ended
 }
+
+// Guards against dropping, without an answer, a request that arrives after the listener has closed, on a connection that was accepted
+// before.
+func TestStopAnswersOnAcceptedConnections(t *testing.T) {
+	request := request(http.MethodPost, "/once/1", "r-1", deadline(2400*time.Millisecond))
+	for name, first := range map[string]int{
+		"nothing sent": 0, "half of the head sent": 40, "all but the last byte sent": len(request) - 1,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c, m := newStopCluster(t)
+			m.settings.Stop.GraceS = 8
+			k := c.connect(m)
+			ended := stop(m)
+			time.Sleep(time.Second)
+			_, err := io.WriteString(k, request[:first])
+			is.NoErr(err)
+			time.Sleep(balancerDelay - time.Second + 200*time.Millisecond)
+			_, err = io.WriteString(k, request[first:])
+			is.NoErr(err)
+			r, err := k.read()
+			is.NoErr(err)
+			is.Equal(r.status, http.StatusOK)
+			is.Equal(r.header.Get("Connection"), "close")
+			<-ended
+		})
+	}
+}
+
+// Guards against closing idle connections, on which a client may be about to send a request, while the instance works on others anyway.
+func TestStopServesKeptConnectionsWhileItWorks(t *testing.T) {
+	is := is.New(t)
+	c, m := newStopCluster(t)
+	busy, kept := c.connectKept(m), c.connectKept(m)
+	_, err := io.WriteString(busy, request(http.MethodPost, "/long/1", "silent", nil))
+	is.NoErr(err)
+	c.waitUntil("the request runs", func() bool { return c.desk.Runs()[len(c.desk.Runs())-1].ID == "silent" })
+	ended := stop(m)
+	time.Sleep(balancerDelay + 200*time.Millisecond)
+	r, err := kept.call(http.MethodPost, "/once/1", "r-1", deadline(500*time.Millisecond))
+	is.NoErr(err)
+	is.Equal(r.status, http.StatusOK)
+	is.Equal(r.header.Get("Connection"), "close")
+	<-ended
+}
+
+// Guards against a stop that waits for connections on which nothing happens.
+func TestStopDoesNotWaitForIdleConnections(t *testing.T) {
+	is := is.New(t)
+	c, m := newStopCluster(t)
+	c.connectKept(m)
+	start := time.Now()
+	<-stop(m)
+	is.True(time.Since(start) < balancerDelay+500*time.Millisecond)
+}
