--- a/relay/relay.go
+++ b/relay/relay.go
@@ -142,9 +142,15 @@
 	tryDirect := l.allowDirect()
 	if tryDirect {
 		resp, err := l.callDirect(ctx, r)
-		if isFinal(r, err) || ctx.Err() != nil {
+		var silent *changelog.SilentConnectionError
+		if isFinal(r, err) || ctx.Err() != nil || (r.Wait > 0 && errors.As(err, &silent)) {
 			return resp, err
 		}
+		if r.Wait > 0 {
+			again := *r
+			again.Wait = 0 // it has passed
+			r = &again
+		}
 	}
 	lastErr := error(&changelog.NotDoneError{Call: r.Op, Err: errDirectCallFailed})
 	for _, peer := range l.selectPeers() {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -20,6 +20,7 @@
 type fakeStore struct {
 	err   error
 	calls int
+	waits []time.Duration
 }
 
 func (f *fakeStore) Append(context.Context, changelog.Partition, []changelog.Record, int64) (int64, error) {
@@ -27,8 +28,9 @@
 	return 7, f.err
 }
 
-func (f *fakeStore) Read(context.Context, changelog.Partition, int64, time.Duration) (changelog.Batch, error) {
+func (f *fakeStore) Read(_ context.Context, _ changelog.Partition, _ int64, wait time.Duration) (changelog.Batch, error) {
 	f.calls++
+	f.waits = append(f.waits, wait)
 	return changelog.Batch{End: 7, Records: []changelog.Record{{Offset: 6, Key: "k", Value: []byte("v")}}}, f.err
 }
 
@@ -172,3 +174,20 @@
 	is.Equal(direct.calls, 2)
 	is.Equal(peer.calls, 0)
 }
+
+// Guards against a read that waits for records twice, first directly and then through a peer, so that a silence lasts longer.
+func TestReadWaitsOnce(t *testing.T) {
+	is := is.New(t)
+	direct, peer := &fakeStore{err: context.DeadlineExceeded}, &fakeStore{}
+	l := newLog(direct, peer, nil)
+	_, err := l.Read(context.Background(), partition, 6, time.Second)
+	is.NoErr(err)
+	is.Equal(direct.waits, []time.Duration{time.Second})
+	is.Equal(peer.waits, []time.Duration{0})
+
+	direct, peer = &fakeStore{err: &changelog.SilentConnectionError{Err: context.DeadlineExceeded}}, &fakeStore{}
+	l = newLog(direct, peer, nil)
+	_, err = l.Read(context.Background(), partition, 6, time.Second)
+	is.True(errors.As(err, new(*changelog.SilentConnectionError))) // the caller repeats it directly
+	is.Equal(peer.calls, 0)
+}
