--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -57,7 +57,8 @@
 // *UnknownError if the records may have been appended or may still be.
 //
 // Read returns at once if records from the offset on are available and otherwise waits for them up to
-// wait. It fails with *TrimmedError if the record at the offset is no longer retained.
+// wait. It fails with *TrimmedError if the record at the offset is no longer retained. If it waits and the cause of its failure
+// is a *SilentConnectionError, a read without a wait is likely to succeed.
 //
 // Newest returns the newest records of the keys greater than after.
 type Log interface {
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -131,10 +131,16 @@
 }
 
 // Follow keeps the replica current until ctx ends. wait returns how long the next read waits for records, and pause
-// the pause after it. onRead is called with the outcome of each read, nil for a successful one.
+// the pause after it. After a failed read the next one does not wait, since the copy has grown old. onRead is called with the outcome of each read, nil for a successful one.
 func (r *Replica) Follow(ctx context.Context, wait, pause func() time.Duration, onRead func(error)) {
+	failed := false
 	for ctx.Err() == nil {
-		err := r.catchUp(ctx, wait())
+		readWait := time.Duration(0)
+		if !failed {
+			readWait = wait()
+		}
+		err := r.catchUp(ctx, readWait)
+		failed = err != nil
 		if ctx.Err() != nil {
 			return
 		}
@@ -184,6 +190,11 @@
 			}
 			continue
 		}
+		var silent *SilentConnectionError
+		if errors.As(err, &silent) && wait > 0 && ctx.Err() == nil {
+			wait = 0 // the copy is as old as the wait was long
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/job/fresh.go
+++ b/job/fresh.go
@@ -14,14 +14,14 @@
 // driver whose copy of the index is that old does not know that a client has ended its job, and would send
 // the job's items long after the end was acknowledged.
 //
-// A driver sends nothing while its copy may be older than maxIndexAge. It goes on while the store refuses its
+// A driver sends nothing while its copy may be older than MaxIndexAge. It goes on while the store refuses its
 // reads: the store's users cannot end a job then either, and the results are listed when it is back.
 
 const (
-	// maxIndexAge is the age of the index up to which an item or a reward call may be sent. It is longer than
-	// two reads that each wait for indexReadWait, and below the three seconds after which an ended job must not
+	// MaxIndexAge is the age of the index up to which an item or a reward call may be sent. It is longer than
+	// two reads that each wait for IndexReadWait, the second on a connection that has gone silent, and below the three seconds after which an ended job must not
 	// start an item.
-	maxIndexAge = 2500 * time.Millisecond
+	MaxIndexAge = 2500 * time.Millisecond
 	// freshnessPollInterval is the time between two checks of the index's age by an item that waits.
 	freshnessPollInterval = 50 * time.Millisecond
 )
@@ -29,7 +29,7 @@
 // maySend reports whether an item may be sent with an index of the given age, after a last read with the given
 // error.
 func maySend(age time.Duration, lastReadErr error) bool {
-	return age <= maxIndexAge || isRefusal(lastReadErr)
+	return age <= MaxIndexAge || isRefusal(lastReadErr)
 }
 
 // isRefusal reports whether err shows that the store refuses reads, as opposed to answering them late or
--- a/job/registry.go
+++ b/job/registry.go
@@ -28,8 +28,8 @@
 
 // Intervals and limits of the registry.
 const (
-	// indexReadWait is how long a read of the index waits for new records.
-	indexReadWait = time.Second
+	// IndexReadWait is how long a read of the index waits for new records.
+	IndexReadWait = 600 * time.Millisecond
 	// resultPollInterval is the maximum time between two reads of a data partition while a client waits for results.
 	resultPollInterval = 150 * time.Millisecond
 	// maxItemAppendBytes limits the size of the items in one call, below the store's limit.
@@ -113,7 +113,7 @@
 func (g *Registry) Run(ctx context.Context) {
 	g.tasks.Go(func() { g.runDeletion(ctx) })
 	g.tasks.Go(func() { g.flushCheckpoints(ctx) })
-	g.indexReplica.Follow(ctx, changelog.ConstantWait(indexReadWait), g.opts.IndexPause, g.opts.IndexRead)
+	g.indexReplica.Follow(ctx, changelog.ConstantWait(IndexReadWait), g.opts.IndexPause, g.opts.IndexRead)
 	time.AfterFunc(stopTimeout, g.cancelWrites)
 	g.tasks.Wait()
 }
