--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -47,6 +47,8 @@
 	*Instance
 	kill func()
 	addr string
+	// storeProxy carries the instance's connections to the store.
+	storeProxy *hostedtest.Proxy
 }
 
 // newCluster starts a cluster and waits until each instance is ready and knows all back ends.
@@ -84,16 +86,18 @@
 // startInstance runs an instance until the test ends or it is killed.
 func (c *cluster) startInstance(id string) *member {
 	c.t.Helper()
+	storeProxy := hostedtest.NewProxy(c.store.Addr())
+	c.t.Cleanup(storeProxy.Close)
 	s := &Settings{
 		Instance: InstanceSettings{ID: id, Region: "r", DataCentre: "a"},
 		Listen:   ListenSettings{Clients: "127.0.0.1:0", Ready: "127.0.0.1:0", Peers: "127.0.0.1:0"},
-		Store:    StoreSettings{Addr: c.store.Addr(), Partitions: 2, WritesPerS: 4000, ReadsPerS: 8000},
+		Store:    StoreSettings{Addr: storeProxy.Addr(), Partitions: 2, WritesPerS: 4000, ReadsPerS: 8000},
 		Jobs:     JobSettings{RetentionS: 120, SlotShare: 1},
 		Limits:   LimitSettings{MemoryMB: 1000},
 		Stop:     StopSettings{GraceS: 8},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{Instance: New(s, telemetry.Discard(), prometheus.NewRegistry())}
+	m := &member{Instance: New(s, telemetry.Discard(), prometheus.NewRegistry()), storeProxy: storeProxy}
 	if err := m.Listen(); err != nil {
 		c.t.Fatal(err)
 	}
--- /dev/null
+++ b/instance/silent_test.go
@@ -0,0 +1,209 @@
+package instance
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/platform/hosted/hostedtest"
+)
+
+// Time limits of clients.
+const (
+	// submissionLimit bounds the response to a submission or an end.
+	submissionLimit = 2500*time.Millisecond + schedulingDelay
+	// readLimit bounds the response to a read of results that may wait for resultsWait.
+	readLimit   = resultsWait + 1500*time.Millisecond
+	resultsWait = 100 * time.Millisecond
+	// endLimit is how long after an acknowledged end items may still be started.
+	endLimit = 3 * time.Second
+	// schedulingDelay allows for a busy machine.
+	schedulingDelay = 200 * time.Millisecond
+)
+
+// silence is a way in which connections to the store fall silent.
+type silence struct {
+	selected   func(int) bool
+	directions hostedtest.Directions
+	// newFor is how long new connections are silent too.
+	newFor time.Duration
+}
+
+// silences are the ways that the tests play.
+var silences = map[string]silence{
+	"all":                       {selected: hostedtest.EveryConn},
+	"all, to the store":         {selected: hostedtest.EveryConn, directions: hostedtest.ToServer},
+	"all, from the store":       {selected: hostedtest.EveryConn, directions: hostedtest.FromServer},
+	"every second":              {selected: func(n int) bool { return n%2 == 0 }},
+	"all, and new for a second": {selected: hostedtest.EveryConn, newFor: time.Second},
+}
+
+// begin silences the connections between all instances and the store.
+func (s silence) begin(c *cluster) {
+	for _, m := range c.members {
+		m.storeProxy.SilenceNew(s.newFor > 0)
+		m.storeProxy.Silence(s.selected, s.directions)
+		time.AfterFunc(s.newFor, func() { m.storeProxy.SilenceNew(false) })
+	}
+}
+
+// runSilences runs a test on a cluster for each silence.
+func runSilences(t *testing.T, test func(c *cluster, s silence)) {
+	for name, s := range silences {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			test(newCluster(t, 3, 2), s)
+		})
+	}
+}
+
+// eachMember calls f for all instances at the same time.
+func (c *cluster) eachMember(f func(n int, m *member)) {
+	var calls sync.WaitGroup
+	for n, m := range c.members {
+		calls.Go(func() { f(n, m) })
+	}
+	calls.Wait()
+}
+
+// timedCall sends a request and fails the test if its response takes longer than limit.
+func (c *cluster) timedCall(m *member, limit time.Duration, method, path, id, body string) reply {
+	c.t.Helper()
+	start := time.Now()
+	r := c.call(m, method, path, id, http.Header{"X-Wait-Ms": {fmt.Sprint(resultsWait.Milliseconds())}}, body)
+	if took := time.Since(start); took > limit || r.status == 0 {
+		c.t.Errorf("%s %s at %s: status %d after %v", method, path, m.self.ID, r.status, took)
+	}
+	return r
+}
+
+// runsOf returns the number of items of a job that back ends have run.
+func (c *cluster) runsOf(job string) int {
+	count := 0
+	for _, e := range c.engines {
+		for _, r := range e.Runs() {
+			if strings.HasPrefix(r.ID, job+"-") {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// namedJob returns a submission whose items carry the name of the job.
+func namedJob(id string, items int) string {
+	return strings.ReplaceAll(jobBody(items, 1), `"id":"item-`, `"id":"`+id+"-")
+}
+
+// Guards against submissions that run out of time or are answered with a promise that is not kept, and against accepted jobs
+// that can't be read, when connections to the store go silent.
+func TestSubmissionDuringSilence(t *testing.T) {
+	runSilences(t, func(c *cluster, s silence) {
+		s.begin(c)
+		statuses := make([]int, len(c.members))
+		c.eachMember(func(n int, m *member) {
+			id := fmt.Sprint("job", n)
+			statuses[n] = c.timedCall(m, submissionLimit, http.MethodPost, "/jobs/x", id, namedJob(id, 4)).status
+		})
+		c.t.Log("statuses", statuses)
+		for n, status := range statuses {
+			id := fmt.Sprint("job", n)
+			if s.newFor == 0 && status != http.StatusAccepted {
+				c.t.Errorf("submission of %s: status %d, though new connections work", id, status)
+			}
+			if status != http.StatusAccepted {
+				continue
+			}
+			c.eachMember(func(_ int, m *member) {
+				if r := c.timedCall(m, readLimit, http.MethodGet, "/api/lots/"+id, "", ""); r.status == http.StatusNotFound {
+					c.t.Errorf("%s: accepted, then not found at %s", id, m.self.ID)
+				}
+			})
+			for _, m := range c.members {
+				is.New(c.t).Equal(len(c.readAllResults(m, id, 4).Results), 4)
+			}
+		}
+		for n, status := range statuses {
+			if id := fmt.Sprint("job", n); status == http.StatusServiceUnavailable && c.runsOf(id) > 0 {
+				c.t.Errorf("%s: refused, then run", id)
+			}
+		}
+	})
+}
+
+// Guards against results that can't be read at an instance after its connections to the store have gone silent.
+func TestResultsAreReadDuringSilence(t *testing.T) {
+	runSilences(t, func(c *cluster, s silence) {
+		is := is.New(c.t)
+		is.Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", "job", nil, namedJob("job", 4)).status, http.StatusAccepted)
+		for _, m := range c.members {
+			c.readAllResults(m, "job", 4)
+		}
+		s.begin(c)
+		c.eachMember(func(_ int, m *member) {
+			for _, after := range []int{4, 0} { // the first one asks the store for more
+				r := c.timedCall(m, readLimit, http.MethodGet, fmt.Sprintf("/api/lots/job?after=%d", after), "", "")
+				if s.newFor == 0 && r.status != http.StatusOK {
+					c.t.Errorf("results after %d at %s: status %d, though new connections work", after, m.self.ID, r.status)
+				}
+			}
+		})
+	})
+}
+
+// Guards against an end that is not acknowledged in time, and items that are run after it, when connections to the store go
+// silent.
+func TestEndDuringSilence(t *testing.T) {
+	runSilences(t, func(c *cluster, s silence) {
+		is := is.New(c.t)
+		for _, e := range c.engines {
+			e.EventInterval = 400 * time.Millisecond
+		}
+		is.Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", "job", nil, namedJob("job", 200)).status, http.StatusAccepted)
+		c.waitUntil("items run", func() bool { return c.runsOf("job") > 0 })
+		s.begin(c)
+		status := c.timedCall(c.members[1], submissionLimit, http.MethodDelete, "/api/lots/job", "", "").status
+		if s.newFor == 0 {
+			is.Equal(status, http.StatusOK)
+		}
+		for status != http.StatusOK {
+			status = c.timedCall(c.members[1], submissionLimit, http.MethodDelete, "/api/lots/job", "", "").status
+		}
+		time.Sleep(endLimit)
+		before := c.runsOf("job")
+		time.Sleep(time.Second)
+		is.Equal(c.runsOf("job"), before) // no item starts after the end
+	})
+}
+
+// Guards against a job that no instance takes over, because connections to the store go silent as its driver is lost.
+func TestTakeoverDuringSilence(t *testing.T) {
+	runSilences(t, func(c *cluster, s silence) {
+		is := is.New(c.t)
+		for _, e := range c.engines {
+			e.EventInterval = 50 * time.Millisecond
+		}
+		is.Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", "job", nil, namedJob("job", 16)).status, http.StatusAccepted)
+		c.waitUntil("items run", func() bool { return c.runsOf("job") > 0 })
+		summary, ok := c.members[0].jobs.Summary("job")
+		is.True(ok)
+		s.begin(c)
+		start := time.Now()
+		for _, m := range c.members {
+			if m.self == summary.Driver {
+				m.kill()
+			}
+		}
+		for _, m := range c.members {
+			if m.self != summary.Driver {
+				c.checkComplete(c.readAllResults(m, "job", 16), 16, 4)
+			}
+		}
+		c.t.Log("job complete after", time.Since(start))
+	})
+}
--- a/job/registry.go
+++ b/job/registry.go
@@ -324,8 +324,9 @@
 	}
 }
 
-// storeTimeout bounds how much longer than requested a client's read waits for a store that does not answer.
-const storeTimeout = 800 * time.Millisecond
+// storeTimeout bounds how much longer than requested a client's read waits for a store that does not answer. It leaves time for
+// a call that has gone silent and its repeat, and is below the 1.5 s that clients allow.
+const storeTimeout = 1300 * time.Millisecond
 
 // latestSummary returns the summary of a job in this instance's copy of the index, or fallback and false if the
 // copy does not hold the job.
