--- a/instance/silent_test.go
+++ b/instance/silent_test.go
@@ -156,6 +156,31 @@
 	})
 }
 
+// Guards against a job that can't be read at an instance that reads its partition for the first time, on connections that have
+// gone silent.
+func TestFirstReadDuringSilence(t *testing.T) {
+	runSilences(t, func(c *cluster, s silence) {
+		is := is.New(c.t)
+		reader := c.members[1]
+		for n := range 6 {
+			id := fmt.Sprint("job", n)
+			is.Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", id, nil, namedJob(id, 2)).status, http.StatusAccepted)
+			c.readAllResults(c.members[0], id, 2)
+		}
+		s.begin(c)
+		var reads sync.WaitGroup
+		for n := range 6 {
+			reads.Go(func() {
+				r := c.timedCall(reader, readLimit, http.MethodGet, fmt.Sprintf("/api/lots/job%d?after=0", n), "", "")
+				if s.newFor == 0 && r.status != http.StatusOK {
+					c.t.Errorf("first read: status %d, though new connections work", r.status)
+				}
+			})
+		}
+		reads.Wait()
+	})
+}
+
 // Guards against an end that is not acknowledged in time, and items that are run after it, when connections to the store go
 // silent.
 func TestEndDuringSilence(t *testing.T) {
