job: an item goes on after a silence on a new connection (LOST)

Seen by callers: after all connections to two engines had gone silent, an item took 5.3 s: it waited for 2.5 s at one engine, and as long on a kept connection to the other one.

Cause: the connection pool gives up the kept connections to one address at a time.

Change: the attempt after one that met a silent connection uses a connection of its own.

Before: TestItemsOnSilentConnections, which allows 3.5 s, failed after 5.37 and 5.39 s; it takes 2.8 s now. Items that are cut between events resumed before too.

--- a/job/engine.go
+++ b/job/engine.go
@@ -14,8 +14,8 @@
 	// After is the id of the last event received in earlier attempts, after which the engine resumes; 0
 	// starts from the beginning.
 	After int64
-	// Repeated is set if this engine has answered an earlier attempt of the item. The attempt then needs a connection of its
-	// own, because a late copy of that answer bears the item's id too.
+	// Repeated is set if the attempt needs a connection of its own: if this engine has answered an earlier attempt of the item,
+	// because a late copy of that answer bears the item's id too, or if the attempt before met a silent connection.
 	Repeated bool
 }
 
--- a/job/run.go
+++ b/job/run.go
@@ -56,7 +56,7 @@
 	eventCount    int
 	// mover looks for a faster engine; nil if the item may not move.
 	mover *mover
-	// repeated states that the engine has failed this item before.
+	// repeated states that the engine has failed this item before, or that the attempt before met a silent connection.
 	repeated bool
 	// nextEngine is the engine at which the item resumes after *MovedError.
 	nextEngine *backends.Backend
@@ -173,6 +173,7 @@
 	expected := d.durations.expectedRun(item.LengthEstimate)
 	var excluded, nextEngine *backends.Backend
 	failedAt := map[*backends.Backend]bool{}
+	afterSilence := false // the last attempt met a silent connection
 	defer func() {
 		if nextEngine != nil {
 			nextEngine.End()
@@ -217,7 +218,7 @@
 		}
 		start := time.Now()
 		d.metrics.wait.Observe(start.Sub(waitStart).Seconds())
-		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion, repeated: failedAt[b]}
+		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion, repeated: failedAt[b] || afterSilence}
 		if route.Resumable && moves < maxMoves {
 			a.mover = &mover{
 				placer: d.placer, backend: b, request: *req, submitted: job.AcceptedAt(), itemIndex: itemIndex,
@@ -251,6 +252,8 @@
 		d.log.Info("item attempt ended", "job", job.ID, "item", item.ID, "attempt", attemptNumber, "backend", b.ID,
 			"events", out.lastEvent, "waited", start.Sub(waitStart), "ran", time.Since(start), "err", err)
 		excluded = b
+		var broken *BrokenError
+		afterSilence = errors.As(err, &broken) && broken.SilentConn
 		var failed *FailedError
 		if errors.As(err, &failed) {
 			failures++
