--- a/instance/silentengines_test.go
+++ b/instance/silentengines_test.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +102,45 @@
 		})
 	}
 }
+
+// Guards against orders that are sent twice or not at all because connections to the engines have gone silent.
+func TestOrdersOnSilentConnections(t *testing.T) {
+	for name, directions := range map[string]hostedtest.Directions{
+		"both": hostedtest.BothDirections, "to the engines": hostedtest.ToServer, "from the engines": hostedtest.FromServer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 2, 4)
+			proxies := c.proxied(c.engines...)
+			for version := int64(2); version <= 4; version++ {
+				for _, p := range proxies {
+					p.Silence(hostedtest.EveryConn, directions)
+				}
+				start := time.Now()
+				c.store.Put("keyed.op", "version/m", fmt.Appendf(nil, `{"model":"m","version":%d}`, version))
+				c.waitUntil("engines take the version", func() bool {
+					n := 0
+					for i, e := range c.engines {
+						c.store.Put("keyed.servers", e.ID, e.EntryAt("ready", proxies[i].Addr()))
+						if e.Version() == version {
+							n++
+						}
+					}
+					return n >= 2 // the plan loads as many as the next step needs
+				})
+				t.Log("version", version, "after", time.Since(start))
+			}
+			for _, e := range c.engines {
+				orders := e.Orders()
+				t.Log(orders)
+				versions := map[string]bool{}
+				for _, order := range orders {
+					version := order[strings.LastIndex(order, "/"):]
+					is.True(!versions[version]) // ordered once
+					versions[version] = true
+				}
+			}
+		})
+	}
+}
