--- a/job/run.go
+++ b/job/run.go
@@ -53,6 +53,7 @@
 	singleVersion bool
 	silenceTimer  *time.Timer
 	lastEventAt   time.Time
+	lastSeen      int64 // id of the attempt's last event
 	eventCount    int
 	// mover looks for a faster engine; nil if the item may not move.
 	mover *mover
@@ -72,6 +73,9 @@
 // errTextTooLarge ends an attempt whose output exceeds a record of the store, so that it could not be listed.
 var errTextTooLarge = errors.New("the output exceeds a record of the store")
 
+// errRepeatedEvent ends an attempt whose event ids do not increase.
+var errRepeatedEvent = errors.New("the event repeats an earlier one of the same stream")
+
 // Started implements Receiver.
 func (a *itemAttempt) Started(version int64) error {
 	if version == 0 {
@@ -86,6 +90,10 @@
 
 // Event implements Receiver.
 func (a *itemAttempt) Event(e Event) error {
+	if e.ID <= a.lastSeen {
+		return &BrokenError{Err: errRepeatedEvent}
+	}
+	a.lastSeen = e.ID
 	now := time.Now()
 	if !a.lastEventAt.IsZero() {
 		a.backend.RecordEventInterval(now.Sub(a.lastEventAt))
