--- a/job/engine.go
+++ b/job/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/cicadasill/cicadasill/backends"
@@ -78,6 +79,10 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
+// ErrNoMemory ends an attempt because the texts of all running items occupy the memory set aside for them. The item's own text
+// is dropped.
+var ErrNoMemory = errors.New("no memory left for the texts of items")
+
 // OldVersionError reports an engine whose weight version is older than the item's minimum.
 type OldVersionError struct{ Version, MinVersion int64 }
 
--- a/job/run.go
+++ b/job/run.go
@@ -271,7 +271,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, errMixedVersions), errors.Is(err, errTextTooLarge):
+		case errors.Is(err, errMixedVersions), errors.Is(err, errTextTooLarge), errors.Is(err, ErrNoMemory):
 			out.reset()
 		case moved != nil:
 			moves++
