--- a/job/endless_test.go
+++ b/job/endless_test.go
@@ -1,8 +1,10 @@
 package job
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -26,3 +28,25 @@
 	is.True(errors.As(a.Event(Event{ID: 3}), &broken))
 	is.True(errors.As(a.Event(Event{ID: 1}), &broken))
 }
+
+// Guards against an engine that sends an event now and then without end and keeps its slot and its item for good.
+func TestStreamWithoutEndIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newMoveFixture()
+		f.engine.events = 1 << 20
+		f.engine.eventInterval["e0"] = eventTimeout - time.Millisecond
+		config := *f.config.Load()
+		config.Routes[0].GiveUpAfter = time.Minute
+		f.config.Store(&config)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Minute)
+		defer synctest.Wait()
+		defer cancel()
+		go f.driver.placer.run(ctx)
+		start := time.Now()
+		state, done := f.driver.generate(ctx, f.job, 0, &partialOutput{})
+		is.True(done)
+		is.Equal(state, Errored)
+		is.True(time.Since(start) < time.Minute+eventTimeout)
+	})
+}
--- a/job/run.go
+++ b/job/run.go
@@ -342,6 +342,10 @@
 		out.checkpointedAt = time.Now()
 	}
 	a.silenceTimer = timer
+	if route.GiveUpAfter > 0 {
+		limit := time.AfterFunc(time.Until(job.read.at.Add(route.GiveUpAfter)), func() { cancel(errTooOld) })
+		defer limit.Stop()
+	}
 	if a.mover != nil {
 		defer a.mover.cancel()
 	}
@@ -376,5 +380,8 @@
 	return err
 }
 
+// errTooOld ends an attempt of an item that may be given up.
+var errTooOld = errors.New("the item may be given up")
+
 // errSilent ends an attempt at an engine that has sent no event within its timeout.
 var errSilent = errors.New("the engine sent nothing for too long")
