--- a/forward/forward.go
+++ b/forward/forward.go
@@ -26,7 +26,7 @@
 	// Owed is set for reward calls, which are made later rather than not at all if back ends crash under them.
 	Owed bool
 	// Repeated is set if the request needs a connection of its own: if it has been sent to the same back end before, because a
-	// late copy of the earlier answer bears its id too, or if its last send met a silent connection.
+	// late copy of the earlier answer bears its id too, or if the kept connections may have gone silent.
 	Repeated bool
 	// Target is the path and query, exactly as the client sent them.
 	Target   string
@@ -55,6 +55,12 @@
 	Do(ctx context.Context, b *backends.Backend, r *Request) (*Response, error)
 }
 
+// ConnChecker is a Client that knows which of its kept connections carry responses.
+type ConnChecker interface {
+	// HasStaleConns reports whether kept connections to b exist, and nothing has arrived on any of them since the given time.
+	HasStaleConns(b *backends.Backend, since time.Time) bool
+}
+
 // NotRunError reports that a back end has not run a request and never will.
 type NotRunError struct {
 	Err error
@@ -229,6 +235,8 @@
 	verdict       quarantine.Verdict
 	failedRuns    int  // sends answered with status 500
 	sawSilentConn bool // further sends use new connections
+	first         *backends.Backend
+	firstSentAt   time.Time
 	lastBackendID string
 }
 
@@ -421,10 +429,12 @@
 
 // start sends the request to b. The outcome arrives on e.results.
 func (e *exchange) start(ctx context.Context, b *backends.Backend) {
-	e.sends++
+	if e.sends++; e.sends == 1 {
+		e.first, e.firstSentAt = b, time.Now()
+	}
 	e.attempts.begin()
 	request := e.request
-	if e.sentTo[b] || e.sawSilentConn {
+	if e.sentTo[b] || e.sawSilentConn || e.mayHaveLostConns(b) {
 		repeated := *request
 		repeated.Repeated = true
 		request = &repeated
@@ -447,6 +457,13 @@
 	}()
 }
 
+// mayHaveLostConns reports whether neither the first back end nor b has been heard from since the first send: whatever made the
+// kept connections to the one go silent may have affected those to the other.
+func (e *exchange) mayHaveLostConns(b *backends.Backend) bool {
+	checker, ok := e.f.opts.Client.(ConnChecker)
+	return ok && b != e.first && checker.HasStaleConns(e.first, e.firstSentAt) && checker.HasStaleConns(b, e.firstSentAt)
+}
+
 // isSilentConn reports whether a send failed because of a kept connection rather than the back end.
 func isSilentConn(err error) bool {
 	var (
