job: an ended job is not held against the engines of its items

Seen by callers: when a trainer ended a step, each engine that still ran an item of it took no item of any other job for 0.3 s, and for up to 4 s after several ends without a success between them.

Cause: runAttempt recorded a failure of the engine for each broken attempt, also if the driver had ended it. The placer leaves engines with a recent failure out.

Change: attempts that end with their job are no failures.

Before: TestEndedJobIsNotHeldAgainstItsEngine failed.

--- a/job/run.go
+++ b/job/run.go
@@ -332,9 +332,9 @@
 }
 
 // runAttempt runs an item at one engine and updates the engine's health by the outcome.
-func (d *Driver) runAttempt(ctx context.Context, job *activeJob, item *Item, route *routes.Route, a *itemAttempt) error {
+func (d *Driver) runAttempt(jobCtx context.Context, job *activeJob, item *Item, route *routes.Route, a *itemAttempt) error {
 	b, out := a.backend, a.output
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(jobCtx)
 	defer cancel(nil)
 	timer := time.AfterFunc(firstEventTimeout, func() { cancel(errSilent) })
 	defer timer.Stop()
@@ -373,7 +373,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = &BrokenError{Err: cause, SilentConn: broken.SilentConn}
 		}
-		if !broken.SilentConn && !b.Unavailable() {
+		if jobCtx.Err() == nil && !broken.SilentConn && !b.Unavailable() {
 			b.RecordFailure()
 		}
 	}
