presence: a heartbeat on a silent connection is repeated in time (LOST)

What callers saw: after connections to the store had gone silent, live instances counted as dead for a moment, which hands their jobs to other instances.

Cause: a heartbeat that got no response was not repeated. The next one followed 0.9 s and an interval of 0.4 s later, up to 1.7 s after the last one; an instance counts as dead after 1.5 s in a small deployment.

Change: the first attempt has 0.7 s, or four times what the last append took, and is repeated at once if its outcome is unknown. The repeat is the same record, which counts once.

Before: TestSilentHeartbeatIsRepeatedInTime failed 3 of 3 times, and TestNoInstanceIsDeadDuringSilence in one of four ways to silence connections.

--- a/instance/silent_test.go
+++ b/instance/silent_test.go
@@ -232,3 +232,30 @@
 		c.t.Log("job complete after", time.Since(start))
 	})
 }
+
+// Guards against live instances that pass for dead, so that their jobs are taken over, because a heartbeat went silent.
+func TestNoInstanceIsDeadDuringSilence(t *testing.T) {
+	const (
+		rounds = 3
+		settle = 2500 * time.Millisecond
+	)
+	runSilences(t, func(c *cluster, s silence) {
+		if s.newFor > 0 {
+			return // the store can't be reached for longer than a heartbeat may be late
+		}
+		dead := map[string]bool{}
+		for range rounds {
+			s.begin(c)
+			for start := time.Now(); time.Since(start) < settle; time.Sleep(5 * time.Millisecond) {
+				for _, m := range c.members {
+					for _, other := range c.members {
+						if m != other && m.presence.Dead(other.self) {
+							dead[fmt.Sprintf("%s at %s", other.self.ID, m.self.ID)] = true
+						}
+					}
+				}
+			}
+		}
+		is.New(c.t).Equal(dead, map[string]bool{})
+	})
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -52,8 +53,12 @@
 	// longPollWaitPerInstance lengthens the wait with the number of instances, so that all instances together make at most
 	// some 300 such reads a second of a partition.
 	longPollWaitPerInstance = 3 * time.Millisecond
-	// appendTimeout bounds the append of a record.
-	appendTimeout = 2 * time.Second
+	// appendTimeout bounds the append of a record with its repeat. The first attempt has firstAppendTimeout, or
+	// slowAppendFactor times as long as the last append took: if its connection has gone silent, the repeat has to be read
+	// before the instance counts as dead.
+	appendTimeout      = 2 * time.Second
+	firstAppendTimeout = 700 * time.Millisecond
+	slowAppendFactor   = 4
 	// maxReadAge is the age of the last successful read up to which the copy counts as current if reads are
 	// minReadPause apart. A longer pause between reads extends it.
 	maxReadAge = 900 * time.Millisecond
@@ -183,11 +188,7 @@
 		return interval
 	}
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	partition := changelog.Partition{Topic: topic}
-	records := []changelog.Record{{Key: t.self.ID, Value: data}}
-	if _, err := t.store.Append(ctx, partition, records, changelog.Unconditional); err != nil {
+	if err := t.append(ctx, data); err != nil {
 		t.log.Debug("cannot write heartbeat", "err", err)
 		return interval
 	}
@@ -197,6 +198,28 @@
 	return interval
 }
 
+// append appends a record of this instance, and again if the outcome is unknown: the same record twice counts once.
+func (t *Table) append(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	attempt := func(ctx context.Context) error {
+		records := []changelog.Record{{Key: t.self.ID, Value: data}}
+		_, err := t.store.Append(ctx, changelog.Partition{Topic: topic}, records, changelog.Unconditional)
+		return err
+	}
+	t.mu.Lock()
+	firstTimeout := max(firstAppendTimeout, slowAppendFactor*t.appendDuration)
+	t.mu.Unlock()
+	firstCtx, cancelFirst := context.WithTimeout(ctx, firstTimeout)
+	defer cancelFirst()
+	err := attempt(firstCtx)
+	var unknown *changelog.UnknownError
+	if errors.As(err, &unknown) && ctx.Err() == nil {
+		err = attempt(ctx)
+	}
+	return err
+}
+
 // AnnounceDraining announces that this instance takes no new work.
 func (t *Table) AnnounceDraining(ctx context.Context) {
 	t.mu.Lock()
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -19,7 +19,12 @@
 
 // startTable runs a table and returns it with a function that stops it and waits for its end.
 func startTable(t *testing.T, store *hostedtest.Store, id, dataCentre string, incarnation uint64) (*Table, context.CancelFunc) {
-	client := hosted.NewStore(hosted.StoreOptions{Addr: store.Addr(), WritesPerS: 1000, ReadsPerS: 1000})
+	return startTableAt(t, store.Addr(), id, dataCentre, incarnation)
+}
+
+// startTableAt is startTable with the address of the store.
+func startTableAt(t *testing.T, addr, id, dataCentre string, incarnation uint64) (*Table, context.CancelFunc) {
+	client := hosted.NewStore(hosted.StoreOptions{Addr: addr, WritesPerS: 1000, ReadsPerS: 1000})
 	self := machine.Instance{
 		ID: id, Incarnation: incarnation, PeerAddr: id + ":1", Zone: zone.Zone{Region: "r", DataCentre: dataCentre},
 	}
@@ -160,3 +165,33 @@
 	b.Leave(context.Background())
 	eventually(t, "b has left", func() bool { return a.Ended(b.self) })
 }
+
+// Guards against a live instance that counts as dead, because one of its heartbeats went out on a silent connection.
+func TestSilentHeartbeatIsRepeatedInTime(t *testing.T) {
+	const rounds = 4
+	store := hostedtest.NewStore()
+	t.Cleanup(store.Close)
+	proxy := hostedtest.NewProxy(store.Addr())
+	t.Cleanup(proxy.Close)
+	a, _ := startTable(t, store, "a", "x", 1)
+	b, _ := startTableAt(t, proxy.Addr(), "b", "x", 1)
+	ref := machine.Ref{ID: "b", Incarnation: 1}
+	eventually(t, "b is seen", func() bool { return a.AvailableInDataCentre(ref) })
+	lastHeartbeat := func() time.Time {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.heartbeatAt
+	}
+	for range rounds {
+		before := lastHeartbeat()
+		eventually(t, "b has written a heartbeat", func() bool { return lastHeartbeat() != before })
+		proxy.Silence(hostedtest.EveryConn, hostedtest.BothDirections)
+		before = lastHeartbeat()
+		eventually(t, "b writes the next heartbeat", func() bool {
+			if a.Dead(ref) {
+				t.Fatal("b counts as dead")
+			}
+			return lastHeartbeat() != before
+		})
+	}
+}
