--- a/instance/silent_test.go
+++ b/instance/silent_test.go
@@ -259,3 +259,44 @@
 		is.New(c.t).Equal(dead, map[string]bool{})
 	})
 }
+
+// Guards against reads that are answered after the client has gone, or with a wrong status, because each step of a read waits
+// for a silent store.
+func TestReadsAreAnsweredWithoutStore(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 2, 1)
+	is.Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", "job", nil, namedJob("job", 2)).status, http.StatusAccepted)
+	c.readAllResults(c.members[1], "job", 2)
+	silence{selected: hostedtest.EveryConn, newFor: waitLimit}.begin(c)
+	c.eachMember(func(_ int, m *member) {
+		var reads sync.WaitGroup
+		for _, path := range []string{"/api/lots/unknown", "/api/lots/job?after=2", "/api/items/unknown?id=i", "/api/items/job?id=unknown"} {
+			reads.Go(func() {
+				if r := c.timedCall(m, readLimit, http.MethodGet, path, "", ""); r.status != http.StatusServiceUnavailable && r.status != http.StatusOK {
+					c.t.Errorf("%s at %s: status %d without the store", path, m.self.ID, r.status)
+				}
+			})
+		}
+		reads.Wait()
+	})
+}
+
+// Guards against bodies of items that can't be read at an instance after its connections to the store have gone silent.
+func TestBodiesAreReadDuringSilence(t *testing.T) {
+	runSilences(t, func(c *cluster, s silence) {
+		for _, e := range c.engines {
+			e.EventInterval = time.Second
+		}
+		is.New(c.t).Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", "job", nil, namedJob("job", 4)).status, http.StatusAccepted)
+		s.begin(c)
+		c.eachMember(func(_ int, m *member) {
+			r := c.timedCall(m, readLimit, http.MethodGet, "/api/items/job?id=job-3", "", "")
+			if s.newFor == 0 && r.status != http.StatusOK {
+				c.t.Errorf("body at %s: status %d, though new connections work", m.self.ID, r.status)
+			}
+			if r.status == http.StatusOK && string(r.body) != "body of 3" {
+				c.t.Errorf("body at %s: %q", m.self.ID, r.body)
+			}
+		})
+	})
+}
--- a/job/registry.go
+++ b/job/registry.go
@@ -292,14 +292,14 @@
 // Results returns results from position after on. If there are none yet, it waits for them, for wait at
 // most.
 func (g *Registry) Results(ctx context.Context, id ID, after int, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	deadline := time.Now().Add(wait)
 	s, err := g.find(ctx, id)
 	if err != nil {
 		return Page{}, err
 	}
 	p := g.partitions[s.Partition]
-	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
-	defer cancel()
-	deadline := time.Now().Add(wait)
 	for {
 		syncErr := p.Sync(ctx)
 		changed := p.Changed()
@@ -359,6 +359,8 @@
 
 // Body returns the body of an item of an open job.
 func (g *Registry) Body(ctx context.Context, id ID, item string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	s, err := g.find(ctx, id)
 	if err != nil {
 		return nil, err
