--- a/soak/checks.go
+++ b/soak/checks.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -40,6 +42,8 @@
 	onceStatus map[string]int // status by request id
 	violations []string
 	counts     map[string]int
+	// mustAnswer states that no fault excuses a request without an answer.
+	mustAnswer bool
 }
 
 func newObservations() *observations {
@@ -58,7 +62,8 @@
 	o.counts[event]++
 }
 
-// client sends requests to the instances. It keeps its connections open until the other process ends.
+// client sends requests to the instances. It keeps its connections open until the other process ends, unless each request
+// must be answered: a kept connection may close as a request is sent.
 type client struct {
 	http  *http.Client
 	fleet *fleet
@@ -70,7 +75,7 @@
 const requestTimeout = 3 * time.Second
 
 func newClient(f *fleet, obs *observations, rng *rand.Rand) *client {
-	return &client{fleet: f, obs: obs, rng: rng, http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}}}
+	return &client{fleet: f, obs: obs, rng: rng, http: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: obs.mustAnswer}}}
 }
 
 // call sends a request and returns the status and body of the response. The status is 0 if there was
@@ -87,16 +92,26 @@
 	request.Header.Set("X-Wait-Ms", "200")
 	response, err := c.http.Do(request)
 	if err != nil {
+		c.checkAnswered(addr, id, err)
 		return 0, nil
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
+		c.checkAnswered(addr, id, err)
 		return 0, nil
 	}
 	return response.StatusCode, data
 }
 
+// checkAnswered checks that a request that an instance accepted got an answer.
+func (c *client) checkAnswered(addr, id string, err error) {
+	var op *net.OpError
+	if c.obs.mustAnswer && (!errors.As(err, &op) || op.Op != "dial") {
+		c.obs.addViolation("request %s got no answer from %s at %s: %v", id, addr, time.Now().UTC().Format(time.RFC3339Nano), err)
+	}
+}
+
 func (c *client) randomInstance() string {
 	return c.fleet.processes[c.rng.IntN(len(c.fleet.processes))].addr
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -50,6 +50,7 @@
 	settings   string
 	addr       string
 	storeProxy *proxy
+	peerProxy  *proxy // receives the other instances' calls
 	log        *os.File
 
 	mu      sync.Mutex // guards the fields below
@@ -124,6 +125,12 @@
 	deskEngines    []*hostedtest.Engine
 	backendProxies []*proxy // in front of the back ends, in the order of backends()
 	processes      []*process
+	configVersion  atomic.Int64
+}
+
+// changeConfig writes the operators' configuration with a new version.
+func (f *fleet) changeConfig() {
+	f.store.PutConfig(fmt.Appendf(nil, configTemplate, f.configVersion.Add(1)))
 }
 
 // Addresses of the processes. At 127.0.0.1, the port of a stopped process may be taken by any outgoing
@@ -135,6 +142,9 @@
 	// bits.
 	addrBit   = 1 << 23
 	firstPort = 7000
+	// peerProxyOffset is the distance between the port of an instance for its peers and that of the proxy in front of it.
+	// Both ports have four digits, so that the store's proxy can replace one by the other.
+	peerProxyOffset = 1000
 )
 
 // portCount counts the ports assigned to processes.
@@ -152,7 +162,7 @@
 // newFleet starts a deployment. The caller must close the fleet also after an error.
 func newFleet(dir, program string, instances, engines int) (*fleet, error) {
 	f := &fleet{dir: dir, store: hostedtest.NewStore()}
-	f.store.PutConfig(fmt.Appendf(nil, configTemplate, 1))
+	f.changeConfig()
 	for i := range engines {
 		e := hostedtest.NewEngine(fmt.Sprintf("engine-%d", i), "llm", "a", "m")
 		e.EventInterval = 15 * time.Millisecond
@@ -217,6 +227,11 @@
 		return nil, err
 	}
 	addr, ready, peers := uniqueAddr(), uniqueAddr(), uniqueAddr()
+	peerProxy, err := newPeerProxy(peers)
+	if err != nil {
+		return nil, err
+	}
+	storeProxy.replaced, storeProxy.replacement = []byte(peers), []byte(peerProxy.addr())
 	path := filepath.Join(f.dir, id+".jsonc")
 	text := fmt.Sprintf(settingsTemplate, id, addr, ready, peers, storeProxy.addr())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -226,7 +241,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &process{id: id, program: program, settings: path, addr: addr, storeProxy: storeProxy, log: log}, nil
+	return &process{id: id, program: program, settings: path, addr: addr, storeProxy: storeProxy, peerProxy: peerProxy, log: log}, nil
+}
+
+// newPeerProxy starts the proxy in front of an instance's address for its peers.
+func newPeerProxy(peers string) (*proxy, error) {
+	ip, port, err := net.SplitHostPort(peers)
+	if err != nil {
+		return nil, err
+	}
+	n, err := strconv.Atoi(port)
+	if err != nil {
+		return nil, err
+	}
+	return newProxyAt(net.JoinHostPort(ip, strconv.Itoa(n+peerProxyOffset)), peers)
 }
 
 // clearFaults ends all faults and restarts every process that has exited.
@@ -243,6 +271,7 @@
 	for _, p := range f.processes {
 		p.storeProxy.mode.Store(int32(Pass))
 		p.storeProxy.resetAll()
+		p.peerProxy.resetAll()
 		p.signal(syscall.SIGCONT)
 		if err := p.start(); err != nil {
 			return err
@@ -257,6 +286,7 @@
 		p.signal(syscall.SIGCONT)
 		p.stop(false)
 		p.storeProxy.close()
+		p.peerProxy.close()
 		_ = p.log.Close()
 	}
 	for _, backendProxy := range f.backendProxies {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,9 @@
 	Engines   int
 	// FaultPeriod is how long faults are injected.
 	FaultPeriod time.Duration
+	// OnlySilence limits the faults to silent connections with planned works after them. Each request must then be
+	// answered.
+	OnlySilence bool
 }
 
 // Report is the outcome of a run.
@@ -62,6 +65,7 @@
 		e.Events = eventsPerItem
 	}
 	obs := newObservations()
+	obs.mustAnswer = opts.OnlySilence
 	stop := make(chan struct{})
 	var background sync.WaitGroup
 	background.Go(func() { every(stop, entryInterval, f.publishEntries) })
@@ -174,7 +178,7 @@
 	end := time.Now().Add(opts.FaultPeriod)
 	var active sync.WaitGroup
 	for time.Now().Before(end) {
-		name, begin, finish := randomFault(f, rng)
+		name, begin, finish := randomFault(f, rng, opts.OnlySilence)
 		obs.count("fault " + name)
 		begin()
 		active.Go(func() {
@@ -187,7 +191,10 @@
 }
 
 // randomFault returns the name of a fault and the functions that begin and end it.
-func randomFault(f *fleet, rng *rand.Rand) (name string, begin, finish func()) {
+func randomFault(f *fleet, rng *rand.Rand, onlySilence bool) (name string, begin, finish func()) {
+	if onlySilence {
+		return silenceThenWorks(f, rng)
+	}
 	proc := f.processes[rng.IntN(len(f.processes))]
 	backendProxy := f.backendProxies[rng.IntN(len(f.backendProxies))]
 	mode := Mode(1 + rng.IntN(int(modeCount)-1))
@@ -196,7 +203,7 @@
 	fraction := rng.Float64()
 	noop := func() {}
 	restart := func() { _ = proc.start() } // clearFaults tries again after an error
-	switch rng.IntN(9) {
+	switch rng.IntN(10) {
 	case 0:
 		return "kill", func() { proc.stop(false) }, restart
 	case 1:
@@ -213,6 +220,8 @@
 		return "store fault", func() { f.store.SetFault(storeFaults(storeFault, fraction)) }, func() { f.store.SetFault(nil); f.store.RunDelayed() }
 	case 7:
 		return "history dropped", f.store.Expire, noop
+	case 8:
+		return silenceThenWorks(f, rng)
 	default:
 		e := f.backends()[rng.IntN(len(f.backendProxies))]
 		return "bad answers", func() {
@@ -226,6 +235,52 @@
 	}
 }
 
+// silenceThenWorks returns a fault that silences connections for good, and planned stops, restarts and changes of the
+// configuration in series that begin when it ends.
+func silenceThenWorks(f *fleet, rng *rand.Rand) (name string, begin, finish func()) {
+	const maxWorks, maxPause, maxSilentNew = 3, time.Second, 3 * time.Second
+	direction := rng.IntN(3)
+	s := silence{everySecond: rng.IntN(2) == 0, toServer: direction != 1, fromServer: direction != 2}
+	if rng.IntN(2) == 0 {
+		s.newAfter = time.Duration(rng.Int64N(int64(maxSilentNew)))
+	}
+	var proxies []*proxy
+	scope := rng.IntN(4)
+	if scope == 0 || scope == 3 {
+		proxies = append(proxies, f.backendProxies...)
+	}
+	for _, p := range f.processes {
+		if scope == 1 || scope == 3 {
+			proxies = append(proxies, p.storeProxy)
+		}
+		if scope == 2 || scope == 3 {
+			proxies = append(proxies, p.peerProxy)
+		}
+	}
+	var works []func()
+	for range 1 + rng.IntN(maxWorks) {
+		proc, stops, pause := f.processes[rng.IntN(len(f.processes))], rng.IntN(3) > 0, time.Duration(rng.Int64N(int64(maxPause)))
+		works = append(works, func() {
+			time.Sleep(pause)
+			if !stops {
+				f.changeConfig()
+				return
+			}
+			proc.stop(true)
+			_ = proc.start() // clearFaults tries again after an error
+		})
+	}
+	return "silence of " + []string{"back ends", "store", "peers", "all"}[scope], func() {
+			for _, p := range proxies {
+				p.silence(s)
+			}
+		}, func() {
+			for _, work := range works {
+				work()
+			}
+		}
+}
+
 // storeFaults returns a fault function that gives fault to a fraction of the calls. Reads are affected
 // only if the fault is Busy.
 func storeFaults(fault hostedtest.Fault, fraction float64) func(*http.Request) hostedtest.Fault {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"testing"
 	"time"
@@ -19,32 +17,44 @@
 	seedCountEnv = "CICADASILL_SOAK_SEEDS"
 )
 
-// Guards against violations, under overlapping faults, of the guarantees that clients and back ends can
-// observe.
-func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "cicadasilld")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/cicadasilld").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+// selectedSeeds returns the seeds to run.
+func selectedSeeds() []uint64 {
+	n, err := strconv.Atoi(os.Getenv(seedCountEnv))
+	if err != nil {
+		return seeds
+	}
+	first, err := strconv.ParseUint(os.Getenv(firstSeedEnv), 10, 64)
+	if err != nil {
+		first = uint64(time.Now().UnixNano())
 	}
-	selected := seeds
-	if n, err := strconv.Atoi(os.Getenv(seedCountEnv)); err == nil {
-		first, err := strconv.ParseUint(os.Getenv(firstSeedEnv), 10, 64)
-		if err != nil {
-			first = uint64(time.Now().UnixNano())
-		}
-		selected = nil
-		for i := range n {
-			selected = append(selected, first+uint64(i))
-		}
+	var selected []uint64
+	for i := range n {
+		selected = append(selected, first+uint64(i))
 	}
-	for _, seed := range selected {
+	return selected
+}
+
+// Guards against violations, under overlapping faults, of the guarantees that clients and back ends can
+// observe.
+func TestSoak(t *testing.T) { runSeeds(t, Options{}) }
+
+// Guards against requests without an answer and jobs that are lost when connections go silent for good and planned works
+// follow.
+func TestSoakSilence(t *testing.T) { runSeeds(t, Options{OnlySilence: true}) }
+
+// runSeeds runs the selected seeds with opts.
+func runSeeds(t *testing.T, opts Options) {
+	binary := buildDaemon(t)
+	for _, seed := range selectedSeeds() {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			dir, err := os.MkdirTemp("", "soak")
 			if err != nil {
 				t.Fatal(err)
 			}
-			report, err := Run(Options{Seed: seed, Dir: dir, Binary: binary, Instances: 3, Engines: 4, FaultPeriod: 8 * time.Second})
+			opts := opts
+			opts.Seed, opts.Dir, opts.Binary, opts.Instances, opts.Engines, opts.FaultPeriod = seed, dir, binary, 3, 4, 8*time.Second
+			report, err := Run(opts)
 			if err != nil {
 				t.Fatal(err)
 			}
