--- a/soak/checks.go
+++ b/soak/checks.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,7 @@
 	counts     map[string]int
 	// mustAnswer states that no fault excuses a request without an answer.
 	mustAnswer bool
+	cut        []cutRequest
 }
 
 func newObservations() *observations {
@@ -104,11 +106,46 @@
 	return response.StatusCode, data
 }
 
-// checkAnswered checks that a request that an instance accepted got an answer.
+// checkAnswered checks that a request got an answer in time. Whether one whose connection was closed without an answer had been
+// read is checked at the end.
 func (c *client) checkAnswered(addr, id string, err error) {
-	var op *net.OpError
-	if c.obs.mustAnswer && (!errors.As(err, &op) || op.Op != "dial") {
-		c.obs.addViolation("request %s got no answer from %s at %s: %v", id, addr, time.Now().UTC().Format(time.RFC3339Nano), err)
+	var (
+		op      *net.OpError
+		timeout net.Error
+	)
+	switch at := time.Now().UTC().Format(time.RFC3339Nano); {
+	case !c.obs.mustAnswer || (errors.As(err, &op) && op.Op == "dial"):
+	case errors.As(err, &timeout) && timeout.Timeout():
+		c.obs.addViolation("request %s got no answer from %s until %s: %v", id, addr, at, err)
+	default:
+		c.obs.mu.Lock()
+		defer c.obs.mu.Unlock()
+		c.obs.cut = append(c.obs.cut, cutRequest{id: id, addr: addr, at: at, err: err})
+	}
+}
+
+// cutRequest is a request whose connection was closed without an answer.
+type cutRequest struct {
+	id, addr, at string
+	err          error
+}
+
+// checkCuts checks that the requests whose connections were closed without an answer had not been read: an instance logs
+// those that it has read.
+func (o *observations) checkCuts(f *fleet) {
+	for _, cut := range o.cut {
+		for _, p := range f.processes {
+			if p.addr != cut.addr {
+				continue
+			}
+			lines, err := os.ReadFile(p.log.Name())
+			if err != nil {
+				o.addViolation("log of %s: %v", p.id, err)
+			}
+			if bytes.Contains(lines, []byte("request="+cut.id+" ")) {
+				o.addViolation("request %s was read by %s and cut at %s: %v", cut.id, p.id, cut.at, cut.err)
+			}
+		}
 	}
 }
 
@@ -236,6 +273,7 @@
 		o.checkJob(s, runs)
 	}
 	o.checkOrders(f)
+	o.checkCuts(f)
 }
 
 // checkJob checks the results of a job. runs counts the runs of each item and request at the back ends.
