--- a/duty/duty.go
+++ b/duty/duty.go
@@ -26,8 +26,8 @@
 // Intervals and time limits of a duty.
 const (
 	// renewInterval is the pause between attempts to acquire or renew. It leaves time for two attempts
-	// within leaseTTL.
-	renewInterval = 500 * time.Millisecond
+	// within leaseTTL, also if the first one is noticed to be silent only after the time limit of a call.
+	renewInterval = 400 * time.Millisecond
 	// leaseTTL is how long the holder acts after the start of a renewal.
 	leaseTTL = 1500 * time.Millisecond
 	// takeoverWait is how long a record must stay unchanged before another instance takes the duty.
@@ -54,6 +54,9 @@
 	Fence    int64       `cbor:"2,keyasint"`
 	Renewals uint64      `cbor:"3,keyasint"`
 	Released bool        `cbor:"4,keyasint"`
+	// Attempt is the start of the attempt that wrote the record, since the boot of the holder's machine. It tells the
+	// attempts of one holder apart.
+	Attempt time.Duration `cbor:"5,keyasint"`
 }
 
 // NotHeldError reports that this instance does not hold the duty.
@@ -203,7 +206,7 @@
 	expected := d.current
 	d.mu.Unlock()
 	end, err := d.replica.Commit(ctx, func() []changelog.Record {
-		next := d.nextRecord(expected)
+		next := d.nextRecord(expected, start)
 		if next == nil {
 			return nil
 		}
@@ -220,8 +223,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if end == 0 || d.current == nil || d.current.Holder != d.self || d.current.Released {
-		return // only this instance's own append proves that no other instance has taken the duty since start
+	if d.current == nil || d.current.Holder != d.self || d.current.Released || (end == 0 && d.current.Attempt != start) {
+		return // only an append of this attempt proves that no other instance has taken the duty since start
 	}
 	if d.fence != d.current.Fence {
 		d.log.Info("duty taken", "duty", d.name, "fence", d.current.Fence)
@@ -230,14 +233,15 @@
 }
 
 // nextRecord returns the record to write, or nil if the current record is no longer the expected one: another
-// instance has written, or an earlier attempt of this one has succeeded after all.
-func (d *Duty) nextRecord(expected *record) *record {
+// instance has written, or an append of this one of unknown outcome has succeeded after all. start is the start of the
+// attempt.
+func (d *Duty) nextRecord(expected *record, start time.Duration) *record {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.current != expected {
 		return nil
 	}
-	next := &record{Holder: d.self, Fence: 1}
+	next := &record{Holder: d.self, Fence: 1, Attempt: start}
 	if d.current != nil {
 		next.Fence, next.Renewals = d.current.Fence, d.current.Renewals+1
 		if d.current.Holder != d.self || d.current.Released {
--- a/duty/duty_test.go
+++ b/duty/duty_test.go
@@ -28,8 +28,11 @@
 
 func (silentPeers) Dead(machine.Ref) bool { return true }
 
-func newDuty(store *hostedtest.Store, id string) *Duty {
-	client := hosted.NewStore(hosted.StoreOptions{Addr: store.Addr(), WritesPerS: 1000, ReadsPerS: 1000})
+func newDuty(store *hostedtest.Store, id string) *Duty { return newDutyAt(store.Addr(), id) }
+
+// newDutyAt is newDuty with the address of the store.
+func newDutyAt(addr, id string) *Duty {
+	client := hosted.NewStore(hosted.StoreOptions{Addr: addr, WritesPerS: 1000, ReadsPerS: 1000})
 	return New("orders", machine.Ref{ID: id, Incarnation: 1}, client, fakePeers{}, telemetry.Discard())
 }
 
@@ -146,3 +149,24 @@
 	_, err := d.Fence()
 	is.True(err != nil)
 }
+
+// Guards against a duty that its holder stops performing, because a renewal that the store has carried out went unanswered.
+func TestHoldOutlastsSilentRenewal(t *testing.T) {
+	const rounds = 3
+	is := is.New(t)
+	store := hostedtest.NewStore()
+	t.Cleanup(store.Close)
+	proxy := hostedtest.NewProxy(store.Addr())
+	t.Cleanup(proxy.Close)
+	d := newDutyAt(proxy.Addr(), "a")
+	startDuty(t, d)
+	fence := waitHeld(t, d)
+	for range rounds {
+		proxy.Silence(hostedtest.EveryConn, hostedtest.FromServer)
+		for start := time.Now(); time.Since(start) < 2*leaseTTL; time.Sleep(time.Millisecond) {
+			held, err := d.Fence()
+			is.NoErr(err)
+			is.Equal(held, fence)
+		}
+	}
+}
