--- a/instance/instance.go
+++ b/instance/instance.go
@@ -414,6 +414,11 @@
 	defer cancel()
 	endRequests := time.AfterFunc(time.Until(answersEnd), func() { i.endRequests(hosted.ErrStopped) })
 	defer endRequests.Stop()
+	var listener conc.WaitGroup // closes beside the hand-over, which may wait for the store
+	listener.Go(func() {
+		timing.Sleep(ctx, time.Until(start.Add(balancerDelay)))
+		_ = i.clientListener.Close() // an error means that it is closed
+	})
 	i.presence.AnnounceDraining(ctx)
 	i.orders.Release(ctx)
 	for time.Since(start) < time.Duration(handoverFraction*float64(grace)) && i.driver.Active() > 0 {
@@ -423,8 +428,7 @@
 	}
 	i.log.Info("jobs handed over", "left", i.driver.Active(), "after", time.Since(start))
 	i.presence.Leave(ctx)
-	timing.Sleep(ctx, time.Until(start.Add(balancerDelay)))
-	_ = i.clientListener.Close() // an error means that it is closed
+	listener.Wait()
 	// Shutdown drops requests that arrive after its start, so that it may start only when none is expected.
 	for timing.Sleep(ctx, stopPollInterval) && i.clientConns.isBusy() {
 	}
