instance: test that a configuration arrives while connections are silent

A configuration has to be in force at each instance 2.5 s after the store has acknowledged it. TestConfigurationIsReadDuringSilence writes three, each as the connections go silent. It passed at once; no fault was found here.

--- a/instance/silent_test.go
+++ b/instance/silent_test.go
@@ -300,3 +300,21 @@
 		})
 	})
 }
+
+// Guards against a configuration that reaches an instance late, because its read of the operators' records went silent.
+func TestConfigurationIsReadDuringSilence(t *testing.T) {
+	const configLimit = 2500 * time.Millisecond // from the store's acknowledgement
+	runSilences(t, func(c *cluster, s silence) {
+		for version := 2; version < 5; version++ {
+			s.begin(c)
+			c.store.PutConfig(fmt.Appendf(nil, testConfig, version))
+			start := time.Now()
+			for _, m := range c.members {
+				c.waitUntil("configuration is in force", func() bool { return m.config.Load().Version == int64(version) })
+				if took := time.Since(start); took > configLimit {
+					c.t.Errorf("version %d at %s after %v", version, m.self.ID, took)
+				}
+			}
+		}
+	})
+}
