--- a/instance/silent_test.go
+++ b/instance/silent_test.go
@@ -46,12 +46,17 @@
 // begin silences the connections between all instances and the store.
 func (s silence) begin(c *cluster) {
 	for _, m := range c.members {
-		m.storeProxy.SilenceNew(s.newFor > 0)
-		m.storeProxy.Silence(s.selected, s.directions)
-		time.AfterFunc(s.newFor, func() { m.storeProxy.SilenceNew(false) })
+		s.beginAt(m)
 	}
 }
 
+// beginAt silences the connections between an instance and the store.
+func (s silence) beginAt(m *member) {
+	m.storeProxy.SilenceNew(s.newFor > 0)
+	m.storeProxy.Silence(s.selected, s.directions)
+	time.AfterFunc(s.newFor, func() { m.storeProxy.SilenceNew(false) })
+}
+
 // runSilences runs a test on a cluster for each silence.
 func runSilences(t *testing.T, test func(c *cluster, s silence)) {
 	for name, s := range silences {
@@ -318,3 +323,56 @@
 		}
 	})
 }
+
+// Guards against a submission that is refused although the store has the job, so that its items run after the refusal, and
+// against one without a response in time, when the store is silent for longer than a submission may take.
+func TestSubmissionsDuringLongSilence(t *testing.T) {
+	const (
+		lasting = 4 * time.Second
+		jobs    = 8 // at each instance
+	)
+	for name, directions := range map[string]hostedtest.Directions{
+		"both directions": hostedtest.BothDirections, "to the store": hostedtest.ToServer, "from the store": hostedtest.FromServer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 2)
+			var (
+				mu       sync.Mutex
+				statuses = map[string]int{}
+			)
+			c.eachMember(func(n int, m *member) {
+				var submissions sync.WaitGroup
+				for k := range jobs {
+					submissions.Go(func() {
+						time.Sleep(time.Duration(k) * time.Millisecond)
+						id := fmt.Sprintf("job%d.%d", n, k)
+						status := c.timedCall(m, submissionLimit, http.MethodPost, "/jobs/x", id, namedJob(id, 2)).status
+						mu.Lock()
+						defer mu.Unlock()
+						statuses[id] = status
+					})
+				}
+				time.Sleep(jobs / 2 * time.Millisecond)
+				silence{selected: hostedtest.EveryConn, directions: directions, newFor: lasting}.beginAt(m)
+				submissions.Wait()
+			})
+			time.Sleep(lasting)
+			counts := map[int]int{}
+			for id, status := range statuses {
+				counts[status]++
+				switch status {
+				case http.StatusAccepted:
+					for _, m := range c.members {
+						c.readAllResults(m, id, 2)
+					}
+				case http.StatusServiceUnavailable:
+					if c.runsOf(id) > 0 {
+						t.Errorf("%s: refused, then run", id)
+					}
+				}
+			}
+			t.Log("statuses", counts)
+		})
+	}
+}
