--- a/instance/stopanswer_test.go
+++ b/instance/stopanswer_test.go
@@ -339,3 +339,52 @@
 	<-stop(m)
 	is.True(time.Since(start) < balancerDelay+500*time.Millisecond)
 }
+
+// Guards against calls about batch jobs that a planned stop ends without an answer because the store is silent.
+func TestStopAnswersCallsAboutJobs(t *testing.T) {
+	is := is.NewRelaxed(t)
+	c, m := newStopCluster(t)
+	is.Equal(c.call(m, http.MethodPost, "/jobs/x", "job-1", nil, jobBody(2, 1)).status, http.StatusAccepted)
+	c.readAllResults(m, "job-1", 2)
+	testEnds := make(chan struct{})
+	t.Cleanup(func() { close(testEnds) })
+	c.store.SetFault(func(r *http.Request) hostedtest.Fault {
+		select {
+		case <-r.Context().Done():
+		case <-testEnds:
+		}
+		return hostedtest.Busy
+	})
+	start := time.Now()
+	ended := stop(m)
+	time.Sleep(50 * time.Millisecond)
+	calls := []struct{ method, path string }{
+		{http.MethodGet, "/api/lots/none?after=0"}, {http.MethodGet, "/api/lots/job-1?after=2"}, {http.MethodGet, "/api/items/none?id=x"},
+		{http.MethodDelete, "/api/lots/none"}, {http.MethodDelete, "/api/lots/job-1"},
+	}
+	type outcome struct {
+		call string
+		reply
+		took time.Duration
+	}
+	outcomes := make(chan outcome)
+	for _, at := range []time.Duration{0, 1500 * time.Millisecond, lateInGrace} {
+		for _, call := range calls {
+			go func() {
+				time.Sleep(time.Until(start.Add(at)))
+				sent := time.Now()
+				r := c.call(m, call.method, call.path, "", http.Header{"X-Wait-Ms": {"1000"}}, "")
+				outcomes <- outcome{fmt.Sprint(call.method, " ", call.path, " at ", at), r, time.Since(sent)}
+			}()
+		}
+	}
+	for range 3 * len(calls) {
+		o := <-outcomes
+		t.Logf("%s: status %d after %v", o.call, o.status, o.took)
+		if o.status != http.StatusOK && o.status != http.StatusServiceUnavailable && o.status != http.StatusGatewayTimeout {
+			t.Errorf("%s: status %d", o.call, o.status)
+		}
+	}
+	<-ended
+	is.True(time.Since(start) < stopGrace)
+}
