--- a/job/driver.go
+++ b/job/driver.go
@@ -71,6 +71,7 @@
 	metrics   *driverMetrics
 	tasks     conc.WaitGroup
 	drivers   atomic.Int64 // instances that drive an open job
+	started   startedItems
 	// indexState returns the age of this instance's copy of the index and the error of its last read.
 	indexState func() (time.Duration, error)
 
@@ -302,19 +303,15 @@
 	for i := range job.items {
 		job.longest = max(job.longest, d.durations.expectedRun(job.items[i].LengthEstimate))
 	}
-	var group conc.WaitGroup
-	for i := range job.items {
-		group.Go(func() {
-			result, done := d.runItem(ctx, job, i)
-			if !done {
-				return
-			}
-			d.metrics.results.WithLabelValues(result.State.String()).Inc()
-			job.pending.finish(job.items[i].Group)
-			d.opts.Registry.queueResult(s, result)
-		})
-	}
-	group.Wait()
+	d.runItems(ctx, job, func(i int) {
+		result, done := d.runItem(ctx, job, i)
+		if !done {
+			return
+		}
+		d.metrics.results.WithLabelValues(result.State.String()).Inc()
+		job.pending.finish(job.items[i].Group)
+		d.opts.Registry.queueResult(s, result)
+	})
 	d.forgetGroups(job)
 	d.log.Info("job stopped", "job", s.ID, "took", time.Since(start), "cancelled", ctx.Err() != nil)
 	d.close(ctx, s)
