--- a/instance/instance.go
+++ b/instance/instance.go
@@ -65,6 +65,8 @@
 	storeFraction = 0.25
 	// memoryFraction is the fraction of the memory limit that is set as the Go runtime's soft limit.
 	memoryFraction = 0.6
+	// bodyFraction is the fraction of the memory limit that the bodies of requests may take.
+	bodyFraction = 0.25
 	// peerIdleTimeout is the time after which an unused connection to a peer is closed.
 	peerIdleTimeout = 10 * time.Second
 	// ordersDuty is the duty whose holder alone sends orders to engines.
@@ -213,7 +215,7 @@
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
-		Logger: i.log, Forwarder: forwarder,
+		Logger: i.log, Forwarder: forwarder, BodyBytes: int64(bodyFraction * s.Limits.MemoryMB * (1 << 20)),
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
 	i.clientConns = newConnTracker()
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -211,3 +213,58 @@
 		})
 	}
 }
+
+// largeBodyBytes is the size of the bodies that are sent to each instance at once, below the configuration's limit.
+const largeBodyBytes = 30 << 20
+
+// Guards against large bodies of several requests that together end a small instance, and against a refusal of each of them.
+func TestLargeBodiesStayInMemory(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	f := startSmallFleet(t)
+	body := make([]byte, largeBodyBytes)
+	send := func(addr string, n int) (status int, retryAfter string) {
+		var reader io.Reader = bytes.NewReader(body)
+		if n%2 == 1 {
+			reader = io.MultiReader(reader) // has no known length
+		}
+		request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/plain/%d", addr, n), reader)
+		is.NoErr(err)
+		request.Host = host
+		request.Header.Set("X-Request-Id", fmt.Sprintf("large-%s-%d", addr, n))
+		response, err := (&http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+		if err != nil {
+			t.Logf("%s: request %d: %v", addr, n, err)
+			return 0, ""
+		}
+		defer response.Body.Close()
+		_, _ = io.Copy(io.Discard, response.Body)
+		return response.StatusCode, response.Header.Get("Retry-After")
+	}
+	for round := range 3 {
+		var sends sync.WaitGroup
+		var mu sync.Mutex
+		served := map[string]int{}
+		for _, p := range f.processes {
+			for n := range 3 {
+				sends.Go(func() {
+					status, retryAfter := send(p.addr, 3*round+n)
+					mu.Lock()
+					defer mu.Unlock()
+					t.Logf("%s: request %d: status %d, retry after %q", p.id, 3*round+n, status, retryAfter)
+					switch {
+					case status == http.StatusOK:
+						served[p.id]++
+					case status != http.StatusServiceUnavailable || retryAfter == "":
+						t.Errorf("status %d, retry after %q", status, retryAfter)
+					}
+				})
+			}
+		}
+		sends.Wait()
+		is.Equal(len(served), largeJobInstances) // each instance has served one
+	}
+	checkMemory(t, f)
+}
