--- a/job/driver.go
+++ b/job/driver.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -333,27 +335,35 @@
 	if err := p.Sync(ctx); err != nil {
 		return nil, &UnavailableError{Err: err}
 	}
-	found := 0
+	var items []storedItem
+	listed, checkpoints := map[string]bool{}, map[string]Checkpoint{}
 	p.View(func() {
 		j := p.state.jobs[s.ID]
 		if j == nil {
 			return
 		}
-		items := j.items()
-		found = len(items)
-		for i := range items {
-			if _, listed := j.positions[items[i].ID]; listed {
-				continue
-			}
-			job.items = append(job.items, items[i])
-			job.pending.add(items[i].Group)
-			if c, ok := j.checkpoints[items[i].ID]; ok {
-				job.checkpoints[items[i].ID] = c
-			}
+		items = j.items()
+		for item := range j.positions {
+			listed[item] = true
 		}
+		maps.Copy(checkpoints, j.checkpoints)
 	})
-	if found != s.Total {
-		return nil, &IncompleteError{Job: s.ID, Found: found, Total: s.Total}
+	if len(items) != s.Total {
+		return nil, &IncompleteError{Job: s.ID, Found: len(items), Total: s.Total}
+	}
+	for _, stored := range items {
+		item, err := decodeItem(stored)
+		if err != nil {
+			return nil, fmt.Errorf("item of batch job %s: %w", s.ID, err)
+		}
+		if listed[item.ID] {
+			continue
+		}
+		job.items = append(job.items, item)
+		job.pending.add(item.Group)
+		if c, ok := checkpoints[item.ID]; ok {
+			job.checkpoints[item.ID] = c
+		}
 	}
 	return job, nil
 }
--- a/job/index.go
+++ b/job/index.go
@@ -68,7 +68,7 @@
 
 // jobData is the content of a data partition for one job.
 type jobData struct {
-	chunks      map[string][]Item // by record key
+	chunks      map[string][]storedItem // by record key
 	results     []Result
 	positions   map[string]int        // positions of the results, by item
 	resultKeys  []string              // keys of the result records, for deletion
@@ -92,7 +92,7 @@
 func (s *partitionState) getOrCreate(id ID) *jobData {
 	j := s.jobs[id]
 	if j == nil {
-		j = &jobData{chunks: map[string][]Item{}, positions: map[string]int{}, checkpoints: map[string]Checkpoint{}}
+		j = &jobData{chunks: map[string][]storedItem{}, positions: map[string]int{}, checkpoints: map[string]Checkpoint{}}
 		s.jobs[id] = j
 	}
 	return j
@@ -115,7 +115,7 @@
 	}
 	switch prefix {
 	case itemsPrefix:
-		var items []Item
+		var items []storedItem
 		if err := cbor.Unmarshal(r.Value, &items); err != nil {
 			s.log.Error("items record not readable", "key", r.Key, "offset", r.Offset, "err", err)
 			return
@@ -182,15 +182,38 @@
 }
 
 // items returns the items of the job in the order of submission.
-func (j *jobData) items() []Item {
-	keys := make([]string, 0, len(j.chunks))
-	for key := range j.chunks {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	var items []Item
-	for _, key := range keys {
+func (j *jobData) items() []storedItem {
+	var items []storedItem
+	for _, key := range slices.Sorted(maps.Keys(j.chunks)) {
 		items = append(items, j.chunks[key]...)
 	}
 	return items
 }
+
+// storedItem is an encoded item. It takes a fraction of the memory of the decoded one.
+type storedItem = cbor.RawMessage
+
+// decodeItem decodes an item without its headers and bodies, which Item.whole reads when they are due.
+func decodeItem(stored storedItem) (Item, error) {
+	var i Item
+	if err := cbor.Unmarshal(stored, &i); err != nil {
+		return Item{}, err
+	}
+	i.Headers, i.Body, i.stored = nil, nil, stored
+	if i.Reward != nil {
+		i.Reward.Body = nil
+	}
+	return i, nil
+}
+
+// whole returns the item with its headers and bodies.
+func (i *Item) whole() (*Item, error) {
+	if i.stored == nil {
+		return i, nil
+	}
+	var decoded Item
+	if err := cbor.Unmarshal(i.stored, &decoded); err != nil {
+		return nil, err
+	}
+	return &decoded, nil
+}
--- a/job/job.go
+++ b/job/job.go
@@ -34,6 +34,9 @@
 	LengthEstimate int `cbor:"8,keyasint,omitempty"`
 	// Reward is the request that scores the complete text; nil if the text needs no score.
 	Reward *RewardCall `cbor:"9,keyasint,omitempty"`
+
+	// stored is the encoded item if the headers and bodies are left out here.
+	stored storedItem
 }
 
 // RewardCall is a request to a service that scores a complete text. It may be repeated.
--- a/job/registry.go
+++ b/job/registry.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/changelog"
@@ -390,9 +392,13 @@
 			return
 		}
 		for _, chunk := range j.chunks {
-			for i := range chunk {
-				if chunk[i].ID == item {
-					body, found = chunk[i].Body, true
+			for _, stored := range chunk {
+				if !bytes.Contains(stored, []byte(item)) {
+					continue
+				}
+				var decoded Item
+				if err := cbor.Unmarshal(stored, &decoded); err == nil && decoded.ID == item {
+					body, found = decoded.Body, true
 					return
 				}
 			}
--- a/job/run.go
+++ b/job/run.go
@@ -334,6 +334,10 @@
 // runAttempt runs an item at one engine and updates the engine's health by the outcome.
 func (d *Driver) runAttempt(jobCtx context.Context, job *activeJob, item *Item, route *routes.Route, a *itemAttempt) error {
 	b, out := a.backend, a.output
+	whole, err := item.whole()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancelCause(jobCtx)
 	defer cancel(nil)
 	timer := time.AfterFunc(firstEventTimeout, func() { cancel(errSilent) })
@@ -352,7 +356,7 @@
 	if route.Resumable {
 		a.saveCheckpoint = func() { d.opts.Registry.queueCheckpoint(&job.Summary, item.ID, out.checkpoint()) }
 	}
-	err := d.opts.Engine.Generate(ctx, b, Call{Host: job.Host, Item: item, After: out.lastEvent, Repeated: a.repeated}, a)
+	err = d.opts.Engine.Generate(ctx, b, Call{Host: job.Host, Item: whole, After: out.lastEvent, Repeated: a.repeated}, a)
 	var (
 		notRun     *NotRunError
 		broken     *BrokenError
--- a/job/score.go
+++ b/job/score.go
@@ -147,10 +147,15 @@
 		d.rewards.Release(service, false)
 		return nil, ctx.Err()
 	}
+	whole, err := item.whole()
+	if err != nil {
+		d.rewards.Release(service, false)
+		return nil, err
+	}
 	sent := time.Now()
 	d.metrics.rewardWait.Observe(sent.Sub(start).Seconds())
 	response, err := d.opts.Requests.Forward(ctx, route, &forward.Request{
-		ID: call.ID, Method: http.MethodPost, Target: call.Path, Host: call.Host, Body: call.Body, Owed: true, Repeated: repeated,
+		ID: call.ID, Method: http.MethodPost, Target: call.Path, Host: call.Host, Body: whole.Reward.Body, Owed: true, Repeated: repeated,
 		Deadline: reward.Deadline(sent, job.AcceptedAt().Add(itemRoute.RunObjective), giveUp, route.Objective, route.Timeout),
 	})
 	d.rewards.Release(service, err != nil && ctx.Err() == nil && !forward.IsHeldBack(err))
