--- a/routes/routes.go
+++ b/routes/routes.go
@@ -126,7 +126,7 @@
 	byHost map[string][]*Route // longest prefix first
 }
 
-// BuildIndex creates the index of c that Match and HasHost use.
+// BuildIndex creates the index of c that Match, HasHost and HasBatchJobs use.
 func (c *Config) BuildIndex() {
 	c.byHost = map[string][]*Route{}
 	for i := range c.Routes {
@@ -161,6 +161,14 @@
 	return len(c.byHost[strings.ToLower(host)]) > 0
 }
 
+// HasBatchJobs reports whether any route with the given host accepts batch jobs.
+func (c *Config) HasBatchJobs(host string) bool {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return slices.ContainsFunc(c.byHost[strings.ToLower(host)], func(r *Route) bool { return r.Kind == BatchJob })
+}
+
 // RequiresSingleVersion reports whether any batch job route to the service requires a single version.
 func (c *Config) RequiresSingleVersion(service string) bool {
 	for i := range c.Routes {
