--- a/job/index.go
+++ b/job/index.go
@@ -206,6 +206,30 @@
 	return i, nil
 }
 
+// Pack encodes the item and drops its headers and bodies, which whole decodes again.
+func (i *Item) Pack() error {
+	stored, err := cbor.Marshal(i)
+	if err != nil {
+		return err
+	}
+	i.Headers, i.Body, i.stored = nil, nil, stored
+	if i.Reward != nil {
+		i.Reward.Body = nil
+	}
+	return nil
+}
+
+// SetModel sets the model that generates the text.
+func (i *Item) SetModel(model string) error {
+	whole, err := i.whole()
+	if err != nil {
+		return err
+	}
+	*i = *whole
+	i.Model = model
+	return i.Pack()
+}
+
 // whole returns the item with its headers and bodies.
 func (i *Item) whole() (*Item, error) {
 	if i.stored == nil {
--- a/job/records.go
+++ b/job/records.go
@@ -17,6 +17,9 @@
 
 // itemSize estimates the encoded size of an item.
 func itemSize(i *Item) int {
+	if i.stored != nil {
+		return len(i.stored)
+	}
 	n := len(i.ID) + len(i.Path) + len(i.Body) + len(i.Group) + len(i.Model) + 32
 	for k, v := range i.Headers {
 		n += len(k) + len(v) + 4
@@ -37,7 +40,7 @@
 			size += itemSize(&items[n])
 			n++
 		}
-		data, err := cbor.Marshal(items[:n])
+		data, err := encodeItems(items[:n])
 		if err != nil {
 			return nil, err
 		}
@@ -51,6 +54,21 @@
 	return records, nil
 }
 
+// encodeItems encodes the value of an items record.
+func encodeItems(items []Item) ([]byte, error) {
+	stored := make([]storedItem, len(items))
+	for n := range items {
+		if stored[n] = items[n].stored; stored[n] != nil {
+			continue
+		}
+		var err error
+		if stored[n], err = cbor.Marshal(&items[n]); err != nil {
+			return nil, err
+		}
+	}
+	return cbor.Marshal(stored)
+}
+
 // resultRecords returns the records that list results at consecutive positions from position on.
 func resultRecords(id ID, position int, results []Result) ([]changelog.Record, error) {
 	var records []changelog.Record
