--- a/instance/instance.go
+++ b/instance/instance.go
@@ -67,6 +67,8 @@
 	memoryFraction = 0.6
 	// bodyFraction is the fraction of the memory limit that the bodies of requests may take.
 	bodyFraction = 0.25
+	// itemFraction is the fraction of the memory limit that the items of an instance's open jobs may take.
+	itemFraction = 0.2
 	// peerIdleTimeout is the time after which an unused connection to a peer is closed.
 	peerIdleTimeout = 10 * time.Second
 	// ordersDuty is the duty whose holder alone sends orders to engines.
@@ -196,7 +198,8 @@
 	i.jobs = job.NewRegistry(job.RegistryOptions{
 		Self: i.self, Log: i.store, Partitions: s.Store.Partitions,
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Peer: i.presence.Peer, Peers: i.presence,
-		IndexPause: func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
+		MaxItemBytes: int64(itemFraction * s.Limits.MemoryMB * (1 << 20)),
+		IndexPause:   func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
 	})
 	forwarder := forward.New(forward.Options{
 		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, DataCentre: s.Instance.DataCentre,
@@ -216,6 +219,7 @@
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
 		Logger: i.log, Forwarder: forwarder, BodyBytes: int64(bodyFraction * s.Limits.MemoryMB * (1 << 20)),
+		ItemBytes: i.jobs.OpenItemBytes,
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
 	i.clientConns = newConnTracker()
--- a/job/job.go
+++ b/job/job.go
@@ -106,6 +106,8 @@
 	// ConfigVersion is the version of the configuration by which the job was accepted. An older one says nothing about the
 	// routes of its items.
 	ConfigVersion int64 `cbor:"14,keyasint,omitempty"`
+	// ItemBytes is about the size of the items, which the driver holds while the job is open.
+	ItemBytes int64 `cbor:"15,keyasint,omitempty"`
 
 	read firstRead
 }
@@ -138,6 +140,19 @@
 	return fmt.Sprintf("item %s has %d bytes, more than a store record can hold", e.Item, e.Bytes)
 }
 
+// FullError reports a job that its driver cannot hold beside its other open jobs.
+type FullError struct {
+	Job    ID
+	Driver machine.Ref
+	// Open is the size of the items of the driver's open jobs, with the items of this job.
+	Open, Limit int64
+}
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("batch job %s: the open jobs of %s would have %d bytes of items, more than %d", e.Job, e.Driver, e.Open, e.Limit)
+}
+
 // UnavailableError reports that the store does not answer, so that the current state is unknown.
 type UnavailableError struct{ Err error }
 
--- a/job/registry.go
+++ b/job/registry.go
@@ -61,6 +61,9 @@
 	Peer                  func(key string) machine.Ref
 	// Peers determines which instance deletes the records of jobs whose driver is dead.
 	Peers Peers
+	// MaxItemBytes bounds the items of the open jobs of one driver, except that a single job is always accepted; 0 sets no
+	// bound.
+	MaxItemBytes int64
 	// IndexPause returns the pause between reads of the index.
 	IndexPause func() time.Duration
 	// IndexRead is called after each read of the index with its error or nil.
@@ -155,12 +158,30 @@
 }
 
 // Submit accepts a job and assigns it a driver. It returns nil once the store holds the job, also if the
-// job was accepted before. After *UnavailableError this call has not accepted the job and will not; after
+// job was accepted before. After *UnavailableError and *FullError this call has not accepted the job and will not; after
 // *UncertainError it may have.
 func (g *Registry) Submit(ctx context.Context, spec *Spec) error {
 	if _, ok := g.Summary(spec.ID); ok {
 		return nil
 	}
+	driver, size := g.driverFor(spec), int64(0)
+	for i := range spec.Items {
+		size += int64(itemSize(&spec.Items[i]))
+	}
+	var full error
+	checkRoom := func() { full = g.checkRoom(spec.ID, driver, size) }
+	if g.indexReplica.View(checkRoom); full != nil {
+		// Another instance may have accepted the job, or room may have been made.
+		if err := g.indexReplica.Sync(ctx); err != nil {
+			return &UnavailableError{Err: err}
+		}
+		if _, ok := g.Summary(spec.ID); ok {
+			return nil
+		}
+		if g.indexReplica.View(checkRoom); full != nil {
+			return full
+		}
+	}
 	partitionNumber := g.partitionOf(spec.ID)
 	records, err := itemRecords(spec.ID, spec.Items)
 	if err != nil {
@@ -172,17 +193,51 @@
 	summary := Summary{
 		ID: spec.ID, Partition: partitionNumber, Host: spec.Host, Path: spec.Path, Total: len(spec.Items),
 		SubmittedMs: time.Now().UnixMilli(), Step: spec.Step, Model: spec.Model,
-		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, Driver: g.driverFor(spec), ConfigVersion: spec.ConfigVersion,
+		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, Driver: driver, ConfigVersion: spec.ConfigVersion, ItemBytes: size,
 	}
 	_, err = g.update(ctx, spec.ID, func(old *Summary) *Summary {
+		full = nil
 		if old != nil {
 			return nil
 		}
+		if full = g.checkRoom(spec.ID, driver, size); full != nil {
+			return nil
+		}
 		return &summary
 	})
+	if err == nil {
+		err = full
+	}
 	return err
 }
 
+// OpenItemBytes returns the size of the items of the open jobs that this instance drives.
+func (g *Registry) OpenItemBytes() int64 {
+	open := int64(0)
+	g.indexReplica.View(func() { open = g.openItemBytes(g.opts.Self) })
+	return open
+}
+
+// openItemBytes returns the size of the items of a driver's open jobs. The caller reads the index.
+func (g *Registry) openItemBytes(driver machine.Ref) int64 {
+	open := int64(0)
+	for _, s := range g.index.jobs {
+		if s.Open() && s.Driver == driver {
+			open += s.ItemBytes
+		}
+	}
+	return open
+}
+
+// checkRoom returns *FullError if a driver cannot hold a new job with size bytes of items. The caller reads the index.
+func (g *Registry) checkRoom(id ID, driver machine.Ref, size int64) error {
+	open := g.openItemBytes(driver)
+	if g.opts.MaxItemBytes == 0 || open == 0 || open+size <= g.opts.MaxItemBytes {
+		return nil
+	}
+	return &FullError{Job: id, Driver: driver, Open: open + size, Limit: g.opts.MaxItemBytes}
+}
+
 // putItems stores the items of a job, in as many calls as they need. Stored items without an index record
 // start nothing, so an append with an unknown outcome doesn't accept the job. The records' keys depend
 // only on the job, so appending them twice does no harm.
--- a/job/submit_test.go
+++ b/job/submit_test.go
@@ -190,3 +190,57 @@
 		})
 	}
 }
+
+// Guards against jobs that together exceed the memory of the instance that runs them, and against a large job that no instance
+// ever accepts.
+func TestJobsBeyondMemoryOfDriverAreRefused(t *testing.T) {
+	is := is.New(t)
+	log := newCountingLog()
+	g := testRegistry(log)
+	g.opts.MaxItemBytes = 1000
+	submit := func(id string, bytes int) error {
+		return g.Submit(t.Context(), &Spec{ID: ID(id), Host: "h", Step: -1, Items: []Item{{ID: "a", Body: make([]byte, bytes)}}})
+	}
+	is.NoErr(submit("large", 2000)) // alone
+	stored := log.largest
+	var full *FullError
+	is.True(errors.As(submit("other", 3000), &full))
+	is.Equal(log.largest, stored)   // nothing is stored of a refused job
+	is.NoErr(submit("large", 2000)) // once more
+	is.NoErr(g.End(t.Context(), "large"))
+	is.NoErr(submit("other", 500))
+	is.NoErr(submit("small", 100))
+	is.True(errors.As(submit("last", 500), &full))
+}
+
+// Guards against jobs that are accepted at the same time and together exceed the memory of their driver.
+func TestJobsAcceptedAtOnceShareMemoryOfDriver(t *testing.T) {
+	is := is.New(t)
+	log := newCountingLog()
+	outcomes := make(chan error, 2)
+	for n := range 2 {
+		g := testRegistry(log)
+		g.opts.MaxItemBytes = 1000
+		go func() {
+			outcomes <- g.Submit(t.Context(), &Spec{ID: ID(fmt.Sprint("job-", n)), Host: "h", Step: -1, Items: []Item{{ID: "a", Body: make([]byte, 800)}}})
+		}()
+	}
+	first, second := <-outcomes, <-outcomes
+	var full *FullError
+	is.True((first == nil) != (second == nil))
+	is.True(errors.As(errors.Join(first, second), &full))
+}
+
+// Guards against a refusal of a job that another instance has accepted: a refusal promises that the job never runs.
+func TestAcceptedJobIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	log := newCountingLog()
+	accepting, other := testRegistry(log), testRegistry(log)
+	other.opts.MaxItemBytes = 1000
+	spec := func(id string) *Spec {
+		return &Spec{ID: ID(id), Host: "h", Step: -1, Items: []Item{{ID: "a", Body: make([]byte, 800)}}}
+	}
+	is.NoErr(other.Submit(t.Context(), spec("first")))
+	is.NoErr(accepting.Submit(t.Context(), spec("second")))
+	is.NoErr(other.Submit(t.Context(), spec("second"))) // has not read the index since
+}
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -268,3 +268,35 @@
 	}
 	checkMemory(t, f)
 }
+
+// Guards against large batch jobs that are submitted, run and read at the same time and together end a small instance.
+func TestLargeJobsAtOnceStayInMemory(t *testing.T) {
+	if testing.Short() || os.Getenv(largeJobsEnv) == "" {
+		t.Skip("runs processes for minutes; set " + largeJobsEnv)
+	}
+	is := is.New(t)
+	const jobs = 3
+	j := largeJob{items: 31000, bodyBytes: 600}
+	f := startSmallFleet(t)
+	deadline := time.Now().Add(2 * largeJobTimeout)
+	bodies := make([][]byte, jobs)
+	for n := range bodies {
+		bodies[n] = j.encode(fmt.Sprintf("large-%d", n))
+	}
+	t.Logf("bodies of %d bytes; logs in %s", len(bodies[0]), f.dir)
+	var work sync.WaitGroup
+	accepted := make([]bool, jobs)
+	for n := range jobs {
+		work.Go(func() {
+			c := newClient(f, newObservations(), nil)
+			c.http.Timeout = 10 * time.Second
+			id := fmt.Sprintf("large-%d", n)
+			if accepted[n] = submitLarge(t, c, id, bodies[n], deadline); accepted[n] {
+				readAll(t, c, id, j.items, deadline)
+			}
+		})
+	}
+	work.Wait()
+	checkMemory(t, f)
+	is.Equal(accepted, []bool{true, true, true})
+}
