job: an item that waited in vain goes on on a connection of its own (LOST)

While a part of the connections is silent and others carry bytes, the silence is held against the engine, and the next attempt took a kept connection to the other engine, which was silent too. Each attempt that ended without a byte in its time is now followed by one on a new connection.

--- a/job/run.go
+++ b/job/run.go
@@ -181,7 +181,7 @@
 	expected := d.durations.expectedRun(item.LengthEstimate)
 	var excluded, nextEngine *backends.Backend
 	failedAt := map[*backends.Backend]bool{}
-	afterSilence := false // the last attempt met a silent connection
+	afterSilence := false // the last attempt may have met a silent connection
 	defer func() {
 		if nextEngine != nil {
 			nextEngine.End()
@@ -261,7 +261,7 @@
 			"events", out.lastEvent, "waited", start.Sub(waitStart), "ran", time.Since(start), "err", err)
 		excluded = b
 		var broken *BrokenError
-		afterSilence = errors.As(err, &broken) && broken.SilentConn
+		afterSilence = errors.Is(err, errSilent) || (errors.As(err, &broken) && broken.SilentConn)
 		var failed *FailedError
 		if errors.As(err, &failed) {
 			failures++
