--- /dev/null
+++ b/job/read.go
@@ -0,0 +1,144 @@
+package job
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Page is a range of a job's results, with the total number of its items.
+type Page struct {
+	Total   int
+	Results []Result
+}
+
+// StepSize returns the number of items in the newest step of a model, or 0 if there is none.
+func (g *Registry) StepSize(model string) int {
+	size, newest := 0, time.Time{}
+	g.indexReplica.View(func() {
+		for _, s := range g.index.jobs {
+			if s.Model == model && s.Step >= 0 && s.AcceptedAt().After(newest) {
+				size, newest = s.Total, s.AcceptedAt()
+			}
+		}
+	})
+	return size
+}
+
+// Results returns results from position after on. If there are none yet, it waits for them, for wait at
+// most.
+func (g *Registry) Results(ctx context.Context, id ID, after int, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	deadline := time.Now().Add(wait)
+	s, err := g.find(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+	p := g.partitions[s.Partition]
+	for {
+		syncErr := p.Sync(ctx)
+		changed := p.Changed()
+		page := Page{Total: s.Total, Results: p.results(id, after)}
+		if len(page.Results) > 0 || (syncErr == nil && after >= s.Total) {
+			return page, nil // listed results never change, so they are valid even if the read failed
+		}
+		s, _ = g.latestSummary(id, s)
+		left := time.Until(deadline)
+		if left <= 0 || (s.Ended && syncErr == nil) {
+			if syncErr != nil {
+				return Page{}, &UnavailableError{Err: syncErr}
+			}
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(min(left, resultPollInterval)):
+		case <-ctx.Done():
+			return Page{}, &UnavailableError{Err: ctx.Err()}
+		}
+	}
+}
+
+// storeTimeout bounds how much longer than requested a client's read waits for a store that does not answer. It leaves time for
+// a call that has gone silent and its repeat, and is below the 1.5 s that clients allow.
+const storeTimeout = 1300 * time.Millisecond
+
+// latestSummary returns the summary of a job in this instance's copy of the index, or fallback and false if the
+// copy does not hold the job.
+func (g *Registry) latestSummary(id ID, fallback Summary) (Summary, bool) {
+	if s, ok := g.Summary(id); ok {
+		return s, true
+	}
+	return fallback, false
+}
+
+// results returns the results of a job from position after on, up to the size limit of a page.
+func (p *partition) results(id ID, after int) []Result {
+	var page []Result
+	p.View(func() {
+		j := p.state.jobs[id]
+		if j == nil || after >= len(j.results) {
+			return
+		}
+		size := 0
+		for _, r := range j.results[after:] {
+			if len(page) > 0 && size+len(r.Output) > maxPageBytes {
+				return
+			}
+			size += len(r.Output)
+			page = append(page, r)
+		}
+	})
+	return page
+}
+
+// Body returns the body of an item of an open job.
+func (g *Registry) Body(ctx context.Context, id ID, item string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	s, err := g.find(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	p := g.partitions[s.Partition]
+	if body, ok := p.body(id, item); ok {
+		return body, nil
+	}
+	if err := p.Sync(ctx); err != nil {
+		return nil, &UnavailableError{Err: err}
+	}
+	if body, ok := p.body(id, item); ok {
+		return body, nil
+	}
+	return nil, &NotFoundError{Job: id, Item: item}
+}
+
+// body returns the body of an item if this instance's copy of the partition holds it.
+func (p *partition) body(id ID, item string) ([]byte, bool) {
+	var (
+		body  []byte
+		found bool
+	)
+	p.View(func() {
+		j := p.state.jobs[id]
+		if j == nil {
+			return
+		}
+		for _, chunk := range j.chunks {
+			for _, stored := range chunk {
+				if !bytes.Contains(stored, []byte(item)) {
+					continue
+				}
+				var decoded Item
+				if err := cbor.Unmarshal(stored, &decoded); err == nil && decoded.ID == item {
+					body, found = decoded.Body, true
+					return
+				}
+			}
+		}
+	})
+	return body, found
+}
