link: callers leave a session before its connection is closed (LOST)

Its goroutines were runnable in yamux's Stream.Read, while the session that they read from was being closed.

Cause: yamux marks a session as shut down first, closes the connection next and ends the streams last. In between, a blocked read or write of a stream finds the shutdown signalled and the stream still open, and starts over at once. With one core the goroutine that would end the streams waits for every such caller; where closing the connection takes time, they spin for all of it.

Change: a session keeps its open streams. Their deadlines expire before the connection is closed, whichever side closes it, and an expired stream keeps its deadline. Callers get "session ended" as before.

--- a/link/dial.go
+++ b/link/dial.go
@@ -178,7 +178,8 @@
 // startSession starts a yamux session on a connection whose handshake is complete. overhead counts
 // the bytes that belong to no exchange.
 func (n *Node) startSession(conn net.Conn, overhead *counter, peer machine.Instance, dialled bool) (*session, error) {
-	m := newMeter(conn, overhead)
+	streams := newStreamSet()
+	m := newMeter(conn, overhead, streams.expire)
 	cfg := yamux.DefaultConfig()
 	cfg.AcceptBacklog = acceptBacklog
 	cfg.EnableKeepAlive = false // Node.watch pings only suspect sessions and those with exchanges in flight
@@ -199,7 +200,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	s := newSession(n, peer, dialled, m, ys)
+	s := newSession(n, peer, dialled, m, ys, streams)
 	if !n.addSession(s) {
 		_ = ys.Close()
 		return nil, errClosed
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
@@ -25,13 +24,10 @@
 // them for being idle.
 const maxSessionAttempts = 3
 
-// expiredDeadline is a deadline in the past. Setting it unblocks pending reads and writes.
-var expiredDeadline = time.Unix(1, 0)
-
 // exchange is the caller's end of an exchange and its stream.
 type exchange struct {
 	s     *session
-	st    *yamux.Stream
+	st    *stream
 	r     *bufio.Reader
 	start time.Time
 	stop  func() bool // detaches the exchange from its context
@@ -145,10 +141,11 @@
 	if err != nil {
 		return false, err
 	}
-	st, err := s.ys.OpenStream()
+	opened, err := s.ys.OpenStream()
 	if err != nil {
 		return false, err
 	}
+	st := s.streams.add(opened)
 	s.beginExchange()
 	s.meter.assignCounter(st.StreamID(), s.node.account.counter(s.peer.Zone, Cause(req.Cause)))
 	x := &exchange{s: s, st: st, r: bufio.NewReader(st), start: time.Now()}
@@ -171,12 +168,14 @@
 		s.handleTimeout(x.start)
 	case errors.Is(err, io.EOF) && s.ys.IsClosed():
 		err = errSessionEnded
+	default:
+		err = st.sessionError(err)
 	}
 	return !s.meter.popRefused(st.StreamID()), err
 }
 
 func (x *exchange) read(limit int64, m proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(x.r, m)
+	return x.st.sessionError(protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(x.r, m))
 }
 
 // finish closes the stream, which ends the context of the peer's handler.
--- a/link/meter.go
+++ b/link/meter.go
@@ -37,17 +37,24 @@
 
 	mu       sync.Mutex
 	overhead *counter
+	onClose  func() // called before the connection is closed
 	streams  map[uint32]*streamBytes
 	refused  map[uint32]struct{} // streams that the peer reset before it accepted them
 	out, in  frameParser
 }
 
-func newMeter(conn net.Conn, overhead *counter) *meter {
-	m := &meter{Conn: conn, overhead: overhead, streams: map[uint32]*streamBytes{}, refused: map[uint32]struct{}{}}
+func newMeter(conn net.Conn, overhead *counter, onClose func()) *meter {
+	m := &meter{Conn: conn, overhead: overhead, onClose: onClose, streams: map[uint32]*streamBytes{}, refused: map[uint32]struct{}{}}
 	m.lastRead.Store(time.Now().UnixNano())
 	return m
 }
 
+// Close implements net.Conn. yamux closes the connection of a session that it has shut down by itself.
+func (m *meter) Close() error {
+	m.onClose()
+	return m.Conn.Close()
+}
+
 // Read implements net.Conn.
 func (m *meter) Read(p []byte) (int, error) {
 	n, err := m.Conn.Read(p)
--- a/link/serve.go
+++ b/link/serve.go
@@ -102,7 +102,7 @@
 }
 
 // serve serves one exchange of the peer.
-func (s *session) serve(st *yamux.Stream) {
+func (s *session) serve(st *stream) {
 	defer func() { _ = st.Close() }()
 	n := s.node
 	_ = st.SetReadDeadline(time.Now().Add(n.opts.ExchangeTimeout))
@@ -134,7 +134,7 @@
 
 // watchCaller cancels the request's context and unblocks writes when the caller closes its end of
 // the stream or the connection fails.
-func watchCaller(st *yamux.Stream, r *bufio.Reader, cancel context.CancelFunc) {
+func watchCaller(st *stream, r *bufio.Reader, cancel context.CancelFunc) {
 	_, err := r.ReadByte()
 	if err != nil && errors.Is(err, yamux.ErrTimeout) {
 		return // the handler has finished
@@ -153,7 +153,7 @@
 }
 
 // dispatch runs the handler of the request and writes its response.
-func (s *session) dispatch(ctx context.Context, st *yamux.Stream, req *wire.Request) {
+func (s *session) dispatch(ctx context.Context, st *stream, req *wire.Request) {
 	if req.Method == httpMethod {
 		s.serveHTTP(ctx, st, req)
 		return
@@ -200,7 +200,7 @@
 	return &wire.Response{ErrorCode: code, Error: message}
 }
 
-func writeMessage(st *yamux.Stream, m proto.Message) error {
+func writeMessage(st *stream, m proto.Message) error {
 	b, err := delimited(m)
 	if err != nil {
 		return err
--- a/link/servehttp.go
+++ b/link/servehttp.go
@@ -5,7 +5,6 @@
 	"context"
 	"net/http"
 
-	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cicadasill/cicadasill/link/wire"
@@ -16,7 +15,7 @@
 
 // serveHTTP serves a forwarded request. When the handler panics, with http.ErrAbortHandler or
 // another value, the response has no end frame, so the caller's read fails.
-func (s *session) serveHTTP(ctx context.Context, st *yamux.Stream, req *wire.Request) {
+func (s *session) serveHTTP(ctx context.Context, st *stream, req *wire.Request) {
 	h := s.node.httpHandler
 	var hr wire.HttpRequest
 	if err := proto.Unmarshal(req.Payload, &hr); err != nil || h == nil {
@@ -49,7 +48,7 @@
 // responseWriter sends a response as frames. Writes block while the caller's receive window is
 // full.
 type responseWriter struct {
-	st             *yamux.Stream
+	st             *stream
 	header         http.Header
 	headerSnapshot http.Header // copy of header at the time of WriteHeader
 	status         int
--- a/link/session.go
+++ b/link/session.go
@@ -21,6 +21,7 @@
 	dialled bool
 	meter   *meter
 	ys      *yamux.Session
+	streams *streamSet
 	ctx     context.Context
 	cancel  context.CancelFunc
 
@@ -34,9 +35,9 @@
 	pinging   atomic.Bool  // a ping of startPing is in progress
 }
 
-func newSession(n *Node, peer machine.Instance, dialled bool, m *meter, ys *yamux.Session) *session {
+func newSession(n *Node, peer machine.Instance, dialled bool, m *meter, ys *yamux.Session, streams *streamSet) *session {
 	ctx, cancel := context.WithCancel(n.ctx)
-	s := &session{node: n, peer: peer, dialled: dialled, meter: m, ys: ys, ctx: ctx, cancel: cancel, opened: time.Now()}
+	s := &session{node: n, peer: peer, dialled: dialled, meter: m, ys: ys, streams: streams, ctx: ctx, cancel: cancel, opened: time.Now()}
 	s.lastUsed.Store(s.opened.UnixNano())
 	return s
 }
@@ -67,6 +68,7 @@
 func (s *session) close() {
 	s.retiredAt.CompareAndSwap(0, time.Now().UnixNano())
 	s.cancel()
+	s.streams.expire()
 	_ = s.ys.Close()
 }
 
@@ -100,7 +102,7 @@
 		s.beginExchange()
 		wg.Go(func() {
 			defer s.endExchange()
-			s.serve(st)
+			s.serve(s.streams.add(st))
 		})
 	}
 	s.close()
