--- a/link/exchange.go
+++ b/link/exchange.go
@@ -92,14 +92,16 @@
 		if s.opened.After(start) {
 			attempt++
 		}
-		if cause != CauseProbe && !s.checkAlive() {
-			if attempt < maxSessionAttempts {
-				continue
-			}
-			return notSentError(method, to, errPingFailed)
+		if cause != CauseProbe {
+			err = s.checkAlive(ctx)
 		}
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return notSentError(method, to, ctx.Err())
+		case err != nil && attempt < maxSessionAttempts:
+			continue
+		case err != nil:
+			return notSentError(method, to, err)
 		}
 		mayHaveRun, err := s.runExchange(ctx, n.newRequest(ctx, cause, method, payload), receive)
 		switch {
@@ -107,7 +109,7 @@
 			return nil
 		case mayHaveRun:
 			return &Error{Code: Unknown, Op: method, To: to.Ref(), Err: err}
-		case attempt == maxSessionAttempts:
+		case attempt == maxSessionAttempts, ctx.Err() != nil:
 			return notSentError(method, to, err)
 		}
 		s.retire()
@@ -141,19 +143,22 @@
 	if err != nil {
 		return false, err
 	}
-	opened, err := s.ys.OpenStream()
-	if err != nil {
-		return false, err
-	}
-	st := s.streams.add(opened)
+	start := time.Now()
 	s.beginExchange()
-	s.meter.assignCounter(st.StreamID(), s.node.account.counter(s.peer.Zone, Cause(req.Cause)))
-	x := &exchange{s: s, st: st, r: bufio.NewReader(st), start: time.Now()}
+	st, mayHaveRun, err := s.send(ctx, msg, Cause(req.Cause))
+	if st == nil {
+		s.endExchange()
+		if errors.Is(err, context.DeadlineExceeded) {
+			s.handleTimeout(start)
+		}
+		return mayHaveRun, err
+	}
+	x := &exchange{s: s, st: st, r: bufio.NewReader(st), start: start}
 	x.stop = context.AfterFunc(ctx, func() {
 		_ = st.SetDeadline(expiredDeadline)
 		_ = st.Close() // ends the handler's context even if the caller closes the response body late
 	})
-	if _, err = st.Write(msg); err == nil {
+	if err == nil {
 		err = receive(x)
 	}
 	if err == nil {
@@ -181,8 +186,9 @@
 // finish closes the stream, which ends the context of the peer's handler.
 func (x *exchange) finish() {
 	x.once.Do(func() {
-		x.stop()
-		_ = x.st.Close()
+		if x.stop() { // else the end of the context closes the stream, which may take long on a blocked connection
+			_ = x.st.Close()
+		}
 		x.s.endExchange()
 	})
 }
--- a/link/session.go
+++ b/link/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,7 +33,15 @@
 	lastUsed  atomic.Int64 // unix nanoseconds at which the last exchange ended, at first those of the start
 	suspect   atomic.Bool  // an exchange timed out with nothing received since its start
 	retiredAt atomic.Int64 // unix nanoseconds at which it stopped accepting exchanges, 0 before
-	pinging   atomic.Bool  // a ping of startPing is in progress
+
+	pingMu  sync.Mutex
+	pinging *pingAttempt // the ping in progress
+}
+
+// pingAttempt is a ping in progress, shared by all exchanges that wait for it.
+type pingAttempt struct {
+	done  chan struct{}
+	alive bool // set before done is closed
 }
 
 func newSession(n *Node, peer machine.Instance, dialled bool, m *meter, ys *yamux.Session, streams *streamSet) *session {
@@ -125,13 +134,25 @@
 	return false
 }
 
-// checkAlive reports whether an exchange may use the session. It pings the session if nothing has
-// been received for PingAfter.
-func (s *session) checkAlive() bool {
+// checkAlive returns nil if an exchange may use the session. It pings the session if nothing has been received
+// for PingAfter, and waits for the answer until ctx ends.
+func (s *session) checkAlive(ctx context.Context) error {
 	if s.meter.sinceLastRead() < s.node.opts.PingAfter {
-		return true
+		return nil
+	}
+	ping := s.node.startPing(s)
+	if ping == nil {
+		return errClosed
+	}
+	select {
+	case <-ping.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if !ping.alive {
+		return errPingFailed
 	}
-	return s.ping()
+	return nil
 }
 
 // handleTimeout is called after an exchange that began at start has timed out. If nothing has been
--- a/link/watch.go
+++ b/link/watch.go
@@ -41,18 +41,27 @@
 	}
 }
 
-// startPing pings a session in the background, unless a ping of it is already in progress.
-func (n *Node) startPing(s *session) {
-	if !s.pinging.CompareAndSwap(false, true) {
-		return
+// startPing pings a session in the background and returns the attempt, or the one that is already in progress.
+// It returns nil when the node is closed.
+func (n *Node) startPing(s *session) *pingAttempt {
+	s.pingMu.Lock()
+	defer s.pingMu.Unlock()
+	if s.pinging != nil {
+		return s.pinging
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
-		return
+		return nil
 	}
+	attempt := &pingAttempt{done: make(chan struct{})}
+	s.pinging = attempt
 	n.wg.Go(func() {
-		defer s.pinging.Store(false)
-		s.ping()
+		attempt.alive = s.ping()
+		s.pingMu.Lock()
+		s.pinging = nil
+		s.pingMu.Unlock()
+		close(attempt.done)
 	})
+	return attempt
 }
