job: a job is refused only if no instance has room

Callers got 503 for a job as soon as the open jobs of one instance, the job's preferred driver, filled its share of memory, although other instances were idle. A trainer was refused until an earlier job ended.

Cause: the driver was chosen before its room was looked at, and once only.

The candidates now come in an order of preference: the trainer's latest driver, the others of the data centre by rendezvous hashing, this instance, and those of other data centres. The first one with room drives the job. The choice is made again in the conditional append to the index, so that two acceptances cannot give the same room twice. A trainer keeps its driver while that has room. An instance that takes no new work comes last among its own candidates.

presence.Table.Peer, which named one instance, becomes Drivers; its tests check the whole order instead.

The limit is still that of the accepting instance; instances with different memory don't know each other's.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -197,7 +197,7 @@
 	i.node.Handle(ratelimit.Method, limiter.Handle)
 	i.jobs = job.NewRegistry(job.RegistryOptions{
 		Self: i.self, Log: i.store, Partitions: s.Store.Partitions,
-		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Peer: i.presence.Peer, Peers: i.presence,
+		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Drivers: i.presence.Drivers, Peers: i.presence,
 		MaxItemBytes: int64(itemFraction * s.Limits.MemoryMB * (1 << 20)),
 		IndexPause:   func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
 	})
--- a/job/faults_test.go
+++ b/job/faults_test.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &faultMember{cancel: cancel, done: make(chan struct{}), Registry: NewRegistry(RegistryOptions{
 		Self: self, Log: r.log, Partitions: 1, Logger: telemetry.Discard(), Retention: time.Hour,
-		AvailableInDataCentre: func(machine.Ref) bool { return false }, Peer: func(string) machine.Ref { return self },
+		AvailableInDataCentre: func(machine.Ref) bool { return false }, Drivers: func(string) []machine.Ref { return []machine.Ref{self} },
 		Peers: fixedPeers{dead: true}, IndexPause: func() time.Duration { return 20 * time.Millisecond }, IndexRead: func(error) {},
 	})}
 	go func() {
--- a/job/job.go
+++ b/job/job.go
@@ -140,9 +140,10 @@
 	return fmt.Sprintf("item %s has %d bytes, more than a store record can hold", e.Item, e.Bytes)
 }
 
-// FullError reports a job that its driver cannot hold beside its other open jobs.
+// FullError reports a job that no instance can hold beside its other open jobs.
 type FullError struct {
-	Job    ID
+	Job ID
+	// Driver is the instance that would preferably have driven the job.
 	Driver machine.Ref
 	// Open is the size of the items of the driver's open jobs, with the items of this job.
 	Open, Limit int64
@@ -150,7 +151,7 @@
 
 // Error implements error.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("batch job %s: the open jobs of %s would have %d bytes of items, more than %d", e.Job, e.Driver, e.Open, e.Limit)
+	return fmt.Sprintf("batch job %s: no instance has room; the open jobs of %s would have %d bytes of items, more than %d", e.Job, e.Driver, e.Open, e.Limit)
 }
 
 // UnavailableError reports that the store does not answer, so that the current state is unknown.
--- a/job/registry.go
+++ b/job/registry.go
@@ -53,9 +53,10 @@
 	Retention time.Duration
 	Logger    *log.Logger
 	// AvailableInDataCentre reports whether an instance is live, takes new work and is in this instance's data
-	// centre. Peer returns such an instance for a key, and this instance only if there is no other.
+	// centre.
 	AvailableInDataCentre func(machine.Ref) bool
-	Peer                  func(key string) machine.Ref
+	// Drivers returns the instances that may drive a new job, at least this one, in the order of preference for a key.
+	Drivers func(key string) []machine.Ref
 	// Peers determines which instance deletes the records of jobs whose driver is dead.
 	Peers Peers
 	// MaxItemBytes bounds the items of the open jobs of one driver, except that a single job is always accepted; 0 sets no
--- a/job/submit.go
+++ b/job/submit.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/changelog"
-	"github.com/cicadasill/cicadasill/machine"
 )
 
 // Submit accepts a job and assigns it a driver. It returns nil once the store holds the job, also if the
@@ -17,12 +16,12 @@
 	if _, ok := g.Summary(spec.ID); ok {
 		return nil
 	}
-	driver, size := g.driverFor(spec), int64(0)
+	size := int64(0)
 	for i := range spec.Items {
 		size += int64(itemSize(&spec.Items[i]))
 	}
 	var full error
-	checkRoom := func() { full = g.checkRoom(spec.ID, driver, size) }
+	checkRoom := func() { _, full = g.chooseDriver(spec, size) }
 	if g.indexReplica.View(checkRoom); full != nil {
 		// Another instance may have accepted the job, or room may have been made.
 		if err := g.indexReplica.Sync(ctx); err != nil {
@@ -46,17 +45,18 @@
 	summary := Summary{
 		ID: spec.ID, Partition: partitionNumber, Host: spec.Host, Path: spec.Path, Total: len(spec.Items),
 		SubmittedMs: time.Now().UnixMilli(), Step: spec.Step, Model: spec.Model,
-		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, Driver: driver, ConfigVersion: spec.ConfigVersion, ItemBytes: size,
+		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, ConfigVersion: spec.ConfigVersion, ItemBytes: size,
 	}
 	_, err = g.update(ctx, spec.ID, func(old *Summary) *Summary {
 		full = nil
 		if old != nil {
 			return nil
 		}
-		if full = g.checkRoom(spec.ID, driver, size); full != nil {
+		next := summary
+		if next.Driver, full = g.chooseDriver(spec, size); full != nil {
 			return nil
 		}
-		return &summary
+		return &next
 	})
 	if err == nil {
 		err = full
@@ -64,33 +64,6 @@
 	return err
 }
 
-// OpenItemBytes returns the size of the items of the open jobs that this instance drives.
-func (g *Registry) OpenItemBytes() int64 {
-	open := int64(0)
-	g.indexReplica.View(func() { open = g.openItemBytes(g.opts.Self) })
-	return open
-}
-
-// openItemBytes returns the size of the items of a driver's open jobs. The caller reads the index.
-func (g *Registry) openItemBytes(driver machine.Ref) int64 {
-	open := int64(0)
-	for _, s := range g.index.jobs {
-		if s.Open() && s.Driver == driver {
-			open += s.ItemBytes
-		}
-	}
-	return open
-}
-
-// checkRoom returns *FullError if a driver cannot hold a new job with size bytes of items. The caller reads the index.
-func (g *Registry) checkRoom(id ID, driver machine.Ref, size int64) error {
-	open := g.openItemBytes(driver)
-	if g.opts.MaxItemBytes == 0 || open == 0 || open+size <= g.opts.MaxItemBytes {
-		return nil
-	}
-	return &FullError{Job: id, Driver: driver, Open: open + size, Limit: g.opts.MaxItemBytes}
-}
-
 // putItems stores the items of a job, in as many calls as they need. Stored items without an index record
 // start nothing, so an append with an unknown outcome doesn't accept the job. The records' keys depend
 // only on the job, so appending them twice does no harm.
@@ -132,21 +105,3 @@
 	})
 	return err
 }
-
-// driverFor returns the driver of a new job. A trainer's jobs keep the same driver while that instance is
-// live, because it has connections to the engines. The first driver is another instance than this one, so
-// that the loss of one instance rarely costs a client both its connection and its job's progress.
-func (g *Registry) driverFor(spec *Spec) machine.Ref {
-	var latest *Summary
-	g.indexReplica.View(func() {
-		for _, s := range g.index.jobs {
-			if s.Host == spec.Host && s.Model == spec.Model && s.Step >= 0 && (latest == nil || s.AcceptedAt().After(latest.AcceptedAt())) {
-				latest = s
-			}
-		}
-	})
-	if latest != nil && spec.Step >= 0 && (latest.Driver == g.opts.Self || g.opts.AvailableInDataCentre(latest.Driver)) {
-		return latest.Driver
-	}
-	return g.opts.Peer(spec.Host + "/" + spec.Model)
-}
--- a/job/submit_test.go
+++ b/job/submit_test.go
@@ -80,7 +80,7 @@
 	self := machine.Ref{ID: "self", Incarnation: 1}
 	return NewRegistry(RegistryOptions{
 		Self: self, Log: log, Partitions: 2, Logger: telemetry.Discard(),
-		AvailableInDataCentre: func(machine.Ref) bool { return true }, Peer: func(string) machine.Ref { return self },
+		AvailableInDataCentre: func(machine.Ref) bool { return true }, Drivers: func(string) []machine.Ref { return []machine.Ref{self} },
 	})
 }
 
@@ -181,7 +181,7 @@
 			ctx := context.Background()
 			g := testRegistry(newCountingLog())
 			g.opts.Peers = tc.peers
-			g.opts.Peer = func(string) machine.Ref { return machine.Ref{ID: "other", Incarnation: 1} }
+			g.opts.Drivers = func(string) []machine.Ref { return []machine.Ref{{ID: "other", Incarnation: 1}} }
 			is.NoErr(g.Submit(ctx, &Spec{ID: "job-1", Host: "h", Step: -1, Items: []Item{{ID: "a"}}}))
 			is.NoErr(g.End(ctx, "job-1"))
 			g.deleteExpired(ctx, time.Now().Add(deletionDelay+time.Second))
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -313,21 +313,33 @@
 	return known && (s.Incarnation > ref.Incarnation || (s.Incarnation == ref.Incarnation && s.Left))
 }
 
-// Peer returns another live instance of this data centre that takes new work, or this instance if there is none.
-// It chooses by rendezvous hashing, so equal keys give the same instance as long as the instances stay.
-func (t *Table) Peer(key string) machine.Ref {
+// Drivers returns the live instances that take new work: the others of this data centre, then this instance, then those of other
+// data centres. It orders them by rendezvous hashing, so equal keys give the same order as long as the instances stay. While this
+// instance takes no new work, it is the last.
+func (t *Table) Drivers(key string) []machine.Ref {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, bestHash := t.self, uint64(0)
+	var near, remote []machine.Ref
 	for id, s := range t.byID {
-		if id == t.self.ID || s.DataCentre != t.dataCentre || !s.acceptsWork() {
+		if id == t.self.ID || !s.acceptsWork() {
 			continue
 		}
-		if h := xxhash.Sum64String(key + "/" + id); best == t.self || h < bestHash {
-			best, bestHash = machine.Ref{ID: id, Incarnation: s.Incarnation}, h
+		ref := machine.Ref{ID: id, Incarnation: s.Incarnation}
+		if s.DataCentre == t.dataCentre {
+			near = append(near, ref)
+		} else {
+			remote = append(remote, ref)
 		}
 	}
-	return best
+	for _, refs := range [][]machine.Ref{near, remote} {
+		slices.SortFunc(refs, func(a, b machine.Ref) int {
+			return cmp.Compare(xxhash.Sum64String(key+"/"+a.ID), xxhash.Sum64String(key+"/"+b.ID))
+		})
+	}
+	if t.draining {
+		return slices.Concat(near, remote, []machine.Ref{t.self})
+	}
+	return slices.Concat(near, []machine.Ref{t.self}, remote)
 }
 
 // Owner returns the live instance that is responsible for key: one of the given data centre, if one that takes new work is
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -63,11 +63,11 @@
 	ref := machine.Ref{ID: "b", Incarnation: 1}
 	eventually(t, "b is seen", func() bool { return a.AvailableInDataCentre(ref) })
 	is.True(!a.Dead(ref))
-	is.Equal(a.Peer("any"), ref)
+	is.Equal(a.Drivers("any"), []machine.Ref{ref, a.self})
 	is.True(b.Rank("k") != a.Rank("k"))
 	stopB()
 	eventually(t, "b counts as dead", func() bool { return a.Dead(ref) })
-	is.Equal(a.Peer("any"), a.self)
+	is.Equal(a.Drivers("any"), []machine.Ref{a.self})
 	is.True(!a.Dead(a.self))
 }
 
@@ -98,14 +98,14 @@
 	a, _ := startTable(t, store, "a", "x", 2)
 	eventually(t, "b's last record is read", func() bool {
 		is.True(!a.AvailableInDataCentre(ref))
-		is.Equal(a.Peer("any"), a.self)
+		is.Equal(a.Drivers("any"), []machine.Ref{a.self})
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		_, known := a.byID["b"]
 		return known
 	})
 	is.True(!a.AvailableInDataCentre(ref))
-	is.Equal(a.Peer("any"), a.self)
+	is.Equal(a.Drivers("any"), []machine.Ref{a.self})
 	startTable(t, store, "b", "x", 2)
 	eventually(t, "b is back", func() bool { return a.AvailableInDataCentre(machine.Ref{ID: "b", Incarnation: 2}) })
 }
@@ -141,9 +141,13 @@
 	eventually(t, "peers are seen", func() bool { return len(a.Peers()) == 2 })
 	is.Equal(a.Peers()[0].ID, "b") // the nearest first
 	is.True(!a.AvailableInDataCentre(machine.Ref{ID: "c", Incarnation: 1}))
+	eventually(t, "peers take work", func() bool { return len(a.Drivers("any")) == 3 })
+	is.Equal(a.Drivers("any"), []machine.Ref{b.self, a.self, {ID: "c", Incarnation: 1}})
 	b.AnnounceDraining(context.Background())
 	eventually(t, "b is known to stop", func() bool { return !a.AvailableInDataCentre(machine.Ref{ID: "b", Incarnation: 1}) })
 	is.True(!a.Dead(machine.Ref{ID: "b", Incarnation: 1}))
+	is.Equal(a.Drivers("any"), []machine.Ref{a.self, {ID: "c", Incarnation: 1}})
+	is.Equal(b.Drivers("any")[len(b.Drivers("any"))-1], b.self) // it takes no new work if another can
 	b.Leave(context.Background())
 	eventually(t, "b has left", func() bool { return a.Dead(machine.Ref{ID: "b", Incarnation: 1}) })
 }
