job: an instance without room takes a job over after those with room

When a driver died, the instance of the lowest rank took each of its jobs over, however much it held already. Its process could exceed memory_mb and end, which passed all of its jobs on in the same way.

Cause: room was checked at the acceptance only, for the driver chosen then.

An instance without room for a job now waits overfullDelay longer than any instance with room, and takes over one such job at a time, so that a job never stays without a driver and others can take the rest. The conditional append checks the room again, because several jobs may each have room and not all of them. The takeover has a file of its own.

The tests of job/takeover_test.go fail on the code before: "map[rank-0#1:2] != map[rank-0#1:1 rank-1#1:1]", "map[rank-0#1:3] != map[rank-0#1:1 rank-1#1:1 rank-2#1:1]" and "not true: drivenBy(t, log)[rankedRef(0)] <= 1+i". They use virtual time. go test ./job -race -p 2 passes.

--- a/job/driver.go
+++ b/job/driver.go
@@ -20,18 +20,9 @@
 	"github.com/cicadasill/cicadasill/timing"
 )
 
-// Intervals and time limits of the driver.
-const (
-	// scanInterval bounds how late the death of a driver is noticed. Changes of the index trigger a scan at
-	// once, but the death of a driver changes no record of the index.
-	scanInterval = 150 * time.Millisecond
-	// rankDelay is the delay per rank before an instance takes a job over, so that takeovers by several
-	// instances rarely conflict.
-	rankDelay = 300 * time.Millisecond
-	maxRank   = 4 // caps the rank in the delay
-	// takeoverTimeout bounds one attempt to take over a job.
-	takeoverTimeout = 2 * time.Second
-)
+// scanInterval bounds how late the death of a driver is noticed. Changes of the index trigger a scan at
+// once, but the death of a driver changes no record of the index.
+const scanInterval = 150 * time.Millisecond
 
 // Peers reports the liveness of the instances.
 type Peers interface {
@@ -82,6 +73,9 @@
 	orphanedSince    map[ID]time.Time // when this instance noticed that the job's driver is dead
 	takeovers        map[ID]bool
 	takeoversStopped bool
+	// overfull states that a takeover without room is under way, overfullAt when the last one ended.
+	overfull   bool
+	overfullAt time.Time
 }
 
 type driverMetrics struct {
@@ -176,8 +170,12 @@
 // scan starts the open jobs that are assigned to this instance, stops running jobs that are closed or
 // assigned to another one, and considers the rest for takeover.
 func (d *Driver) scan(ctx context.Context) {
-	var open []Summary
+	var (
+		open     []Summary
+		ownBytes int64 // of items of the open jobs that this instance drives
+	)
 	d.opts.Registry.indexReplica.View(func() {
+		ownBytes = d.opts.Registry.openItemBytes()[d.opts.Self]
 		for _, s := range d.opts.Registry.index.jobs {
 			if s.Open() {
 				open = append(open, *s)
@@ -196,7 +194,7 @@
 			d.start(ctx, s)
 			continue
 		}
-		d.considerTakeover(ctx, s)
+		d.considerTakeover(ctx, s, d.opts.Registry.hasRoom(ownBytes, s.ItemBytes))
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -233,64 +231,6 @@
 	return len(d.running)
 }
 
-// StopTakeovers stops the driver from taking over further jobs. Running jobs continue.
-func (d *Driver) StopTakeovers() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.takeoversStopped = true
-}
-
-// considerTakeover starts to take over a job if its driver is dead and this instance's delay, which
-// depends on its rank for the job, has passed.
-func (d *Driver) considerTakeover(ctx context.Context, s *Summary) {
-	dead := d.opts.Peers.Dead(s.Driver)
-	delay := time.Duration(min(d.opts.Peers.Rank(string(s.ID)), maxRank)) * rankDelay
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !dead || d.takeoversStopped {
-		delete(d.orphanedSince, s.ID)
-		return
-	}
-	since, known := d.orphanedSince[s.ID]
-	if !known {
-		since = time.Now()
-		d.orphanedSince[s.ID] = since
-	}
-	if time.Since(since) < delay || d.takeovers[s.ID] {
-		return
-	}
-	d.takeovers[s.ID] = true
-	job := *s
-	d.tasks.Go(func() {
-		d.takeOver(ctx, &job)
-		d.mu.Lock()
-		delete(d.takeovers, job.ID)
-		d.mu.Unlock()
-	})
-}
-
-// takeOver makes this instance the driver of a job unless the job is closed or has a new driver.
-func (d *Driver) takeOver(ctx context.Context, s *Summary) {
-	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
-	defer cancel()
-	changed, err := d.opts.Registry.update(ctx, s.ID, func(old *Summary) *Summary {
-		if old == nil || !old.Open() || old.Driver != s.Driver {
-			return nil
-		}
-		next := *old
-		next.Driver = d.opts.Self
-		return &next
-	})
-	if err != nil {
-		d.log.Warn("job not taken over", "job", s.ID, "from", s.Driver.String(), "err", err)
-		return
-	}
-	if changed {
-		d.metrics.takeovers.Inc()
-		d.log.Info("job taken over", "job", s.ID, "from", s.Driver.String())
-	}
-}
-
 // runJob runs the items of a job that have no listed result, and closes the job.
 func (d *Driver) runJob(ctx context.Context, s *Summary) {
 	start := time.Now()
--- /dev/null
+++ b/job/takeover_test.go
@@ -0,0 +1,128 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/ratelimit"
+	"github.com/cicadasill/cicadasill/routes"
+	"github.com/cicadasill/cicadasill/telemetry"
+)
+
+// goneDriver is the dead driver of the jobs in these tests.
+var goneDriver = machine.Ref{ID: "gone", Incarnation: 1}
+
+// goneFirst is a Peers in which goneDriver is dead and this instance has a fixed rank.
+type goneFirst struct{ rank int }
+
+func (goneFirst) Dead(ref machine.Ref) bool { return ref == goneDriver }
+func (p goneFirst) Rank(string) int         { return p.rank }
+
+// submitTo accepts a job with a driver.
+func submitTo(t *testing.T, log *countingLog, driver machine.Ref, id string, bytes int) {
+	t.Helper()
+	g := testRegistry(log)
+	g.opts.Drivers = func(string) []machine.Ref { return []machine.Ref{driver} }
+	if err := g.Submit(t.Context(), jobOf(id, -1, bytes)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// rankedRef returns the instance of a rank.
+func rankedRef(rank int) machine.Ref {
+	return machine.Ref{ID: fmt.Sprint("rank-", rank), Incarnation: 1}
+}
+
+// runDrivers runs instances of the ranks below n, each with roomLimit, until the returned function is called.
+func runDrivers(t *testing.T, log *countingLog, n int) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for rank := range n {
+		g := NewRegistry(RegistryOptions{
+			Self: rankedRef(rank), Log: log, Partitions: 2, Logger: telemetry.Discard(), Peers: goneFirst{rank}, MaxItemBytes: roomLimit,
+			IndexPause: func() time.Duration { return 20 * time.Millisecond }, IndexRead: func(error) {},
+		})
+		d := NewDriver(DriverOptions{
+			Self: rankedRef(rank), Registry: g, Backends: backends.New(), RateLimits: ratelimit.New(ratelimit.Options{}), Peers: goneFirst{rank},
+			Config: func() *routes.Config { return nil }, SlotShare: 1, Logger: telemetry.Discard(),
+		})
+		running.Go(func() { g.Run(ctx) })
+		running.Go(func() { d.Run(ctx) })
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// drivenBy returns the number of jobs that each instance drives.
+func drivenBy(t *testing.T, log *countingLog) map[machine.Ref]int {
+	g := testRegistry(log)
+	if err := g.indexReplica.Sync(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	count := map[machine.Ref]int{}
+	for _, s := range g.index.jobs {
+		count[s.Driver]++
+	}
+	return count
+}
+
+// Guards against a takeover that exceeds the new driver's memory although another instance has room.
+func TestInstanceWithRoomTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := newCountingLog()
+		submitTo(t, log, rankedRef(0), "own", 900)
+		submitTo(t, log, goneDriver, "orphan", 600)
+		stop := runDrivers(t, log, maxRank+1)
+		time.Sleep(10 * time.Second)
+		is.Equal(drivenBy(t, log), map[machine.Ref]int{rankedRef(0): 1, rankedRef(1): 1})
+		stop()
+	})
+}
+
+// Guards against an instance that takes over, at the same time, jobs that each fit its memory and together don't.
+func TestJobsTakenOverAtOnceShareMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := newCountingLog()
+		for i := range 3 {
+			submitTo(t, log, goneDriver, fmt.Sprint("orphan-", i), 600)
+		}
+		stop := runDrivers(t, log, 3)
+		time.Sleep(10 * time.Second)
+		is.Equal(drivenBy(t, log), map[machine.Ref]int{rankedRef(0): 1, rankedRef(1): 1, rankedRef(2): 1})
+		stop()
+	})
+}
+
+// Guards against jobs that stay without a driver because no instance has room, and against a full instance that takes them all at once.
+func TestFullInstanceTakesJobsOverOneAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const orphans = 3
+		log := newCountingLog()
+		submitTo(t, log, rankedRef(0), "own", 900)
+		for i := range orphans {
+			submitTo(t, log, goneDriver, fmt.Sprint("orphan-", i), 600)
+		}
+		stop := runDrivers(t, log, 1)
+		start := time.Now()
+		for i := range orphans {
+			time.Sleep(time.Until(start.Add(time.Duration(i+1)*overfullDelay - time.Millisecond)))
+			is.True(drivenBy(t, log)[rankedRef(0)] <= 1+i)
+		}
+		time.Sleep(orphans * (overfullDelay + 2*scanInterval))
+		is.Equal(drivenBy(t, log), map[machine.Ref]int{rankedRef(0): 1 + orphans})
+		stop()
+	})
+}
