cli: explain sorts lines by their time

explain sorted the lines as texts. Times are written without the zeros at the end of the fraction, so that .25Z sorted before .9Z only by chance and whole seconds came last: the order of a history across instances was wrong.

Lines are sorted by the parsed time. TestExplainSortsByTime failed before with [msg=second msg=fourth msg=third msg=first] != [msg=first msg=second msg=third msg=fourth].

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
-	"cmp"
 	"fmt"
 	"os"
 	"regexp"
 	"slices"
+	"time"
 
 	"github.com/spf13/cobra"
 )
@@ -20,6 +20,7 @@
 // logLine is a log line with the fields that fieldPattern matches.
 type logLine struct {
 	text   string
+	time   time.Time
 	fields map[string]string
 }
 
@@ -28,6 +29,7 @@
 	for _, m := range fieldPattern.FindAllStringSubmatch(text, -1) {
 		line.fields[m[1]] = m[2]
 	}
+	line.time, _ = time.Parse(time.RFC3339Nano, line.fields["time"]) // a line without a time comes first
 	return line
 }
 
@@ -99,6 +101,6 @@
 			found = append(found, *l)
 		}
 	}
-	slices.SortStableFunc(found, func(a, b logLine) int { return cmp.Compare(a.fields["time"], b.fields["time"]) })
+	slices.SortStableFunc(found, func(a, b logLine) int { return a.time.Compare(b.time) })
 	return found
 }
