changelog: a load continues after a failed page (LOST)

What callers saw: after a loss of all instances, reads of an accepted job failed again and again with "the store is unavailable".

Cause: Replica.load read all pages of a partition within one attempt or none; one failed page discarded those before it. And it read the records that were appended meanwhile only after the last page: a load that took longer than the store retains its history found them expired and started over each time.

Change: the progress of a load belongs to the replica and outlasts failed attempts, whoever makes the next one. A load follows the history while it reads pages, so that it starts over only if the store has forgotten what it needs, and it rebuilds the state only when it holds the newest records of all keys at one offset. It keeps one record of each key at most. While a load is due, commits don't build on the old state. A page that states that more follow and doesn't advance is an error instead of the end of the partition.

--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +39,7 @@
 	mu          sync.Mutex // guards state and the fields up to syncing
 	next        int64      // offset of the next record to apply
 	loaded      bool
+	loading     *load         // the load that is under way; nil if there is none
 	changed     chan struct{} // closed when records are applied
 	readAt      time.Time     // start of the last successful read or append
 	lastReadErr error         // of the last read; nil after a successful one
@@ -158,7 +158,7 @@
 // ConstantWait returns a wait for Follow that is always d.
 func ConstantWait(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
-// errNoProgress reports a read without records before the end of the partition.
+// errNoProgress reports an answer without records although more records follow.
 var errNoProgress = errors.New("the log returned no records although there are more")
 
 // catchUp reads up to the end of the partition. Only the first read waits for records, up to wait.
@@ -171,23 +171,23 @@
 }
 
 func (r *Replica) readToEnd(ctx context.Context, wait time.Duration) error {
-	for {
+	for trims := 0; ; {
 		start := time.Now()
 		r.mu.Lock()
-		from, loaded := r.next, r.loaded
+		from, mustLoad := r.next, !r.loaded || r.loading != nil
 		r.mu.Unlock()
-		if !loaded {
-			if err := r.load(ctx); err != nil {
+		if mustLoad {
+			r.startLoad()
+			if err := r.continueLoad(ctx, &trims); err != nil {
 				return err
 			}
 			continue
 		}
 		batch, err := r.log.Read(ctx, r.partition, from, wait)
 		var trimmed *TrimmedError
-		if errors.As(err, &trimmed) {
-			if err := r.load(ctx); err != nil {
-				return err
-			}
+		if errors.As(err, &trimmed) && trims < maxTrims {
+			trims++
+			r.startLoad()
 			continue
 		}
 		var silent *SilentConnectionError
@@ -209,47 +209,6 @@
 	}
 }
 
-// load rebuilds the state from the newest record of each key. The pages are no consistent snapshot, so the
-// records after the end that the first page reports are read and applied again afterwards.
-func (r *Replica) load(ctx context.Context) error {
-	start := time.Now()
-	var (
-		records  []Record
-		end      int64
-		afterKey string
-	)
-	for first := true; ; first = false {
-		page, err := r.log.Newest(ctx, r.partition, afterKey)
-		if err != nil {
-			return err
-		}
-		if first {
-			end = page.End
-		}
-		records = append(records, page.Records...)
-		if !page.More || len(page.Records) == 0 {
-			break
-		}
-		afterKey = page.Records[len(page.Records)-1].Key
-	}
-	slices.SortFunc(records, func(a, b Record) int { return int(a.Offset - b.Offset) })
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.loaded && r.next >= end {
-		return nil // a concurrent read has advanced the replica beyond this load
-	}
-	r.state.Reset()
-	for _, record := range records {
-		r.state.Apply(record)
-	}
-	if observer, ok := r.state.(LoadObserver); ok {
-		observer.Loaded()
-	}
-	r.next, r.loaded, r.readAt = end, true, start
-	r.notify()
-	return nil
-}
-
 // apply applies those of the contiguous records that are new and returns the offset of the next record.
 func (r *Replica) apply(records []Record, start time.Time) int64 {
 	r.mu.Lock()
@@ -341,6 +300,10 @@
 		return 0, &NotDoneError{Call: "load of " + r.partition.String(), Err: err}
 	}
 	r.mu.Lock()
+	if r.loading != nil { // the state is to be replaced
+		r.mu.Unlock()
+		return 0, &NotDoneError{Call: "append to " + r.partition.String(), Err: errLoading}
+	}
 	expectEnd := r.next
 	records := build()
 	r.mu.Unlock()
@@ -359,10 +322,13 @@
 	return end, nil
 }
 
-// ensureLoaded reads the partition unless the replica has read it before.
+// errLoading reports a commit during a load.
+var errLoading = errors.New("the partition is being loaded")
+
+// ensureLoaded reads the partition unless the replica has read it before and is not to load it again.
 func (r *Replica) ensureLoaded(ctx context.Context) error {
 	r.mu.Lock()
-	loaded := r.loaded
+	loaded := r.loaded && r.loading == nil
 	r.mu.Unlock()
 	if loaded {
 		return nil
