changelog: a load takes pages in whatever order the store returns them

The platform's page says how to continue, not in which order the keys come. A load took a last key that is not greater than the one before for a lack of progress, and would never have ended on a store with another order. Only the same last key twice proves that nothing moves.

TestLoadTakesPagesInTheOrderOfTheStore failed before with "the log returned no records although there are more". No store of that kind has been met.

--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -38,7 +38,7 @@
 	First int64
 }
 
-// Page is a part of the newest records of all keys, in the order of the keys.
+// Page is a part of the newest records of all keys, in the order of the store.
 type Page struct {
 	Records []Record
 	// End is the offset after the last record of the partition when the page was read.
@@ -60,7 +60,7 @@
 // wait. It fails with *TrimmedError if the record at the offset is no longer retained. If it waits and the cause of its failure
 // is a *SilentConnectionError, a read without a wait is likely to succeed.
 //
-// Newest returns the newest records of the keys greater than after.
+// Newest returns the newest records of the keys that follow after in the order of the store, or of its first keys.
 type Log interface {
 	Append(ctx context.Context, p Partition, records []Record, expectEnd int64) (int64, error)
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Batch, error)
--- a/changelog/load.go
+++ b/changelog/load.go
@@ -39,7 +39,7 @@
 
 // addPage adds the page after afterKey.
 func (l *load) addPage(page Page, start time.Time) error {
-	if page.More && (len(page.Records) == 0 || page.Records[len(page.Records)-1].Key <= l.afterKey) {
+	if page.More && (len(page.Records) == 0 || page.Records[len(page.Records)-1].Key == l.afterKey) {
 		return errNoProgress
 	}
 	if !l.begun {
--- a/changelog/load_test.go
+++ b/changelog/load_test.go
@@ -229,3 +229,25 @@
 		})
 	}
 }
+
+// reversedLog returns the pages of newest records in the reverse order of the keys.
+type reversedLog struct{ *pagedLog }
+
+// Newest implements changelog.Log.
+func (l reversedLog) Newest(context.Context, changelog.Partition, string) (changelog.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := len(l.records) - 1 - l.pages
+	l.pages++
+	return changelog.Page{Records: l.records[next : next+1], End: int64(len(l.records)), More: next > 0}, nil
+}
+
+// Guards against a load that takes a store's order of keys, other than the alphabetical one, for a lack of progress.
+func TestLoadTakesPagesInTheOrderOfTheStore(t *testing.T) {
+	is := is.New(t)
+	log := reversedLog{newPagedLog(5, 1)}
+	state := &keyState{}
+	replica := changelog.NewReplica(log, testPartition, state)
+	is.NoErr(replica.Sync(t.Context()))
+	is.Equal(state.values, log.values())
+}
