--- a/instance/instance.go
+++ b/instance/instance.go
@@ -200,6 +200,7 @@
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Peer: i.presence.Peer, Peers: i.presence,
 		MaxItemBytes: int64(itemFraction * s.Limits.MemoryMB * (1 << 20)),
 		IndexPause:   func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
+		Registerer: i.registry,
 	})
 	forwarder := forward.New(forward.Options{
 		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, DataCentre: s.Instance.DataCentre,
--- a/job/read.go
+++ b/job/read.go
@@ -33,7 +33,8 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	deadline := time.Now().Add(wait)
-	s, err := g.find(ctx, id)
+	r := &jobRead{Registry: g, call: callResults, id: id, after: after, start: time.Now()}
+	s, err := r.find(ctx)
 	if err != nil {
 		return Page{}, err
 	}
@@ -49,7 +50,7 @@
 		left := time.Until(deadline)
 		if left <= 0 || (s.Ended && syncErr == nil) {
 			if syncErr != nil {
-				return Page{}, &UnavailableError{Err: syncErr}
+				return Page{}, r.refuseUnread(&s, syncErr)
 			}
 			return page, nil
 		}
@@ -57,7 +58,10 @@
 		case <-changed:
 		case <-time.After(min(left, resultPollInterval)):
 		case <-ctx.Done():
-			return Page{}, &UnavailableError{Err: ctx.Err()}
+			if syncErr != nil {
+				return Page{}, r.refuseUnread(&s, syncErr)
+			}
+			return Page{}, r.refuseByPartition(StepWait, &s, &UnavailableError{Err: context.Cause(ctx)})
 		}
 	}
 }
@@ -95,11 +99,23 @@
 	return page
 }
 
+// listed returns the number of results of a job in this instance's copy of the partition.
+func (p *partition) listed(id ID) int {
+	n := 0
+	p.View(func() {
+		if j := p.state.jobs[id]; j != nil {
+			n = len(j.results)
+		}
+	})
+	return n
+}
+
 // Body returns the body of an item of an open job.
 func (g *Registry) Body(ctx context.Context, id ID, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	s, err := g.find(ctx, id)
+	r := &jobRead{Registry: g, call: callBody, id: id, item: item, start: time.Now()}
+	s, err := r.find(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -108,12 +124,12 @@
 		return body, nil
 	}
 	if err := p.Sync(ctx); err != nil {
-		return nil, &UnavailableError{Err: err}
+		return nil, r.refuseUnread(&s, err)
 	}
 	if body, ok := p.body(id, item); ok {
 		return body, nil
 	}
-	return nil, &NotFoundError{Job: id, Item: item}
+	return nil, r.refuseByPartition(StepItemNotFound, &s, &NotFoundError{Job: id, Item: item})
 }
 
 // body returns the body of an item if this instance's copy of the partition holds it.
--- a/job/registry.go
+++ b/job/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/changelog"
@@ -65,6 +66,8 @@
 	IndexPause func() time.Duration
 	// IndexRead is called after each read of the index with its error or nil.
 	IndexRead func(error)
+	// Registerer may be nil.
+	Registerer prometheus.Registerer
 }
 
 // Registry accepts batch jobs, stores their items, checkpoints and results, and answers clients' requests
@@ -75,6 +78,7 @@
 	indexReplica *changelog.Replica
 	index        *index
 	partitions   []*partition
+	refusals     *refusalLog
 	tasks        conc.WaitGroup
 	// writeCtx is the context of writes that may outlast Run's context. It is cancelled stopTimeout later,
 	// so that a stopping instance can still store its last results.
@@ -96,7 +100,7 @@
 
 // NewRegistry returns a registry that has not read the log yet. Run starts it.
 func NewRegistry(opts RegistryOptions) *Registry {
-	g := &Registry{opts: opts, log: opts.Logger, index: newIndex(opts.Logger)}
+	g := &Registry{opts: opts, log: opts.Logger, index: newIndex(opts.Logger), refusals: newRefusalLog(opts.Logger, opts.Registerer)}
 	g.writeCtx, g.cancelWrites = context.WithCancel(context.Background())
 	g.indexReplica = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.index)
 	for i := range dataTopics * opts.Partitions {
@@ -139,21 +143,6 @@
 	return s, ok
 }
 
-// find returns the summary of a job. It reads the index from the store if this instance doesn't know the
-// job yet.
-func (g *Registry) find(ctx context.Context, id ID) (Summary, error) {
-	if s, ok := g.Summary(id); ok {
-		return s, nil
-	}
-	if err := g.indexReplica.Sync(ctx); err != nil {
-		return Summary{}, &UnavailableError{Err: err}
-	}
-	if s, ok := g.Summary(id); ok {
-		return s, nil
-	}
-	return Summary{}, &NotFoundError{Job: id}
-}
-
 // update replaces the summary of a job by the result of change, unless that is nil. It reports whether this
 // call changed the summary. change must not modify its argument, which is nil if the job does not exist.
 func (g *Registry) update(ctx context.Context, id ID, change func(*Summary) *Summary) (bool, error) {
@@ -185,7 +174,8 @@
 
 // End ends a job, so that its driver stops running items. It returns nil once the store has recorded it.
 func (g *Registry) End(ctx context.Context, id ID) error {
-	s, err := g.find(ctx, id)
+	r := &jobRead{Registry: g, call: callEnd, id: id, start: time.Now()}
+	s, err := r.find(ctx)
 	if err != nil {
 		return err
 	}
@@ -200,5 +190,8 @@
 		next.Ended = true
 		return &next
 	})
-	return err
+	if err != nil {
+		return r.refuseByIndex(StepWrite, err)
+	}
+	return nil
 }
