--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -50,3 +50,30 @@
 	}
 	is.Equal(order, []string{"msg=first", "msg=second", "msg=third", "msg=fourth"})
 }
+
+// Guards against a refused read of a job whose history shows neither what its instance had lost nor the calls that failed
+// meanwhile, or shows those of other instances and times.
+func TestExplainShowsWhyAReadWasRefused(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	refusing, other := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	is.NoErr(os.WriteFile(refusing, []byte(`time=2026-01-01T00:00:01Z level=info msg="instance started" n=1
+time=2026-01-01T00:00:02Z level=warn msg="store lost" read=index err=timeout n=2
+time=2026-01-01T00:00:02.5Z level=info msg="store regained" read=index n=3
+time=2026-01-01T00:00:02.6Z level=warn msg="store lost" read=entries err=timeout n=4
+time=2026-01-01T00:00:02.7Z level=warn msg="call failed" target=10.0.0.1:80/log took=1s err=timeout n=5
+time=2026-01-01T00:00:04.5Z level=warn msg="call failed" target=10.0.0.1:80/log took=900ms err=timeout n=6
+time=2026-01-01T00:00:05Z level=warn msg="read of a job refused" call=results job=j1 step=partition_load took=1.3s err=timeout n=7
+time=2026-01-01T00:00:05.1Z level=info msg="store regained" read=entries n=8
+`), 0o600))
+	is.NoErr(os.WriteFile(other, []byte(`time=2026-01-01T00:00:04.6Z level=warn msg="call failed" target=10.0.0.1:80/log took=900ms err=timeout n=9
+time=2026-01-01T00:00:04.7Z level=info msg="results listed" job=j1 n=10
+`), 0o600))
+	var out, errOut bytes.Buffer
+	is.Equal(Main(context.Background(), []string{"explain", "j1", refusing, other}, &out, &errOut), ExitOK)
+	var shown []string
+	for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		shown = append(shown, line[strings.LastIndex(line, "n="):])
+	}
+	is.Equal(shown, []string{"n=1", "n=3", "n=4", "n=6", "n=10", "n=7"})
+}
