--- a/changelog/load.go
+++ b/changelog/load.go
@@ -91,9 +91,10 @@
 }
 
 // nextLoadStep returns the next step of the load that is under way, and rebuilds the state if there is none left.
-func (r *Replica) nextLoadStep() loadStep {
+func (r *Replica) nextLoadStep(reader *syncReader) loadStep {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.beginCall(reader)
 	l := r.loading
 	if l == nil {
 		return loadStep{done: true}
@@ -136,9 +137,9 @@
 
 // continueLoad continues the load that is under way until the state has been rebuilt or a call fails. Several calls of
 // continueLoad may advance the same load.
-func (r *Replica) continueLoad(ctx context.Context, trims *int) error {
+func (r *Replica) continueLoad(ctx context.Context, trims *int, reader *syncReader) error {
 	for {
-		step := r.nextLoadStep()
+		step := r.nextLoadStep(reader)
 		if step.done {
 			return nil
 		}
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -36,15 +36,16 @@
 	partition Partition
 	state     State
 
-	mu          sync.Mutex // guards state and the fields up to syncing
+	mu          sync.Mutex // guards state and the fields up to syncReaders
 	next        int64      // offset of the next record to apply
 	loaded      bool
 	loading     *load         // the load that is under way; nil if there is none
 	changed     chan struct{} // closed when records are applied
 	readAt      time.Time     // start of the last successful read or append
 	lastReadErr error         // of the last read; nil after a successful one
-	syncWaiters []chan error
-	syncing     bool // serveSyncs is running
+	syncNumber  uint64        // number of the last call of Sync
+	syncCalls   []*syncCall   // the calls of Sync that wait
+	syncReaders []*syncReader // those that run
 
 	commitTurn chan struct{} // holds a value while one of this instance's commits runs
 }
@@ -93,43 +94,6 @@
 	return r.lastReadErr
 }
 
-// Sync waits until the replica has applied every record that was appended before the call.
-func (r *Replica) Sync(ctx context.Context) error {
-	done := make(chan error, 1)
-	r.mu.Lock()
-	r.syncWaiters = append(r.syncWaiters, done)
-	if !r.syncing {
-		r.syncing = true
-		go r.serveSyncs()
-	}
-	r.mu.Unlock()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// serveSyncs reads until no call of Sync waits. Each read serves all calls that wait when it starts.
-func (r *Replica) serveSyncs() {
-	for {
-		r.mu.Lock()
-		waiters := r.syncWaiters
-		r.syncWaiters = nil
-		if len(waiters) == 0 {
-			r.syncing = false
-			r.mu.Unlock()
-			return
-		}
-		r.mu.Unlock()
-		err := r.catchUp(context.Background(), 0)
-		for _, w := range waiters {
-			w <- err
-		}
-	}
-}
-
 // Follow keeps the replica current until ctx ends. wait returns how long the next read waits for records, and pause
 // the pause after it. After a failed read the next one does not wait, since the copy has grown old. onRead is called with the outcome of each read, nil for a successful one.
 func (r *Replica) Follow(ctx context.Context, wait, pause func() time.Duration, onRead func(error)) {
@@ -139,7 +103,7 @@
 		if !failed {
 			readWait = wait()
 		}
-		err := r.catchUp(ctx, readWait)
+		err := r.catchUp(ctx, readWait, nil)
 		failed = err != nil
 		if ctx.Err() != nil {
 			return
@@ -161,25 +125,31 @@
 // errNoProgress reports an answer without records although more records follow.
 var errNoProgress = errors.New("the log returned no records although there are more")
 
-// catchUp reads up to the end of the partition. Only the first read waits for records, up to wait.
-func (r *Replica) catchUp(ctx context.Context, wait time.Duration) error {
-	err := r.readToEnd(ctx, wait)
+// catchUp reads up to the end of the partition, on behalf of a reader unless that is nil. Only the first read waits for records, up
+// to wait. It ends the calls of Sync that began before its last read.
+func (r *Replica) catchUp(ctx context.Context, wait time.Duration, reader *syncReader) error {
+	synced, err := r.readToEnd(ctx, wait, reader)
 	r.mu.Lock()
 	r.lastReadErr = err
 	r.mu.Unlock()
+	if err == nil {
+		r.endSyncs(nil, func(c *syncCall) bool { return c.number <= synced })
+	}
 	return err
 }
 
-func (r *Replica) readToEnd(ctx context.Context, wait time.Duration) error {
+// readToEnd implements catchUp. It returns the number of the last call of Sync before its last read.
+func (r *Replica) readToEnd(ctx context.Context, wait time.Duration, reader *syncReader) (synced uint64, err error) {
 	for trims := 0; ; {
 		start := time.Now()
 		r.mu.Lock()
+		synced = r.beginCall(reader)
 		from, mustLoad := r.next, !r.loaded || r.loading != nil
 		r.mu.Unlock()
 		if mustLoad {
 			r.startLoad()
-			if err := r.continueLoad(ctx, &trims); err != nil {
-				return err
+			if err := r.continueLoad(ctx, &trims, reader); err != nil {
+				return synced, err
 			}
 			continue
 		}
@@ -196,15 +166,15 @@
 			continue
 		}
 		if err != nil {
-			return err
+			return synced, err
 		}
 		wait = 0
 		next := r.apply(batch.Records, start)
 		if next >= batch.End {
-			return nil
+			return synced, nil
 		}
 		if next <= from {
-			return errNoProgress
+			return synced, errNoProgress
 		}
 	}
 }
