job: a gap in the results of a job is reported and repaired (LOST)

What callers saw: nothing but a shorter job. A record of results whose position is not the next one was ignored without a word, so that a copy that lacked one record answered with what came before it for as long as the process lived, and a driver on such a copy listed results at positions that were taken, over the record there.

Change: results that follow a gap are kept aside. A copy with a gap logs the key, the expected and the found position and the offset, counts it (cicadasill_result_gaps_total) and asks its replica for a load of the partition, which ends before a reader or a commit uses the copy. If the gap remains, that is logged once, the results before it are served, and the partition is loaded again after 30 s. Within a load, which applies records in the order of their offsets, results are put in the order of their positions first, so that a record that was written again is no gap.

RegistryOptions has a Registerer; the instance has yet to set it.

--- a/changelog/load.go
+++ b/changelog/load.go
@@ -30,6 +30,8 @@
 	followedAt time.Time         // start of the last call that advanced next, or of the first page
 }
 
+func newLoad() *load { return &load{newest: map[string]Record{}} }
+
 // add adds a record unless a newer one of its key is known.
 func (l *load) add(record Record) {
 	if known, ok := l.newest[record.Key]; !ok || known.Offset <= record.Offset {
@@ -131,7 +133,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.loading == nil {
-		r.loading = &load{newest: map[string]Record{}}
+		r.loading = newLoad()
 	}
 }
 
@@ -190,6 +192,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.loading == old {
-		r.loading = &load{newest: map[string]Record{}}
+		r.loading = newLoad()
 	}
 }
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -30,6 +30,10 @@
 // newest record of each key has been applied after a Reset.
 type LoadObserver interface{ Loaded() }
 
+// IntegrityChecker is implemented by a State that can find that it lacks records. While Incomplete returns true after records have
+// been applied, the replica loads the partition again.
+type IntegrityChecker interface{ Incomplete() bool }
+
 // Replica is this instance's copy of the state of one partition.
 type Replica struct {
 	log       Log
@@ -169,18 +173,20 @@
 			return synced, err
 		}
 		wait = 0
-		next := r.apply(batch.Records, start)
-		if next >= batch.End {
+		next, complete := r.apply(batch.Records, start)
+		switch {
+		case !complete: // a load follows
+		case next >= batch.End:
 			return synced, nil
-		}
-		if next <= from {
+		case next <= from:
 			return synced, errNoProgress
 		}
 	}
 }
 
-// apply applies those of the contiguous records that are new and returns the offset of the next record.
-func (r *Replica) apply(records []Record, start time.Time) int64 {
+// apply applies those of the contiguous records that are new. It returns the offset of the next record, and false if the state
+// has to be loaded again.
+func (r *Replica) apply(records []Record, start time.Time) (next int64, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	applied := false
@@ -198,7 +204,10 @@
 	if applied {
 		r.notify()
 	}
-	return r.next
+	if checker, ok := r.state.(IntegrityChecker); ok && r.loading == nil && checker.Incomplete() {
+		r.loading = newLoad()
+	}
+	return r.next, r.loading == nil
 }
 
 // notify closes the channel that Changed has returned. The caller holds mu.
--- a/job/faults_test.go
+++ b/job/faults_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,11 +11,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/changelog/logtest"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/telemetry"
 )
 
 // faultRun is a run of registries over a log that fails. Each registry is one instance, which may be replaced at any time.
@@ -22,6 +23,8 @@
 	t    *testing.T
 	seed uint64
 	log  *logtest.Log
+	// errorLines receives the errors that the instances log, such as a gap in results.
+	errorLines lockedBuffer
 
 	mu       sync.Mutex // guards the fields below
 	rng      *rand.Rand
@@ -31,6 +34,26 @@
 	read     map[ID][]Result // the longest list that was read of each job
 }
 
+// lockedBuffer is a buffer to which several loggers write.
+type lockedBuffer struct {
+	mu sync.Mutex // guards Buffer
+	bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// String returns what has been written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.String()
+}
+
 // faultMember is an instance of a faultRun.
 type faultMember struct {
 	*Registry
@@ -43,7 +66,7 @@
 	self := machine.Ref{ID: fmt.Sprint("i", i), Incarnation: uint64(r.rng.Int64())}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &faultMember{cancel: cancel, done: make(chan struct{}), Registry: NewRegistry(RegistryOptions{
-		Self: self, Log: r.log, Partitions: 1, Logger: telemetry.Discard(), Retention: time.Hour,
+		Self: self, Log: r.log, Partitions: 1, Logger: log.NewWithOptions(&r.errorLines, log.Options{Level: log.ErrorLevel}), Retention: time.Hour,
 		AvailableInDataCentre: func(machine.Ref) bool { return false }, Peer: func(string) machine.Ref { return self },
 		Peers: fixedPeers{dead: true}, IndexPause: func() time.Duration { return 20 * time.Millisecond }, IndexRead: func(error) {},
 	})}
@@ -197,6 +220,9 @@
 				m.cancel()
 				<-m.done
 			}
+			if lines := r.errorLines.String(); lines != "" {
+				t.Errorf("seed %d: %s", seed, lines)
+			}
 		})
 	}
 }
--- a/job/index.go
+++ b/job/index.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadasill/cicadasill/changelog"
 )
@@ -71,28 +72,32 @@
 	chunks      map[string][]storedItem // by record key
 	results     []Result
 	positions   map[string]int        // positions of the results, by item
+	early       map[int]earlyResults  // results that follow a gap, by position
 	resultKeys  []string              // keys of the result records, for deletion
 	checkpoints map[string]Checkpoint // by item
 }
 
 // partitionState is the replicated state of a data partition.
 type partitionState struct {
-	log  *log.Logger
-	jobs map[ID]*jobData
+	log       *log.Logger
+	gapsFound prometheus.Counter
+	jobs      map[ID]*jobData
+	gaps      map[ID]*resultsGap // kept over loads
+	loading   bool
 }
 
-func newPartitionState(logger *log.Logger) *partitionState {
-	return &partitionState{log: logger, jobs: map[ID]*jobData{}}
+func newPartitionState(logger *log.Logger, gapsFound prometheus.Counter) *partitionState {
+	return &partitionState{log: logger, gapsFound: gapsFound, jobs: map[ID]*jobData{}, gaps: map[ID]*resultsGap{}}
 }
 
 // Reset implements changelog.State.
-func (s *partitionState) Reset() { s.jobs = map[ID]*jobData{} }
+func (s *partitionState) Reset() { s.jobs, s.loading = map[ID]*jobData{}, true }
 
 // getOrCreate returns the data of a job, which is empty for a new job.
 func (s *partitionState) getOrCreate(id ID) *jobData {
 	j := s.jobs[id]
 	if j == nil {
-		j = &jobData{chunks: map[string][]storedItem{}, positions: map[string]int{}, checkpoints: map[string]Checkpoint{}}
+		j = &jobData{chunks: map[string][]storedItem{}, positions: map[string]int{}, checkpoints: map[string]Checkpoint{}, early: map[int]earlyResults{}}
 		s.jobs[id] = j
 	}
 	return j
@@ -134,21 +139,28 @@
 			s.log.Error("results record not readable", "key", r.Key, "offset", r.Offset, "err", err)
 			return
 		}
-		s.getOrCreate(id).addResults(r.Key, record)
+		j := s.getOrCreate(id)
+		j.addResults(r, record)
+		s.checkGap(id, j)
 	default:
 		s.log.Warn("record with an unknown key prefix", "key", r.Key, "offset", r.Offset)
 	}
 }
 
-// addResults appends the results of a record. It ignores a record that is already applied.
-func (j *jobData) addResults(key string, record resultsRecord) {
-	if record.Position != len(j.results) {
-		return // already applied
+// addResults appends the results of a record, and those that were waiting for them. It ignores a record that is already applied
+// and keeps one that follows a gap.
+func (j *jobData) addResults(r changelog.Record, value resultsRecord) {
+	if value.Position < len(j.results) {
+		return
 	}
-	j.resultKeys = append(j.resultKeys, key)
-	for _, result := range record.Results {
-		j.positions[result.Item] = len(j.results)
-		j.results = append(j.results, result)
+	j.early[value.Position] = earlyResults{record: changelog.Record{Key: r.Key, Offset: r.Offset}, value: value}
+	for next, ok := j.early[len(j.results)]; ok; next, ok = j.early[len(j.results)] {
+		delete(j.early, next.value.Position)
+		j.resultKeys = append(j.resultKeys, next.record.Key)
+		for _, result := range next.value.Results {
+			j.positions[result.Item] = len(j.results)
+			j.results = append(j.results, result)
+		}
 	}
 }
 
@@ -166,6 +178,7 @@
 	default:
 		// All results of a job are deleted together after its retention, so the first deletion drops the job.
 		delete(s.jobs, id)
+		delete(s.gaps, id)
 	}
 }
 
--- a/job/memory_test.go
+++ b/job/memory_test.go
@@ -39,7 +39,7 @@
 		}
 		return records, size
 	}
-	state := newPartitionState(telemetry.Discard())
+	state := newPartitionState(telemetry.Discard(), newGapCounter(nil))
 	before := heapInUse()
 	records, size := list()
 	for _, r := range records {
--- a/job/registry.go
+++ b/job/registry.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 
 	"github.com/cicadasill/cicadasill/changelog"
@@ -65,6 +66,8 @@
 	IndexPause func() time.Duration
 	// IndexRead is called after each read of the index with its error or nil.
 	IndexRead func(error)
+	// Registerer may be nil.
+	Registerer prometheus.Registerer
 }
 
 // Registry accepts batch jobs, stores their items, checkpoints and results, and answers clients' requests
@@ -99,8 +102,9 @@
 	g := &Registry{opts: opts, log: opts.Logger, index: newIndex(opts.Logger)}
 	g.writeCtx, g.cancelWrites = context.WithCancel(context.Background())
 	g.indexReplica = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.index)
+	gapsFound := newGapCounter(opts.Registerer)
 	for i := range dataTopics * opts.Partitions {
-		state := newPartitionState(opts.Logger)
+		state := newPartitionState(opts.Logger, gapsFound)
 		id := changelog.Partition{Topic: fmt.Sprintf("%s-%d", dataTopic, i/opts.Partitions), Index: i % opts.Partitions}
 		g.partitions = append(g.partitions, &partition{
 			Replica: changelog.NewReplica(opts.Log, id, state), id: id, state: state,
