--- a/job/registry.go
+++ b/job/registry.go
@@ -104,8 +104,9 @@
 	g := &Registry{opts: opts, log: opts.Logger, index: newIndex(opts.Logger), refusals: newRefusalLog(opts.Logger, opts.Registerer)}
 	g.writeCtx, g.cancelWrites = context.WithCancel(context.Background())
 	g.indexReplica = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.index)
+	gapsFound := newGapCounter(opts.Registerer)
 	for i := range dataTopics * opts.Partitions {
-		state := newPartitionState(opts.Logger)
+		state := newPartitionState(opts.Logger, gapsFound)
 		id := changelog.Partition{Topic: fmt.Sprintf("%s-%d", dataTopic, i/opts.Partitions), Index: i % opts.Partitions}
 		g.partitions = append(g.partitions, &partition{
 			Replica: changelog.NewReplica(opts.Log, id, state), id: id, state: state,
