instance: a planned stop lists its last results before the jobs go to others

A result that was queued late in a planned stop was dropped when its append met a silent connection, and the next driver ran the item again.

Cause: the wait for the last results came at the very end, after the instance had left, and job.stopTimeout (0.4 s) is shorter than one silent append (0.9 s). Other instances took the jobs over meanwhile in any case.

After the time for finishing its jobs, 0.6 of the grace time, the instance stops those that are left, waits for their results until 0.8 of the grace time, and leaves only then. Of a grace time of 8 s that is 1.6 s, which fits a silent append and its repeat; nothing of it is used if all results are listed. stopTimeout still bounds what is left at the exit. "last results not listed" is logged if the time was too short.

go test ./job -race -p 2 passes. In ./instance, beside a load of 36 on 8 cores, one test failed, TestNoInstanceIsDeadDuringSilence ("all, to the store"); it does not stop an instance.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -82,6 +82,9 @@
 	balancerDelay = 2500 * time.Millisecond
 	// handoverFraction is the fraction of the grace time in which the instance's own jobs may finish.
 	handoverFraction = 0.6
+	// resultsFraction is the fraction of the grace time in which the results of these jobs may be listed. The rest of it after
+	// handoverFraction fits a call to the store on a silent connection and its repeat.
+	resultsFraction = 0.8
 	// peerDrainTimeout bounds the wait for the exchanges of peers when the instance ends. It is a part of
 	// exitMargin: a peer whose call goes through this instance to a store that does not answer would hold the
 	// process beyond its grace time.
@@ -433,6 +436,7 @@
 		}
 	}
 	i.log.Info("jobs handed over", "left", i.driver.Active(), "after", time.Since(start))
+	i.listLastResults(ctx, start.Add(time.Duration(resultsFraction*float64(grace))))
 	i.presence.Leave(ctx)
 	listener.Wait()
 	// Shutdown drops requests that arrive after its start, so that it may start only when none is expected.
@@ -443,3 +447,17 @@
 	}
 	i.log.Info("planned stop done", "took", time.Since(start))
 }
+
+// listLastResults stops the jobs that are left and lists their results. Another instance that took the jobs over before would
+// run those items again.
+func (i *Instance) listLastResults(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	start := time.Now()
+	i.driver.StopJobs(ctx)
+	if err := i.jobs.AwaitResults(ctx); err != nil {
+		i.log.Warn("last results not listed", "waited", time.Since(start), "err", err)
+		return
+	}
+	i.log.Info("last results listed", "took", time.Since(start))
+}
--- a/job/driver.go
+++ b/job/driver.go
@@ -24,6 +24,9 @@
 // once, but the death of a driver changes no record of the index.
 const scanInterval = 150 * time.Millisecond
 
+// stopPollInterval is the time between two checks whether the jobs of a stopping instance have stopped.
+const stopPollInterval = 10 * time.Millisecond
+
 // Peers reports the liveness of the instances.
 type Peers interface {
 	// Dead reports whether an instance is known to have ended.
@@ -73,6 +76,7 @@
 	orphanedSince    map[ID]time.Time // when this instance noticed that the job's driver is dead
 	takeovers        map[ID]bool
 	takeoversStopped bool
+	stopped          bool // no job may run any more
 	// overfull states that a takeover without room is under way, overfullAt when the last one ended.
 	overfull   bool
 	overfullAt time.Time
@@ -209,7 +213,7 @@
 func (d *Driver) start(ctx context.Context, s *Summary) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.running[s.ID] != nil {
+	if d.running[s.ID] != nil || d.stopped {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -224,6 +228,18 @@
 	})
 }
 
+// StopJobs stops the running jobs and lets no further ones start. It waits until they have stopped or ctx ends.
+func (d *Driver) StopJobs(ctx context.Context) {
+	d.mu.Lock()
+	d.stopped = true
+	for _, stop := range d.running {
+		stop()
+	}
+	d.mu.Unlock()
+	for d.Active() > 0 && timing.Sleep(ctx, stopPollInterval) {
+	}
+}
+
 // Active returns the number of jobs that this instance is running.
 func (d *Driver) Active() int {
 	d.mu.Lock()
--- a/job/list.go
+++ b/job/list.go
@@ -15,7 +15,7 @@
 	// maxResultAppendBytes limits the size of the outputs in one append, below the store's limit for a
 	// call.
 	maxResultAppendBytes = 1 << 20
-	// stopTimeout bounds how long a stopping instance waits for the store to accept its last results. It
+	// stopTimeout bounds the writes that are left when an instance ends, which AwaitResults has not waited for. It
 	// is a part of the second that a planned stop reserves at the end of its grace time.
 	stopTimeout = 400 * time.Millisecond
 )
@@ -33,6 +33,25 @@
 	}
 }
 
+// AwaitResults waits until all queued results are listed. It fails if ctx ends before.
+func (g *Registry) AwaitResults(ctx context.Context) error {
+	for _, p := range g.partitions {
+		for p.hasPendingResults() {
+			if !timing.Sleep(ctx, resultFlushInterval) {
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+// hasPendingResults reports whether results are queued or being appended.
+func (p *partition) hasPendingResults() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.flushing
+}
+
 // flushResults appends pending results to their partition until none are left.
 func (g *Registry) flushResults(p *partition) {
 	ctx := g.writeCtx
