--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -1,20 +1,15 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,93 +41,6 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":10000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 )
 
-// endlessForm is a form of an answer without end: start, and then part again and again. %s in start is replaced by the
-// headers that make an answer belong to its request.
-type endlessForm struct{ start, part string }
-
-const (
-	chunkedHead = "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
-	plainHead   = "HTTP/1.1 200 OK\r\n%s\r\n"
-)
-
-// endlessForms are answers to any call.
-var endlessForms = []endlessForm{
-	{"HTTP/1.1 200 ", "O"},
-	{"HTTP/1.1 200 OK\r\n%sX-Filler: ", "x"},
-	{"HTTP/1.1 200 OK\r\n%s", "X-Filler: x\r\n"},
-	{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-	{"", "garbage"},
-	{plainHead, "x"},
-	{plainHead, " "},
-	{"HTTP/1.1 200 OK\r\n%sContent-Length: 9000000000000000000\r\n\r\n", "x"},
-	{chunkedHead, "4000\r\n" + strings.Repeat("x", 0x4000) + "\r\n"},
-	{chunkedHead + "1;", "x"},
-	{chunkedHead + "0\r\n", "X-Filler: x\r\n"},
-	{chunkedHead, "1\r\n \r\n"},
-}
-
-// endlessStreams are answers to an item or a streamed request. A part is an event if it is empty.
-var endlessStreams = []endlessForm{
-	{plainHead, ""},
-	{plainHead, "id: 1\ndata: x\n\n"},
-	{plainHead, "id: 1\ndata: \n"},
-	{plainHead + "id: 1\ndata: ", "x"},
-	{plainHead, ": x\n"},
-	{plainHead, "\n"},
-}
-
-// send sends the answer to r until the caller closes. eventBytes is the size of an event's text.
-func (f endlessForm) send(w http.ResponseWriter, r *http.Request, eventBytes int) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(err)
-	}
-	defer conn.Close()
-	head := "X-Server-Stamp: stamp\r\n"
-	if id := r.Header.Get("X-Request-Id"); id != "" {
-		head += "X-Request-Id: " + id + "\r\n"
-	}
-	_, err = io.WriteString(conn, strings.Replace(f.start, "%s", head, 1))
-	repeated := bytes.Repeat([]byte(f.part), 1+(32<<10)/(len(f.part)+1))
-	text := strings.Repeat("x", eventBytes)
-	for n := 1; err == nil; n++ {
-		if f.part == "" {
-			_, err = fmt.Fprintf(conn, "id: %d\nx-weight-versions: %d\ndata: %s\n\n", n, n, text)
-			continue
-		}
-		_, err = conn.Write(repeated)
-	}
-}
-
-// faultyHandler gives endless answers to the calls that selected returns true for, and passes the others on.
-func faultyHandler(sound http.Handler, selected func(*http.Request) bool, shift int) http.Handler {
-	var count atomic.Int64
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !selected(r) {
-			sound.ServeHTTP(w, r)
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		forms := endlessForms
-		if r.Header.Get("X-Model") != "" || strings.HasPrefix(r.URL.Path, "/badstream/") {
-			forms = append(append([]endlessForm(nil), endlessStreams...), endlessForms...)
-		}
-		n := int(count.Add(1)) + shift
-		forms[n%len(forms)].send(w, r, []int{0, 100, 60000}[n%3])
-	})
-}
-
-// faultyEngine returns the entry of an engine whose answers have no end. Half of the engines answer reports.
-func faultyEngine(t *testing.T, n int, service, model string) (id string, entry []byte) {
-	e := hostedtest.NewEngine(fmt.Sprintf("%s-%d", service, n), service, "a", model)
-	t.Cleanup(e.Close)
-	front := httptest.NewServer(faultyHandler(e.Config.Handler, func(r *http.Request) bool {
-		return n%2 == 0 || r.URL.Path != "/api/report"
-	}, n))
-	t.Cleanup(func() { front.CloseClientConnections(); front.Close() })
-	return e.ID, e.EntryAt("ready", front.Listener.Addr().String())
-}
-
 // residentPeakKB returns the peak of a process's resident memory in kilobytes.
 func residentPeakKB(pid int) (int, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
@@ -167,15 +75,10 @@
 	store := hostedtest.NewStore()
 	defer store.Close()
 	store.PutConfig([]byte(endlessConfig))
-	var storeFaulty atomic.Bool
-	var storeCalls atomic.Int64
-	storeFront := httptest.NewServer(faultyHandler(store.Config.Handler, func(*http.Request) bool {
-		return storeFaulty.Load() && storeCalls.Add(1)%4 != 0
-	}, 0))
-	defer func() { storeFront.CloseClientConnections(); storeFront.Close() }()
+	senders := startSenders(t, store.Addr())
 
 	f := &fleet{dir: dir, store: store}
-	entries := map[string][]byte{}
+	entries := senders.entries
 	for n := range 2 {
 		llm := hostedtest.NewEngine(fmt.Sprintf("llm-%d", n), "llm", "a", "m")
 		llm.Events, llm.EventInterval = eventsPerItem, 15*time.Millisecond
@@ -185,12 +88,6 @@
 		defer llm.Close()
 		defer desk.Close()
 	}
-	for n := range len(endlessForms) {
-		id, entry := faultyEngine(t, n, "deskbad", "")
-		entries[id] = entry
-		id, entry = faultyEngine(t, n, "llmbad", "n")
-		entries[id] = entry
-	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var load sync.WaitGroup
 	defer load.Wait()
@@ -206,7 +103,7 @@
 	logFile, err := os.Create(filepath.Join(dir, "instance.log"))
 	is.NoErr(err)
 	p := &process{id: "instance-0", program: buildDaemon(t), settings: filepath.Join(dir, "instance.jsonc"), addr: uniqueAddr(), log: logFile}
-	text := fmt.Sprintf(endlessSettings, p.addr, uniqueAddr(), uniqueAddr(), storeFront.Listener.Addr(), endlessMemoryMB)
+	text := fmt.Sprintf(endlessSettings, p.addr, uniqueAddr(), uniqueAddr(), senders.store, endlessMemoryMB)
 	is.NoErr(os.WriteFile(p.settings, []byte(text), 0o600))
 	is.NoErr(p.start())
 	defer p.stop(false)
@@ -214,15 +111,7 @@
 	f.processes = []*process{p}
 	is.True(waitReady(f))
 
-	bad := func(path string, read time.Duration) {
-		every(ctx.Done(), 100*time.Millisecond, func() { callSlowly(ctx, p.addr, path, read) })
-	}
-	for n := range 48 {
-		load.Go(func() { bad(fmt.Sprintf("/badplain/%d", n), 0) })
-	}
-	for n := range 24 {
-		load.Go(func() { bad(fmt.Sprintf("/badstream/%d", n), time.Duration(n%3)*200*time.Millisecond) })
-	}
+	senders.command("%s %s", callCommand, p.addr)
 	obs := newObservations()
 	for n := range 3 {
 		load.Go(func() { submitBad(p.addr, n) })
@@ -240,9 +129,9 @@
 		every(faultsOver, time.Second, func() { n++; store.PutVersion("n", n); store.PutVersion("m", n) })
 	})
 	time.Sleep(3 * time.Second)
-	storeFaulty.Store(true)
+	senders.command(faultyCommand)
 	time.Sleep(4 * time.Second)
-	storeFaulty.Store(false)
+	senders.command(soundCommand)
 	time.Sleep(time.Second)
 	close(faultsOver)
 	work.Wait()
@@ -268,26 +157,6 @@
 	}
 }
 
-// callSlowly sends a request on a connection of its own and reads a few bytes of its answer every pause, or nothing if that
-// is longer than the wait. A pause of 0 reads all.
-func callSlowly(ctx context.Context, addr, path string, pause time.Duration) {
-	const wait = 4 * time.Second
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(wait))
-	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s-%d\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", path, host, path[1:4], rand.Int())
-	buffer := make([]byte, 512)
-	for ctx.Err() == nil {
-		if _, err := conn.Read(buffer); err != nil {
-			return
-		}
-		time.Sleep(pause)
-	}
-}
-
 // submitBad submits a job of items and reward calls whose answers have no end.
 func submitBad(addr string, n int) {
 	var items []string
