--- a/instance/instance.go
+++ b/instance/instance.go
@@ -200,8 +200,9 @@
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Peer: i.presence.Peer, Peers: i.presence,
 		MaxItemBytes: int64(itemFraction * s.Limits.MemoryMB * (1 << 20)),
 		IndexPause:   func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
-		Registerer: i.registry,
+		Holders: &job.Holders{Possible: i.presence.PossiblyLive, Ask: i.readCopy}, Registerer: i.registry,
 	})
+	i.node.Handle(job.ReadMethod, i.jobs.HandleRead)
 	forwarder := forward.New(forward.Options{
 		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, DataCentre: s.Instance.DataCentre,
 		Logger: i.log, Registerer: i.registry,
@@ -234,6 +235,11 @@
 	i.readyServer = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 }
 
+// readCopy passes a read of a job to another instance, which answers it from its copy of the job's partition.
+func (i *Instance) readCopy(ctx context.Context, to machine.Instance, request []byte) ([]byte, error) {
+	return i.node.Call(ctx, to, link.CauseStore, job.ReadMethod, request)
+}
+
 // applyConfig puts a configuration in force unless the current one is as new or newer.
 func (i *Instance) applyConfig(c *routes.Config) {
 	old := i.config.Load()
--- /dev/null
+++ b/job/peerread.go
@@ -0,0 +1,237 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
+
+	"github.com/cicadasill/cicadasill/machine"
+)
+
+// ReadMethod is the name under which instances call each other's HandleRead.
+const ReadMethod = "job_read"
+
+const (
+	// ownReadTime is how long a read waits for the store alone. It is over half of storeTimeout, so that a call that has gone
+	// silent may be noticed, and leaves time for a call to another instance.
+	ownReadTime = 700 * time.Millisecond
+	// maxHolders bounds the instances that a read asks. holderDelay is how long it waits for one before it also asks the
+	// next, so that all are asked in the time that is left after ownReadTime.
+	maxHolders  = 3
+	holderDelay = 150 * time.Millisecond
+	// peerReadLogRate bounds the log lines about reads that other instances have answered, in lines a second.
+	peerReadLogRate = 10
+)
+
+// Holders gives access to the other instances' copies of data partitions. What a copy holds is listed and stays as it is, so it
+// may be old. What it does not hold may exist.
+type Holders struct {
+	// Possible returns the other instances that may be live, the nearest first.
+	Possible func() []machine.Instance
+	// Ask passes a request to HandleRead of an instance. It may outlast ctx.
+	Ask func(ctx context.Context, to machine.Instance, request []byte) ([]byte, error)
+}
+
+// copyRequest asks for what a copy holds of a job: the body of an item, or results if no item is named.
+type copyRequest struct {
+	Job       ID     `cbor:"1,keyasint"`
+	Partition int    `cbor:"2,keyasint"`
+	After     int    `cbor:"3,keyasint"`
+	Item      string `cbor:"4,keyasint"`
+}
+
+// copyContent is what a copy holds. If Found is false, that says nothing about the job.
+type copyContent struct {
+	Found   bool     `cbor:"1,keyasint"`
+	Results []Result `cbor:"2,keyasint"`
+	Body    []byte   `cbor:"3,keyasint"`
+}
+
+// copyRequestError reports a request for a partition or position that does not exist.
+type copyRequestError struct{ Partition, After int }
+
+// Error implements error.
+func (e *copyRequestError) Error() string {
+	return fmt.Sprintf("no position %d in data partition number %d", e.After, e.Partition)
+}
+
+// HandleRead handles ReadMethod: it returns what this instance's copy of a partition holds of a job, at once and without
+// reading the store.
+func (g *Registry) HandleRead(_ context.Context, payload []byte) ([]byte, error) {
+	var request copyRequest
+	if err := cbor.Unmarshal(payload, &request); err != nil {
+		return nil, fmt.Errorf("decode read of a copy: %w", err)
+	}
+	if request.Partition < 0 || request.Partition >= len(g.partitions) || request.After < 0 {
+		return nil, &copyRequestError{Partition: request.Partition, After: request.After}
+	}
+	content := g.partitions[request.Partition].content(&request)
+	return cbor.Marshal(&content)
+}
+
+// content returns what this instance's copy of the partition holds.
+func (p *partition) content(request *copyRequest) copyContent {
+	if request.Item != "" {
+		body, found := p.body(request.Job, request.Item)
+		return copyContent{Found: found, Body: body}
+	}
+	results := p.results(request.Job, request.After)
+	return copyContent{Found: len(results) > 0, Results: results}
+}
+
+// peerReadLog logs and counts reads that other instances were asked for.
+type peerReadLog struct {
+	logger  *log.Logger
+	reads   *prometheus.CounterVec
+	limiter *rate.Limiter
+}
+
+// newPeerReadLog returns a peerReadLog. registerer may be nil.
+func newPeerReadLog(logger *log.Logger, registerer prometheus.Registerer) *peerReadLog {
+	l := &peerReadLog{
+		logger: logger, limiter: rate.NewLimiter(peerReadLogRate, peerReadLogRate),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_job_reads_by_peers_total",
+			Help: "Reads of jobs for which other instances were asked because the store did not answer, by the call and whether one held the answer."},
+			[]string{"call", "found"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(l.reads)
+	}
+	return l
+}
+
+// holderAnswers is what became of the question to other instances. Its zero value means that none was asked.
+type holderAnswers struct {
+	content copyContent
+	asked   int
+	err     error // of the calls that failed
+}
+
+// syncOrAsk waits until the copy of the job's partition is current. If the store fails or has not answered within
+// ownReadTime, it also asks other instances, and returns as soon as one of them or this instance's own copy holds what the
+// call wants. An error says that the own copy may be old.
+func (r *jobRead) syncOrAsk(ctx context.Context, s *Summary) (holderAnswers, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := make(chan holderAnswers, 1)
+	timer := time.AfterFunc(ownReadTime, func() {
+		a := r.ask(ctx, s)
+		asked <- a
+		if a.content.Found {
+			cancel()
+		}
+	})
+	err := r.partitions[s.Partition].Sync(ctx)
+	switch {
+	case err == nil:
+		timer.Stop()
+		return holderAnswers{}, nil
+	case timer.Stop():
+		return r.ask(ctx, s), err
+	default:
+		return <-asked, err
+	}
+}
+
+// ask returns what this instance's copy holds, or the first answer of another instance that holds what the call wants. A
+// read asks others when the store first fails and when its wait is over, but not in between.
+func (r *jobRead) ask(ctx context.Context, s *Summary) holderAnswers {
+	request := &copyRequest{Job: r.id, Partition: s.Partition, After: r.after, Item: r.item}
+	if own := r.partitions[s.Partition].content(request); own.Found {
+		return holderAnswers{content: own}
+	}
+	if r.opts.Holders == nil || ctx.Err() != nil || (r.hasAsked.Swap(true) && time.Now().Before(r.waitEnd)) {
+		return holderAnswers{}
+	}
+	payload, err := cbor.Marshal(request)
+	if err != nil {
+		return holderAnswers{err: err}
+	}
+	answers := r.askAll(ctx, r.holders(s.Driver), payload)
+	r.peerReads.reads.WithLabelValues(string(r.call), fmt.Sprint(answers.content.Found)).Inc()
+	return answers
+}
+
+// holders returns the instances that are most likely to hold a copy of the job's partition: its driver, then the nearest ones.
+func (r *jobRead) holders(driver machine.Ref) []machine.Instance {
+	var holders []machine.Instance
+	possible := r.opts.Holders.Possible()
+	for _, i := range possible {
+		if i.Ref() == driver {
+			holders = append(holders, i)
+		}
+	}
+	for _, i := range possible {
+		if i.Ref() != driver && len(holders) < maxHolders {
+			holders = append(holders, i)
+		}
+	}
+	return holders
+}
+
+// holderAnswer is the answer of one instance.
+type holderAnswer struct {
+	from    machine.Instance
+	content copyContent
+	err     error
+}
+
+// askAll asks instances one after the other, each holderDelay after the one before or once that has no answer. It returns with
+// the first one that holds what is asked for, and when ctx ends.
+func (r *jobRead) askAll(ctx context.Context, holders []machine.Instance, payload []byte) holderAnswers {
+	var all holderAnswers
+	received := make(chan holderAnswer, len(holders))
+	for pending := 0; len(holders) > 0 || pending > 0; {
+		var next <-chan time.Time
+		if len(holders) > 0 {
+			to := holders[0]
+			go func() { received <- r.askOne(ctx, to, payload) }() // not awaited, because Ask may outlast ctx
+			holders = holders[1:]
+			pending++
+			all.asked++
+			next = time.After(holderDelay)
+		}
+		select {
+		case a := <-received:
+			pending--
+			if a.content.Found {
+				r.logAnswer(a.from)
+				all.content = a.content
+				return all
+			}
+			all.err = errors.Join(all.err, a.err)
+		case <-next:
+		case <-ctx.Done():
+			all.err = errors.Join(all.err, ctx.Err())
+			return all
+		}
+	}
+	return all
+}
+
+// askOne asks an instance.
+func (r *jobRead) askOne(ctx context.Context, to machine.Instance, payload []byte) holderAnswer {
+	a := holderAnswer{from: to}
+	data, err := r.opts.Holders.Ask(ctx, to, payload)
+	if err == nil {
+		err = cbor.Unmarshal(data, &a.content)
+	}
+	if err != nil {
+		a.content, a.err = copyContent{}, fmt.Errorf("copy of %s: %w", to.Ref(), err)
+	}
+	return a
+}
+
+// logAnswer logs that another instance has answered, unless peerReadLogRate is exceeded.
+func (r *jobRead) logAnswer(from machine.Instance) {
+	if r.peerReads.limiter.Allow() {
+		r.peerReads.logger.Info("read of a job answered by another instance", "call", r.call, "job", r.id, "item", r.item, "peer", from.Ref().String(),
+			"after", r.after, "took", time.Since(r.start))
+	}
+}
--- a/job/read.go
+++ b/job/read.go
@@ -32,25 +32,28 @@
 func (g *Registry) Results(ctx context.Context, id ID, after int, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	deadline := time.Now().Add(wait)
-	r := &jobRead{Registry: g, call: callResults, id: id, after: after, start: time.Now()}
+	start := time.Now()
+	r := &jobRead{Registry: g, call: callResults, id: id, after: after, start: start, waitEnd: start.Add(wait)}
 	s, err := r.find(ctx)
 	if err != nil {
 		return Page{}, err
 	}
 	p := g.partitions[s.Partition]
 	for {
-		syncErr := p.Sync(ctx)
+		answers, syncErr := r.syncOrAsk(ctx, &s)
 		changed := p.Changed()
 		page := Page{Total: s.Total, Results: p.results(id, after)}
 		if len(page.Results) > 0 || (syncErr == nil && after >= s.Total) {
 			return page, nil // listed results never change, so they are valid even if the read failed
 		}
+		if answers.content.Found {
+			return Page{Total: s.Total, Results: answers.content.Results}, nil
+		}
 		s, _ = g.latestSummary(id, s)
-		left := time.Until(deadline)
+		left := time.Until(r.waitEnd)
 		if left <= 0 || (s.Ended && syncErr == nil) {
 			if syncErr != nil {
-				return Page{}, r.refuseUnread(&s, syncErr)
+				return Page{}, r.refuseUnread(&s, answers, syncErr)
 			}
 			return page, nil
 		}
@@ -59,9 +62,9 @@
 		case <-time.After(min(left, resultPollInterval)):
 		case <-ctx.Done():
 			if syncErr != nil {
-				return Page{}, r.refuseUnread(&s, syncErr)
+				return Page{}, r.refuseUnread(&s, answers, syncErr)
 			}
-			return Page{}, r.refuseByPartition(StepWait, &s, &UnavailableError{Err: context.Cause(ctx)})
+			return Page{}, r.refuseByPartition(StepWait, &s, answers, &UnavailableError{Err: context.Cause(ctx)})
 		}
 	}
 }
@@ -114,7 +117,8 @@
 func (g *Registry) Body(ctx context.Context, id ID, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	r := &jobRead{Registry: g, call: callBody, id: id, item: item, start: time.Now()}
+	start := time.Now()
+	r := &jobRead{Registry: g, call: callBody, id: id, item: item, start: start, waitEnd: start}
 	s, err := r.find(ctx)
 	if err != nil {
 		return nil, err
@@ -123,13 +127,17 @@
 	if body, ok := p.body(id, item); ok {
 		return body, nil
 	}
-	if err := p.Sync(ctx); err != nil {
-		return nil, r.refuseUnread(&s, err)
+	answers, err := r.syncOrAsk(ctx, &s)
+	switch {
+	case answers.content.Found:
+		return answers.content.Body, nil
+	case err != nil:
+		return nil, r.refuseUnread(&s, answers, err)
 	}
 	if body, ok := p.body(id, item); ok {
 		return body, nil
 	}
-	return nil, r.refuseByPartition(StepItemNotFound, &s, &NotFoundError{Job: id, Item: item})
+	return nil, r.refuseByPartition(StepItemNotFound, &s, answers, &NotFoundError{Job: id, Item: item})
 }
 
 // body returns the body of an item if this instance's copy of the partition holds it.
--- a/job/readerror.go
+++ b/job/readerror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -53,6 +54,9 @@
 	// LastRead is the error of the last read of the partition that has ended. It is the cause if Err says only that the time
 	// is up.
 	LastRead error
+	// Asked is the number of other instances that were asked for their copy, PeerErr the errors of those that did not answer.
+	Asked   int
+	PeerErr error
 	// Err is a *NotFoundError, *UnavailableError or *UncertainError.
 	Err error
 }
@@ -112,7 +116,7 @@
 		fields = append(fields, "item", e.Item)
 	}
 	fields = append(fields, "step", e.Step, "partition", e.Partition, "loaded", e.Loaded, "age", e.Age, "after", e.After,
-		"listed", e.Listed, "total", e.Total, "took", e.Took, "err", e.Err, "last_read_err", e.LastRead)
+		"listed", e.Listed, "total", e.Total, "took", e.Took, "err", e.Err, "last_read_err", e.LastRead, "asked", e.Asked, "peer_err", e.PeerErr)
 	l.logger.Warn("read of a job refused", fields...)
 }
 
@@ -124,6 +128,9 @@
 	item  string
 	after int
 	start time.Time
+	// waitEnd is the time up to which the client waits for results.
+	waitEnd  time.Time
+	hasAsked atomic.Bool // other instances
 }
 
 // find returns the summary of the job. It reads the index from the store if this instance doesn't know the job yet.
@@ -151,18 +158,20 @@
 
 // refuseByPartition records that the call failed at a step that concerns the job's partition, and returns the error for the
 // caller.
-func (r *jobRead) refuseByPartition(step ReadStep, s *Summary, err error) error {
+func (r *jobRead) refuseByPartition(step ReadStep, s *Summary, answers holderAnswers, err error) error {
 	p := r.partitions[s.Partition]
-	return r.refuse(&ReadError{Step: step, Partition: p.id, Listed: p.listed(r.id), Total: s.Total, Err: err}, p.Replica)
+	return r.refuse(&ReadError{
+		Step: step, Partition: p.id, Listed: p.listed(r.id), Total: s.Total, Asked: answers.asked, PeerErr: answers.err, Err: err,
+	}, p.Replica)
 }
 
 // refuseUnread records that the job's partition could not be read, and returns the error for the caller.
-func (r *jobRead) refuseUnread(s *Summary, err error) error {
+func (r *jobRead) refuseUnread(s *Summary, answers holderAnswers, err error) error {
 	step := StepRead
 	if !r.partitions[s.Partition].HasRead() {
 		step = StepLoad
 	}
-	return r.refuseByPartition(step, s, &UnavailableError{Err: err})
+	return r.refuseByPartition(step, s, answers, &UnavailableError{Err: err})
 }
 
 // refuse completes e by the call and the copy of the partition, and records it.
--- a/job/registry.go
+++ b/job/registry.go
@@ -66,6 +66,8 @@
 	IndexPause func() time.Duration
 	// IndexRead is called after each read of the index with its error or nil.
 	IndexRead func(error)
+	// Holders is nil if reads must not ask other instances.
+	Holders *Holders
 	// Registerer may be nil.
 	Registerer prometheus.Registerer
 }
@@ -79,6 +81,7 @@
 	index        *index
 	partitions   []*partition
 	refusals     *refusalLog
+	peerReads    *peerReadLog
 	tasks        conc.WaitGroup
 	// writeCtx is the context of writes that may outlast Run's context. It is cancelled stopTimeout later,
 	// so that a stopping instance can still store its last results.
@@ -100,7 +103,10 @@
 
 // NewRegistry returns a registry that has not read the log yet. Run starts it.
 func NewRegistry(opts RegistryOptions) *Registry {
-	g := &Registry{opts: opts, log: opts.Logger, index: newIndex(opts.Logger), refusals: newRefusalLog(opts.Logger, opts.Registerer)}
+	g := &Registry{
+		opts: opts, log: opts.Logger, index: newIndex(opts.Logger),
+		refusals: newRefusalLog(opts.Logger, opts.Registerer), peerReads: newPeerReadLog(opts.Logger, opts.Registerer),
+	}
 	g.writeCtx, g.cancelWrites = context.WithCancel(context.Background())
 	g.indexReplica = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.index)
 	for i := range dataTopics * opts.Partitions {
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -355,11 +355,22 @@
 
 // Peers returns the other live instances, the nearest first.
 func (t *Table) Peers() []machine.Instance {
+	return t.nearest(func(s *observedRecord) bool { return !s.silentFor(deadIntervals) })
+}
+
+// PossiblyLive returns the other instances that are not known to have ended, the nearest first. These are more than Peers
+// while the records cannot be read.
+func (t *Table) PossiblyLive() []machine.Instance {
+	return slices.DeleteFunc(t.nearest(func(*observedRecord) bool { return true }), func(i machine.Instance) bool { return t.Dead(i.Ref()) })
+}
+
+// nearest returns the other instances that have not left and to which a condition applies, the nearest first.
+func (t *Table) nearest(applies func(*observedRecord) bool) []machine.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var peers []machine.Instance
 	for id, s := range t.byID {
-		if id == t.self.ID || s.Left || s.PeerAddr == "" || s.silentFor(deadIntervals) {
+		if id == t.self.ID || s.Left || s.PeerAddr == "" || !applies(&s) {
 			continue
 		}
 		peers = append(peers, machine.Instance{
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -195,3 +196,29 @@
 		})
 	}
 }
+
+// Guards against calls to no other instance while the store does not answer, and to instances that have ended.
+func TestInstancesMayBeLiveDuringStoreOutage(t *testing.T) {
+	is := is.New(t)
+	store := hostedtest.NewStore()
+	t.Cleanup(store.Close)
+	a, _ := startTable(t, store, "a", "x", 1)
+	b, _ := startTable(t, store, "b", "x", 1)
+	startTable(t, store, "c", "y", 1)
+	_, stop := startTable(t, store, "d", "x", 1)
+	possible := func() []string {
+		var ids []string
+		for _, i := range a.PossiblyLive() {
+			ids = append(ids, i.ID)
+		}
+		return ids
+	}
+	eventually(t, "others are seen", func() bool { return len(a.Peers()) == 3 })
+	b.Leave(context.Background())
+	stop()
+	eventually(t, "b has left and d is dead", func() bool { return slices.Equal(possible(), []string{"c"}) })
+	store.SetFault(hostedtest.AllBusy)
+	eventually(t, "all are silent", func() bool { return len(a.Peers()) == 0 })
+	is.True(slices.Contains(possible(), "c"))
+	is.True(!slices.Contains(possible(), "b"))
+}
