changelog: calls that get the same answer again are not repeated at once

Cause: several loops went on at once while a state lasted. A read whose records had expired loaded the partition and read again, for as long as they expired during the load; a page that states that more follow and does not advance was asked for again; a commit was appended again at once after an unknown outcome, and 2 ms after a conflict, although its copy had not advanced; Follow read again at once if a read did not wait and its caller pauses for nothing. An instance with a part of a core does nothing else meanwhile, and each call is priced.

Change: one run of reads starts a load over at most three times, and then fails, which pauses; the same holds for a State that no load completes. A commit that fails twice on the same state, and a read that returns at once without records, are followed by retryDelay.

--- a/changelog/load.go
+++ b/changelog/load.go
@@ -13,8 +13,9 @@
 	// loadFollowInterval is the time between two reads of the records that are appended during a load. It is well below the time
 	// for which the store retains them.
 	loadFollowInterval = 5 * time.Second
-	// maxTrims bounds how often one run of reads finds that the records which it needs have expired.
-	maxTrims = 3
+	// maxReloads bounds how often one run of reads starts a load over or anew, because the records that it needs have expired or
+	// the state lacks some.
+	maxReloads = 3
 )
 
 // load is the progress of rebuilding the state of a partition from the newest record of each key. It outlasts failed
@@ -139,7 +140,7 @@
 
 // continueLoad continues the load that is under way until the state has been rebuilt or a call fails. Several calls of
 // continueLoad may advance the same load.
-func (r *Replica) continueLoad(ctx context.Context, trims *int, reader *syncReader) error {
+func (r *Replica) continueLoad(ctx context.Context, reloads *int, reader *syncReader) error {
 	for {
 		step := r.nextLoadStep(reader)
 		if step.done {
@@ -153,7 +154,7 @@
 			}
 			continue
 		}
-		if *trims++; *trims > maxTrims {
+		if *reloads++; *reloads > maxReloads {
 			return err
 		}
 		r.restartLoad(step.load)
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -107,14 +107,16 @@
 		if !failed {
 			readWait = wait()
 		}
+		start, from := time.Now(), r.end()
 		err := r.catchUp(ctx, readWait, nil)
 		failed = err != nil
+		didNotWait := r.end() == from && time.Since(start) < min(readWait, retryDelay)
 		if ctx.Err() != nil {
 			return
 		}
 		onRead(err)
 		delay := pause()
-		if err != nil {
+		if failed || didNotWait {
 			delay = max(delay, retryDelay)
 		}
 		if delay > 0 && !timing.Sleep(ctx, delay) {
@@ -123,12 +125,22 @@
 	}
 }
 
+// end returns the offset after the last record that has been applied.
+func (r *Replica) end() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.next
+}
+
 // ConstantWait returns a wait for Follow that is always d.
 func ConstantWait(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
 // errNoProgress reports an answer without records although more records follow.
 var errNoProgress = errors.New("the log returned no records although there are more")
 
+// errIncomplete reports a state that loads do not complete.
+var errIncomplete = errors.New("the state lacks records after a load")
+
 // catchUp reads up to the end of the partition, on behalf of a reader unless that is nil. Only the first read waits for records, up
 // to wait. It ends the calls of Sync that began before its last read.
 func (r *Replica) catchUp(ctx context.Context, wait time.Duration, reader *syncReader) error {
@@ -144,7 +156,7 @@
 
 // readToEnd implements catchUp. It returns the number of the last call of Sync before its last read.
 func (r *Replica) readToEnd(ctx context.Context, wait time.Duration, reader *syncReader) (synced uint64, err error) {
-	for trims := 0; ; {
+	for reloads := 0; ; {
 		start := time.Now()
 		r.mu.Lock()
 		synced = r.beginCall(reader)
@@ -152,15 +164,15 @@
 		r.mu.Unlock()
 		if mustLoad {
 			r.startLoad()
-			if err := r.continueLoad(ctx, &trims, reader); err != nil {
+			if err := r.continueLoad(ctx, &reloads, reader); err != nil {
 				return synced, err
 			}
 			continue
 		}
 		batch, err := r.log.Read(ctx, r.partition, from, wait)
 		var trimmed *TrimmedError
-		if errors.As(err, &trimmed) && trims < maxTrims {
-			trims++
+		if errors.As(err, &trimmed) && reloads < maxReloads {
+			reloads++
 			r.startLoad()
 			continue
 		}
@@ -176,6 +188,9 @@
 		next, complete := r.apply(batch.Records, start)
 		switch {
 		case !complete: // a load follows
+			if reloads++; reloads > maxReloads {
+				return synced, errIncomplete
+			}
 		case next >= batch.End:
 			return synced, nil
 		case next <= from:
@@ -228,7 +243,7 @@
 		return 0, &NotDoneError{Call: "commit to " + r.partition.String(), Err: ctx.Err()}
 	}
 	outcomeUnknown := false
-	for {
+	for failedAt := int64(-1); ; {
 		end, err := r.tryCommit(ctx, build)
 		if err == nil {
 			return end, nil
@@ -245,6 +260,11 @@
 			outcomeUnknown = true
 			delay = 0
 		}
+		if at := r.end(); at == failedAt { // the attempt before failed on the same state
+			delay = retryDelay
+		} else {
+			failedAt = at
+		}
 		if !timing.Sleep(ctx, delay) {
 			if outcomeUnknown {
 				return 0, &UnknownError{Call: "commit to " + r.partition.String(), Err: err}
