job: items that an engine has failed share one search for another

While many items waited that an engine had failed, as after the loss of an engine with all others busy, each dispatch looked at all engines for each of them. Dispatches come every 50 ms, and every 5 ms while the directory changes, so that the search could take a small instance's whole share of the processor.

Cause: a dispatch remembers that no slot was free only for requests that accept every engine.

It now remembers it for each set of requirements. The minimum version belongs to the set, because the failed engine is accepted if no other has the version.

TestItemsThatAnEngineFailedShareOneSearch counts the searches; with the counter added to the code before: "1000 != 2". TestItemsThatAnEngineFailedMayDifferInVersion guards the new memory and passes before, too.

go test ./job -race -p 2 passes.

--- a/job/place.go
+++ b/job/place.go
@@ -67,6 +67,14 @@
 	return version >= r.minVersion && (r.exactVersion == 0 || version == r.exactVersion)
 }
 
+// requirement is what decides whether an engine suits a request, beside the engine's state.
+type requirement struct {
+	minVersion, exactVersion int64
+	excluded                 *backends.Backend
+	eventIntervalBelow       time.Duration
+	needsIdleConn            bool
+}
+
 // placer assigns engines to waiting items in their queue order. It gives an engine no more items
 // at once than this instance's share of the engine's slots, which is at least one slot.
 type placer struct {
@@ -75,9 +83,10 @@
 	// slotShare is the fraction of an engine's slots that this instance may use.
 	slotShare float64
 
-	mu      sync.Mutex
-	waiting []*engineRequest             // sorted by order
-	groups  map[string]*backends.Backend // last engine of each group
+	mu       sync.Mutex                   // guards the fields below
+	waiting  []*engineRequest             // sorted by order
+	groups   map[string]*backends.Backend // last engine of each group
+	searches int                          // of all engines for one request, counted for tests
 }
 
 func newPlacer(dir *backends.Directory, zone string, slotShare float64) *placer {
@@ -149,11 +158,14 @@
 	// full is the lowest minVersion for which no slot was free, noIdleConn the lowest one for which none was
 	// free at an engine with an idle connection.
 	full, noIdleConn int64
+	// unmet holds the requirements for which no slot was free, because many requests share one that full does not tell about:
+	// all those that the same engine has failed.
+	unmet map[requirement]bool
 }
 
 func newPool(candidates []backends.Candidate) *pool {
 	return &pool{
-		candidates: candidates, full: math.MaxInt64, noIdleConn: math.MaxInt64,
+		candidates: candidates, full: math.MaxInt64, noIdleConn: math.MaxInt64, unmet: map[requirement]bool{},
 		medianInterval: eventIntervalQuantile(candidates, 0.5), fastInterval: eventIntervalQuantile(candidates, fastQuantile),
 	}
 }
@@ -178,10 +190,17 @@
 			unplaced = append(unplaced, req)
 			continue
 		}
+		required := requirement{req.minVersion, req.exactVersion, req.excluded, req.eventIntervalBelow, needsIdleConn}
+		if !req.acceptsAnyEngine() && engines.unmet[required] {
+			unplaced = append(unplaced, req)
+			continue
+		}
+		p.searches++
 		best := engines.choose(req, p.groups[req.group], p.zone, p.slotShare, needsIdleConn)
 		if best < 0 {
 			switch {
 			case !req.acceptsAnyEngine():
+				engines.unmet[required] = true
 			case needsIdleConn:
 				engines.noIdleConn = req.minVersion
 			default:
