job: a job whose items are missing is loaded less and less often

A driver that could not load a job read its partition and logged a line again after 0.15 s, and so for as long as the job was open, although the store had answered that items are missing.

The driver now repeats the load itself, with a delay that doubles up to 2 s if the store has answered. While the store does not answer the delay stays 0.15 s, so that jobs start when it is back.

go test ./job -race -p 2 passes.

--- a/job/driver.go
+++ b/job/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"sync"
@@ -24,6 +25,12 @@
 // once, but the death of a driver changes no record of the index.
 const scanInterval = 150 * time.Millisecond
 
+// Delays between two attempts to load a job.
+const (
+	loadRetryDelay    = 150 * time.Millisecond
+	maxLoadRetryDelay = 2 * time.Second
+)
+
 // stopPollInterval is the time between two checks whether the jobs of a stopping instance have stopped.
 const stopPollInterval = 10 * time.Millisecond
 
@@ -250,10 +257,8 @@
 // runJob runs the items of a job that have no listed result, and closes the job.
 func (d *Driver) runJob(ctx context.Context, s *Summary) {
 	start := time.Now()
-	job, err := d.loadJob(ctx, s)
-	if err != nil {
-		d.log.Warn("job not loaded", "job", s.ID, "err", err)
-		timing.Sleep(ctx, scanInterval)
+	job := d.awaitJob(ctx, s)
+	if job == nil {
 		return
 	}
 	d.log.Info("job started", "job", s.ID, "items", len(job.items), "total", s.Total, "begun", len(job.checkpoints), "step", s.Step,
@@ -275,6 +280,25 @@
 	d.close(ctx, s)
 }
 
+// awaitJob loads a job, as often as needed. It returns nil if ctx ends.
+func (d *Driver) awaitJob(ctx context.Context, s *Summary) *activeJob {
+	delay := loadRetryDelay
+	for {
+		job, err := d.loadJob(ctx, s)
+		if err == nil {
+			return job
+		}
+		d.log.Warn("job not loaded", "job", s.ID, "again_in", delay, "err", err)
+		if !timing.Sleep(ctx, delay) {
+			return nil
+		}
+		var unavailable *UnavailableError
+		if !errors.As(err, &unavailable) {
+			delay = min(2*delay, maxLoadRetryDelay) // the store has answered, and will answer the same for a while
+		}
+	}
+}
+
 // forgetGroups removes the engine affinity of a job's groups.
 func (d *Driver) forgetGroups(job *activeJob) {
 	groups := make([]string, 0, len(job.items))
