job: a scan ranks the instances only for jobs whose driver is dead

Each change of the index makes every instance scan the open jobs. A scan ranked all instances for each job of another driver, although the rank matters only if that one is dead.

The rank is now asked for after the death is known.

TestScanRanksNoInstancesForLiveDrivers fails on the code before: "1 != 0". go test ./job -race -run 'Scan|Take' passes.

--- a/job/takeover.go
+++ b/job/takeover.go
@@ -28,14 +28,19 @@
 // considerTakeover starts to take over a job if its driver is dead and this instance's delay, which
 // depends on its rank for the job and on whether it has room for the job, has passed.
 func (d *Driver) considerTakeover(ctx context.Context, s *Summary, hasRoom bool) {
-	dead := d.opts.Peers.Dead(s.Driver)
+	if !d.opts.Peers.Dead(s.Driver) {
+		d.mu.Lock()
+		delete(d.orphanedSince, s.ID)
+		d.mu.Unlock()
+		return
+	}
 	delay := time.Duration(min(d.opts.Peers.Rank(string(s.ID)), maxRank)) * rankDelay
 	if !hasRoom {
 		delay += overfullDelay
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !dead || d.takeoversStopped {
+	if d.takeoversStopped {
 		delete(d.orphanedSince, s.ID)
 		return
 	}
--- a/job/takeover_test.go
+++ b/job/takeover_test.go
@@ -126,3 +126,26 @@
 		stop()
 	})
 }
+
+// countingPeers is a Peers that counts the calls of Rank.
+type countingPeers struct {
+	goneFirst
+	ranks int
+}
+
+func (p *countingPeers) Rank(key string) int {
+	p.ranks++
+	return p.goneFirst.Rank(key)
+}
+
+// Guards against a scan that ranks all instances for each job of a live driver: a scan follows each change of the index.
+func TestScanRanksNoInstancesForLiveDrivers(t *testing.T) {
+	is := is.New(t)
+	log := newCountingLog()
+	submitTo(t, log, rankedRef(1), "job", 100)
+	g, peers := testRegistry(log), &countingPeers{}
+	is.NoErr(g.indexReplica.Sync(t.Context()))
+	d := NewDriver(DriverOptions{Self: rankedRef(0), Registry: g, Backends: backends.New(), Peers: peers, Logger: telemetry.Discard()})
+	d.scan(t.Context())
+	is.Equal(peers.ranks, 0)
+}
