soak: the senders' process passes calls on by itself

The project uses no ready-made proxy, and httputil.ReverseProxy is one, also in a test. The front of the store forwards a call with the transport.

--- a/soak/senders_test.go
+++ b/soak/senders_test.go
@@ -7,12 +7,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/http/httputil"
-	"net/url"
 	"os"
 	"os/exec"
 	"strings"
@@ -197,9 +196,7 @@
 	is := is.New(t)
 	var storeFaulty atomic.Bool
 	var storeCalls atomic.Int64
-	sound := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store})
-	sound.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
-	storeFront := httptest.NewServer(faultyHandler(sound, func(*http.Request) bool {
+	storeFront := httptest.NewServer(faultyHandler(passOn(store), func(*http.Request) bool {
 		return storeFaulty.Load() && storeCalls.Add(1)%4 != 0
 	}, 0))
 	defer func() { storeFront.CloseClientConnections(); storeFront.Close() }()
@@ -228,6 +225,24 @@
 	is.NoErr(commands.Err())
 }
 
+// passOn passes calls on to a server. It cuts the connection of a call that the server does not answer.
+func passOn(addr string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		call := r.Clone(r.Context())
+		call.RequestURI, call.URL.Scheme, call.URL.Host = "", "http", addr
+		response, err := http.DefaultTransport.RoundTrip(call)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		defer response.Body.Close()
+		maps.Copy(w.Header(), response.Header)
+		w.WriteHeader(response.StatusCode)
+		if _, err := io.Copy(w, response.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
 // callBad calls the routes of the senders at an instance until ctx ends.
 func callBad(ctx context.Context, calls *sync.WaitGroup, addr string) {
 	bad := func(path string, read time.Duration) {
