--- a/job/peerread.go
+++ b/job/peerread.go
@@ -115,7 +115,7 @@
 
 // syncOrAsk waits until the copy of the job's partition is current. If the store fails or has not answered within
 // ownReadTime, it also asks other instances, and returns as soon as one of them or this instance's own copy holds what the
-// call wants. An error says that the own copy may be old.
+// call wants. An error says that the own copy may be old or lacks records.
 func (r *jobRead) syncOrAsk(ctx context.Context, s *Summary) (holderAnswers, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -128,6 +128,9 @@
 		}
 	})
 	err := r.partitions[s.Partition].Sync(ctx)
+	if err == nil {
+		err = r.checkCopy(ctx, s)
+	}
 	switch {
 	case err == nil:
 		timer.Stop()
--- a/job/read.go
+++ b/job/read.go
@@ -113,6 +113,42 @@
 	return n
 }
 
+// checkCopy returns *IncompleteCopyError if the copy of the job's partition lacks what the call may want, although it has been
+// read after s: all results if s is listed, or all items of an open job.
+func (r *jobRead) checkCopy(ctx context.Context, s *Summary) error {
+	p := r.partitions[s.Partition]
+	if r.item == "" {
+		if found := p.listed(r.id); s.Listed && found < s.Total {
+			return &IncompleteCopyError{Job: r.id, Found: found, Total: s.Total}
+		}
+		return nil
+	}
+	found := p.itemCount(r.id)
+	if found == s.Total || !s.Open() {
+		return nil
+	}
+	if err := r.indexReplica.Sync(ctx); err != nil {
+		return err
+	}
+	if latest, known := r.Summary(r.id); !known || !latest.Open() {
+		return nil // its items have been deleted
+	}
+	return &IncompleteCopyError{Job: r.id, Found: found, Total: s.Total}
+}
+
+// itemCount returns the number of items of a job in this instance's copy of the partition.
+func (p *partition) itemCount(id ID) int {
+	n := 0
+	p.View(func() {
+		if j := p.state.jobs[id]; j != nil {
+			for _, chunk := range j.chunks {
+				n += len(chunk)
+			}
+		}
+	})
+	return n
+}
+
 // Body returns the body of an item of an open job.
 func (g *Registry) Body(ctx context.Context, id ID, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/job/readerror.go
+++ b/job/readerror.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	StepLoad ReadStep = "partition_load"
 	// StepRead is the read of the records that are new in the job's partition.
 	StepRead ReadStep = "partition_read"
+	// StepIncomplete is the check of the copy of the job's partition after a successful read: it lacks records that the index
+	// proves to exist.
+	StepIncomplete ReadStep = "incomplete_copy"
 	// StepWait is the wait for results while the store answers. It fails if the client leaves or the instance stops.
 	StepWait ReadStep = "wait"
 	// StepNotFound is the search of the job in the index, after a successful read of it.
@@ -35,7 +39,7 @@
 )
 
 // readSteps lists all steps.
-var readSteps = []ReadStep{StepIndex, StepLoad, StepRead, StepWait, StepNotFound, StepItemNotFound, StepWrite}
+var readSteps = []ReadStep{StepIndex, StepLoad, StepRead, StepIncomplete, StepWait, StepNotFound, StepItemNotFound, StepWrite}
 
 // ReadError reports the step at which a read or an end of a job failed, and what this instance's copy held then.
 type ReadError struct {
@@ -69,6 +73,17 @@
 // Unwrap returns the cause.
 func (e *ReadError) Unwrap() error { return e.Err }
 
+// IncompleteCopyError reports a copy of a partition that lacks results or items of a job.
+type IncompleteCopyError struct {
+	Job          ID
+	Found, Total int
+}
+
+// Error implements error.
+func (e *IncompleteCopyError) Error() string {
+	return fmt.Sprintf("the copy holds only %d of %d results or items of batch job %s", e.Found, e.Total, e.Job)
+}
+
 // readCall is a kind of call for a job.
 type readCall string
 
@@ -168,7 +183,11 @@
 // refuseUnread records that the job's partition could not be read, and returns the error for the caller.
 func (r *jobRead) refuseUnread(s *Summary, answers holderAnswers, err error) error {
 	step := StepRead
-	if !r.partitions[s.Partition].HasRead() {
+	var incomplete *IncompleteCopyError
+	switch {
+	case errors.As(err, &incomplete):
+		step = StepIncomplete
+	case !r.partitions[s.Partition].HasRead():
 		step = StepLoad
 	}
 	return r.refuseByPartition(step, s, answers, &UnavailableError{Err: err})
