--- a/soak/checks.go
+++ b/soak/checks.go
@@ -228,18 +228,26 @@
 	if status != http.StatusOK {
 		return
 	}
-	var page struct {
-		Total   int      `json:"total"`
-		Results []result `json:"results"`
-	}
+	var page resultsPage
 	if err := json.Unmarshal(body, &page); err != nil {
 		c.obs.addViolation("%s: malformed results: %v", s.id, err)
 		return
 	}
+	c.checkPage(s, 0, page)
+}
+
+// resultsPage is a part of a job's results as a client receives it.
+type resultsPage struct {
+	Total   int      `json:"total"`
+	Results []result `json:"results"`
+}
+
+// checkPage checks that a page of results from a position on agrees with what was read before, and keeps those that are new.
+func (c *client) checkPage(s *submittedJob, position int, page resultsPage) {
 	c.obs.mu.Lock()
-	old := s.results
-	if len(page.Results) > len(s.results) {
-		s.results = page.Results
+	old := s.results[min(position, len(s.results)):]
+	if len(page.Results) > len(old) && position <= len(s.results) {
+		s.results = append(s.results[:position:position], page.Results...)
 	}
 	c.obs.mu.Unlock()
 	if page.Total != s.items {
@@ -247,7 +255,7 @@
 	}
 	for i := range min(len(old), len(page.Results)) {
 		if fmt.Sprint(old[i]) != fmt.Sprint(page.Results[i]) {
-			c.obs.addViolation("%s: position %d was %v and is %v", s.id, i, old[i], page.Results[i])
+			c.obs.addViolation("%s: position %d was %v and is %v", s.id, position+i, old[i], page.Results[i])
 		}
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,6 +51,8 @@
 	// Counts counts the responses by kind of request and status, and the faults by kind.
 	Counts map[string]int
 	Jobs   int
+	// FirstReads is set by RunDayEnd.
+	FirstReads FirstReads
 }
 
 // Run runs a fleet under faults and checks the guarantees. The seed determines only the sequences of
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,9 @@
 // cut requests that it had taken while its jobs were handed over.
 var silenceSeeds = []uint64{2, 3}
 
+// dayEndSeeds are the same for TestSoakDayEnd. None has failed yet.
+var dayEndSeeds = []uint64{1, 2}
+
 // Environment variables that replace seeds by a range: the first seed and the number of seeds.
 const (
 	firstSeedEnv = "CICADASILL_SOAK_SEED"
@@ -40,14 +43,18 @@
 
 // Guards against violations, under overlapping faults, of the guarantees that clients and back ends can
 // observe.
-func TestSoak(t *testing.T) { runSeeds(t, seeds, Options{}) }
+func TestSoak(t *testing.T) { runSeeds(t, seeds, Options{}, Run) }
 
 // Guards against requests without an answer and jobs that are lost when connections go silent for good and planned works
 // follow.
-func TestSoakSilence(t *testing.T) { runSeeds(t, silenceSeeds, Options{OnlySilence: true}) }
+func TestSoakSilence(t *testing.T) { runSeeds(t, silenceSeeds, Options{OnlySilence: true}, Run) }
+
+// Guards against accepted jobs that cannot be read, or have lost results, after all instances were lost at once while the store
+// loses calls.
+func TestSoakDayEnd(t *testing.T) { runSeeds(t, dayEndSeeds, Options{}, RunDayEnd) }
 
 // runSeeds runs the selected seeds with opts.
-func runSeeds(t *testing.T, byDefault []uint64, opts Options) {
+func runSeeds(t *testing.T, byDefault []uint64, opts Options, run func(Options) (*Report, error)) {
 	binary := buildDaemon(t)
 	for _, seed := range selectedSeeds(byDefault) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -58,11 +65,12 @@
 			}
 			opts := opts
 			opts.Seed, opts.Dir, opts.Binary, opts.Instances, opts.Engines, opts.FaultPeriod = seed, dir, binary, 3, 4, 8*time.Second
-			report, err := Run(opts)
+			report, err := run(opts)
 			if err != nil {
 				t.Fatal(err)
 			}
 			t.Logf("%d jobs, %v", report.Jobs, report.Counts)
+			logFirstReads(t, report.FirstReads)
 			for _, violation := range report.Violations {
 				t.Error(violation)
 			}
@@ -74,3 +82,12 @@
 		})
 	}
 }
+
+// logFirstReads logs the median and the longest of the times, if there are any.
+func logFirstReads(t *testing.T, first FirstReads) {
+	for scope, times := range map[string][]time.Duration{"at one instance": first.Anywhere, "at each instance": first.Everywhere} {
+		if len(times) > 0 {
+			t.Logf("first read %s: median %v, longest %v", scope, times[len(times)/2], times[len(times)-1])
+		}
+	}
+}
