job: attempts of an item slow down while their engine is not avoided

An item whose engine skipped an event was sent again after 0.02 s, and so until it was given up: dozens of requests a second for one item, with a log line each.

Cause: the delay between attempts is constant, because engines that refuse or fail are avoided for a time. An engine that skips an event, or whose version changes within an output, is not.

The delay doubles up to 0.5 s over consecutive attempts whose engine is not avoided. It stays 0.02 s after refusals and failures.

go test ./job -race passes.

--- a/job/endless_test.go
+++ b/job/endless_test.go
@@ -50,3 +50,44 @@
 		is.True(time.Since(start) < time.Minute+eventTimeout)
 	})
 }
+
+// failingEngine is an Engine whose answers end with an error.
+type failingEngine struct {
+	err  error
+	runs int
+}
+
+// Generate implements Engine.
+func (e *failingEngine) Generate(context.Context, *backends.Backend, Call, Receiver) error {
+	e.runs++
+	return e.err
+}
+
+// runsAtFailingEngine returns the number of runs of an item that is given up after a time, at two engines that always answer in the same way.
+func runsAtFailingEngine(t *testing.T, err error, giveUpAfter time.Duration) int {
+	is := is.New(t)
+	f, engine := newMoveFixture(), &failingEngine{err: err}
+	f.driver.opts.Engine = engine
+	f.fast.End()
+	f.config.Load().Routes[0].GiveUpAfter = giveUpAfter
+	ctx, cancel := context.WithTimeout(t.Context(), 2*giveUpAfter)
+	defer synctest.Wait()
+	defer cancel()
+	go f.driver.placer.run(ctx)
+	state, done := f.driver.generate(ctx, f.job, 0, &partialOutput{})
+	is.True(done)
+	is.Equal(state, Errored)
+	return engine.runs
+}
+
+// Guards against items that run again and again, dozens of times a second, at engines that skip an event.
+func TestItemsWhoseEventsAreMissingRunRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const giveUpAfter = 10 * time.Second
+		runs := runsAtFailingEngine(t, &missingEventsError{want: 1, got: 2}, giveUpAfter)
+		t.Logf("%d runs", runs)
+		is.True(runs >= int(giveUpAfter/maxRetryDelay))
+		is.True(runs <= 2*int(giveUpAfter/maxRetryDelay))
+	})
+}
--- a/job/run.go
+++ b/job/run.go
@@ -25,8 +25,9 @@
 	// attempt uses up a part of the limit.
 	limitedRefusalBackoff = 900 * time.Millisecond
 	// retryDelay is the delay between two attempts of an item. It limits the rate of attempts of an item
-	// that fails at every engine.
-	retryDelay = 20 * time.Millisecond
+	// that fails at every engine. It doubles up to maxRetryDelay while the engines are not to blame.
+	retryDelay    = 20 * time.Millisecond
+	maxRetryDelay = 500 * time.Millisecond
 	// configPollInterval is the time between two checks for the configuration of a job.
 	configPollInterval = 50 * time.Millisecond
 )
@@ -182,6 +183,7 @@
 	var excluded, nextEngine *backends.Backend
 	failedAt := map[*backends.Backend]bool{}
 	afterSilence := false // the last attempt may have met a silent connection
+	var backoff retryBackoff
 	defer func() {
 		if nextEngine != nil {
 			nextEngine.End()
@@ -277,10 +279,36 @@
 			moves++
 			continue
 		}
-		timing.Sleep(ctx, retryDelay)
+		timing.Sleep(ctx, backoff.next(err))
 	}
 }
 
+// retryBackoff determines the delays between the attempts of an item.
+type retryBackoff struct{ last time.Duration }
+
+// next returns the delay after an attempt that ended with err. An engine that refused or failed is avoided for a time, which slows
+// the item down. Without that, only a growing delay does.
+func (r *retryBackoff) next(err error) time.Duration {
+	if avoidsEngine(err) {
+		r.last = 0
+		return retryDelay
+	}
+	r.last = min(max(retryDelay, 2*r.last), maxRetryDelay)
+	return r.last
+}
+
+// avoidsEngine reports whether the engine of an attempt with this outcome gets no items for a time, or the number of such attempts
+// is bounded.
+func avoidsEngine(err error) bool {
+	var (
+		notRun     *NotRunError
+		failed     *FailedError
+		broken     *BrokenError
+		oldVersion *OldVersionError
+	)
+	return errors.Is(err, errTextTooLarge) || errors.As(err, &notRun) || errors.As(err, &failed) || errors.As(err, &broken) || errors.As(err, &oldVersion)
+}
+
 // acquireEngine returns an engine that has a free slot for the request and whose rate limit allows a request: first, unless
 // that is nil, or else the one that the placer chooses. It fails only if ctx ends. The caller must call End on the engine.
 func (d *Driver) acquireEngine(ctx context.Context, req *engineRequest, first *backends.Backend) (*backends.Backend, error) {
