job: items without a route look for it less and less often

While an instance had an older configuration than the one that a job was accepted by, each of the job's items looked for its route every 0.05 s, up to 4,096 items at a time.

The time between two looks doubles up to 0.4 s.

TestItemWaitsForTheConfigurationOfItsJob passes as before.

--- a/job/route_test.go
+++ b/job/route_test.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,3 +49,24 @@
 		})
 	}
 }
+
+// Guards against thousands of items that each look for their route twenty times a second while this instance has no configuration with it.
+func TestItemsLookForTheirRouteLessAndLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const wait = 20 * time.Second
+		f := newMoveFixture()
+		f.job.ConfigVersion = 7
+		var lookups atomic.Int64
+		f.driver.opts.Config = func() *routes.Config {
+			lookups.Add(1)
+			return &routes.Config{Version: 5}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		defer cancel()
+		_, _, found := f.driver.waitForRoute(ctx, f.job, &f.job.items[0])
+		is.True(!found)
+		t.Logf("%d lookups", lookups.Load())
+		is.True(lookups.Load() <= 2*int64(wait/maxConfigPollInterval))
+	})
+}
--- a/job/run.go
+++ b/job/run.go
@@ -28,8 +28,10 @@
 	// that fails at every engine. It doubles up to maxRetryDelay while the engines are not to blame.
 	retryDelay    = 20 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
-	// configPollInterval is the time between two checks for the configuration of a job.
-	configPollInterval = 50 * time.Millisecond
+	// configPollInterval is the time between the first two checks for the configuration of a job. It doubles up to
+	// maxConfigPollInterval, because all items of the job may wait.
+	configPollInterval    = 50 * time.Millisecond
+	maxConfigPollInterval = 400 * time.Millisecond
 )
 
 // partialOutput is the output that an item has generated so far, over all its attempts.
@@ -346,7 +348,7 @@
 // this instance has no configuration, or has no route for the item in one that is older than the job's. It returns
 // false if a newer one has no route for the item or ctx ends.
 func (d *Driver) waitForRoute(ctx context.Context, job *activeJob, item *Item) (*routes.Route, string, bool) {
-	for {
+	for interval := configPollInterval; ; interval = min(2*interval, maxConfigPollInterval) {
 		if config := d.opts.Config(); config != nil {
 			if route, ok := config.Match(job.Host, item.Path); ok {
 				return route, route.ServiceFor(item.ID), true
@@ -356,7 +358,7 @@
 				return nil, "", false
 			}
 		}
-		if !timing.Sleep(ctx, configPollInterval) {
+		if !timing.Sleep(ctx, interval) {
 			return nil, "", false
 		}
 	}
