--- a/job/run.go
+++ b/job/run.go
@@ -24,11 +24,10 @@
 	// limitedRefusalBackoff is how long an engine with a rate limit is avoided instead, about the time of one load: each
 	// attempt uses up a part of the limit.
 	limitedRefusalBackoff = 900 * time.Millisecond
-	// retryDelay is the delay between two attempts of an item. It limits the rate of attempts of an item
-	// that fails at every engine.
-	retryDelay = 20 * time.Millisecond
-	// configPollInterval is the time between two checks for the configuration of a job.
-	configPollInterval = 50 * time.Millisecond
+	// configPollInterval is the time between the first two checks for the configuration of a job. It doubles up to
+	// maxConfigPollInterval, because all items of the job may wait.
+	configPollInterval    = 50 * time.Millisecond
+	maxConfigPollInterval = 400 * time.Millisecond
 )
 
 // partialOutput is the output that an item has generated so far, over all its attempts.
@@ -182,6 +181,7 @@
 	var excluded, nextEngine *backends.Backend
 	failedAt := map[*backends.Backend]bool{}
 	afterSilence := false // the last attempt may have met a silent connection
+	var backoff retryBackoff
 	defer func() {
 		if nextEngine != nil {
 			nextEngine.End()
@@ -277,7 +277,7 @@
 			moves++
 			continue
 		}
-		timing.Sleep(ctx, retryDelay)
+		timing.Sleep(ctx, backoff.next(err))
 	}
 }
 
@@ -315,7 +315,7 @@
 // this instance has no configuration, or has no route for the item in one that is older than the job's. It returns
 // false if a newer one has no route for the item or ctx ends.
 func (d *Driver) waitForRoute(ctx context.Context, job *activeJob, item *Item) (*routes.Route, string, bool) {
-	for {
+	for interval := configPollInterval; ; interval = min(2*interval, maxConfigPollInterval) {
 		if config := d.opts.Config(); config != nil {
 			if route, ok := config.Match(job.Host, item.Path); ok {
 				return route, route.ServiceFor(item.ID), true
@@ -325,7 +325,7 @@
 				return nil, "", false
 			}
 		}
-		if !timing.Sleep(ctx, configPollInterval) {
+		if !timing.Sleep(ctx, interval) {
 			return nil, "", false
 		}
 	}
@@ -377,7 +377,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = &BrokenError{Err: cause, SilentConn: broken.SilentConn}
 		}
-		if jobCtx.Err() == nil && !broken.SilentConn && !b.Unavailable() {
+		if jobCtx.Err() == nil && !broken.SilentConn && !errors.Is(err, ErrNoMemory) && !b.Unavailable() {
 			b.RecordFailure()
 		}
 	}
