presence: the death of a driver is noticed in three seconds at any size

Cause: the time between the heartbeats of an instance grows with the number of instances (1.95 s at 195), since all together may write only 100 a second, and a death is known after three of them and a half. All instances had the same interval although only the death of a few that drive jobs is urgent.

Change: an instance that drives jobs writes its record each 0.4 s, all such instances together 50 a second at most. A new driver does not wait out the interval before. Each record announces its interval, as before; the allowance for reading is now at least the pause between reads, and silence after a failed read counts after three such pauses. Nothing changes up to 40 instances.

In TestInstancesAreNotDeadDuringStoreOutage, the call of silentFor names the pause between reads that applies there.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -170,7 +170,7 @@
 	i.entries = changelog.NewReplica(i.store, hosted.EntryPartition, &hosted.Entries{
 		Logger: logger, Backends: i.directory,
 	})
-	i.presence = presence.New(self, i.store, logger)
+	i.presence = presence.New(self, i.store, func() int { return i.driver.ActiveDrivers() }, logger)
 	i.rateLimits = ratelimit.NewReplica(ratelimit.ReplicaOptions{
 		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger,
 		ReadWait:  func() time.Duration { return presence.LongPollWait(i.presence.Count()) },
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -19,7 +18,6 @@
 
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/machine"
-	"github.com/cicadasill/cicadasill/timing"
 	"github.com/cicadasill/cicadasill/zone"
 )
 
@@ -32,13 +30,17 @@
 	// heartbeatIntervalPerInstance limits all instances together to a hundred records a second, because the
 	// records share a partition that takes one append every 4 ms.
 	heartbeatIntervalPerInstance = 10 * time.Millisecond
+	// driverIntervalPerDriver limits all instances that drive jobs together to fifty records a second. Their records follow one
+	// another faster than those of the others in a large deployment, because a batch job stands still until the death of its
+	// driver is noticed.
+	driverIntervalPerDriver = 20 * time.Millisecond
 	// deadIntervals is the number of intervals without a record after which an instance counts as dead. One
 	// record may be lost and the next one late.
 	deadIntervals = 3
 	// recentIntervals is the age of a record, in intervals, up to which its instance is given new work.
 	recentIntervals = 2
 	// readDelay is the allowance for the time between the write and the read of a record. It is added to the
-	// limits on a record's age; silentFor raises it to half the time between records.
+	// limits on a record's age; silentFor raises it to half the time between records and to the pause between reads.
 	readDelay = 300 * time.Millisecond
 	// minReadPause is the shortest pause between reads of the records. In large deployments the pause is
 	// half the time between records.
@@ -89,14 +91,14 @@
 	hasChanged bool
 }
 
-// acceptsWork reports whether the instance takes new work and is live according to its records.
-func (s *observedRecord) acceptsWork() bool {
-	return s.hasChanged && !s.Left && !s.Draining && !s.silentFor(recentIntervals)
+// acceptsWork reports whether the instance takes new work and is live according to its records, which are read with readPause.
+func (s *observedRecord) acceptsWork(readPause time.Duration) bool {
+	return s.hasChanged && !s.Left && !s.Draining && !s.silentFor(recentIntervals, readPause)
 }
 
-// silentFor reports whether no new record has been read for a number of intervals.
-func (s *observedRecord) silentFor(intervals int) bool {
-	return time.Since(s.receivedAt) > time.Duration(intervals)*s.Interval+max(readDelay, s.Interval/2)
+// silentFor reports whether no new record has been read for a number of intervals although the records are read with readPause.
+func (s *observedRecord) silentFor(intervals int, readPause time.Duration) bool {
+	return time.Since(s.receivedAt) > time.Duration(intervals)*s.Interval+max(readDelay, s.Interval/2, readPause)
 }
 
 // Table is this instance's view of all instances.
@@ -107,6 +109,7 @@
 	log        *log.Logger
 	store      changelog.Log
 	replica    *changelog.Replica
+	drivers    func() int
 
 	mu           sync.Mutex // guards the fields below
 	byID         map[string]observedRecord
@@ -120,10 +123,11 @@
 	appendDuration time.Duration
 }
 
-// New returns a Table that has read no records yet.
-func New(self machine.Instance, store changelog.Log, logger *log.Logger) *Table {
+// New returns a Table that has read no records yet. drivers returns the number of instances that drive jobs, or 0 if this one
+// drives none.
+func New(self machine.Instance, store changelog.Log, drivers func() int, logger *log.Logger) *Table {
 	t := &Table{
-		self: self.Ref(), instance: self, dataCentre: self.Zone.DataCentre, log: logger, store: store,
+		self: self.Ref(), instance: self, dataCentre: self.Zone.DataCentre, log: logger, store: store, drivers: drivers,
 		byID: map[string]observedRecord{}, readFailedAt: time.Now(),
 	}
 	t.replica = changelog.NewReplica(store, changelog.Partition{Topic: topic}, t)
@@ -138,7 +142,7 @@
 		t.replica.Follow(ctx, changelog.ConstantWait(0), func() time.Duration { return ReadPause(t.Count()) }, t.handleReadResult)
 	}()
 	for {
-		if !timing.Sleep(ctx, t.writeHeartbeat(ctx)) {
+		if !t.awaitNextHeartbeat(ctx, t.writeHeartbeat(ctx)) {
 			break
 		}
 	}
@@ -152,74 +156,6 @@
 	return max(1, len(t.byID))
 }
 
-// LongPollPause returns the pause after a read that waited for a change. It is at least minPause and grows with
-// the number of instances, because the same change wakes the waiting reads of all of them.
-func LongPollPause(minPause time.Duration, instances int) time.Duration {
-	return max(minPause, time.Duration(instances)*longPollPausePerInstance)
-}
-
-// LongPollWait returns how long a read waits for rare changes.
-func LongPollWait(instances int) time.Duration {
-	return max(minLongPollWait, time.Duration(instances)*longPollWaitPerInstance)
-}
-
-// heartbeatInterval returns the time between an instance's records.
-func heartbeatInterval(instances int) time.Duration {
-	return max(minHeartbeatInterval, time.Duration(instances)*heartbeatIntervalPerInstance)
-}
-
-// ReadPause returns the pause between reads of the instances' records.
-func ReadPause(instances int) time.Duration { return max(minReadPause, heartbeatInterval(instances)/2) }
-
-// writeHeartbeat appends this instance's record and returns the pause before the next one.
-func (t *Table) writeHeartbeat(ctx context.Context) time.Duration {
-	t.mu.Lock()
-	t.sequence++
-	interval := heartbeatInterval(len(t.byID))
-	r := record{
-		Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Left: t.hasLeft, Draining: t.draining,
-		Sequence: t.sequence, Interval: interval + t.appendDuration,
-		Region: t.instance.Zone.Region, PeerAddr: t.instance.PeerAddr,
-	}
-	t.mu.Unlock()
-	data, err := cbor.Marshal(r)
-	if err != nil {
-		t.log.Error("cannot encode heartbeat", "err", err)
-		return interval
-	}
-	start := time.Now()
-	if err := t.append(ctx, data); err != nil {
-		t.log.Debug("cannot write heartbeat", "err", err)
-		return interval
-	}
-	t.mu.Lock()
-	t.heartbeatAt, t.appendDuration = start, time.Since(start)
-	t.mu.Unlock()
-	return interval
-}
-
-// append appends a record of this instance, and again if the outcome is unknown: the same record twice counts once.
-func (t *Table) append(ctx context.Context, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	attempt := func(ctx context.Context) error {
-		records := []changelog.Record{{Key: t.self.ID, Value: data}}
-		_, err := t.store.Append(ctx, changelog.Partition{Topic: topic}, records, changelog.Unconditional)
-		return err
-	}
-	t.mu.Lock()
-	firstTimeout := max(firstAppendTimeout, slowAppendFactor*t.appendDuration)
-	t.mu.Unlock()
-	firstCtx, cancelFirst := context.WithTimeout(ctx, firstTimeout)
-	defer cancelFirst()
-	err := attempt(firstCtx)
-	var unknown *changelog.UnknownError
-	if errors.As(err, &unknown) && ctx.Err() == nil {
-		err = attempt(ctx)
-	}
-	return err
-}
-
 // AnnounceDraining announces that this instance takes no new work.
 func (t *Table) AnnounceDraining(ctx context.Context) {
 	t.mu.Lock()
@@ -288,7 +224,8 @@
 	age := t.replica.Age()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if age > maxReadAge+ReadPause(len(t.byID))-minReadPause {
+	readPause := ReadPause(len(t.byID))
+	if age > maxReadAge+readPause-minReadPause {
 		return false
 	}
 	own := t.byID[t.self.ID]
@@ -297,11 +234,11 @@
 		return true
 	}
 	if !known {
-		s.Interval = own.Interval
+		s.Interval = max(own.Interval, heartbeatInterval(len(t.byID)))
 	}
 	// If this instance's own heartbeats do not get through, those of others may not either.
-	return s.silentFor(deadIntervals) && !own.silentFor(recentIntervals) &&
-		time.Since(t.readFailedAt) > deadIntervals*s.Interval+readDelay
+	return s.silentFor(deadIntervals, readPause) && !own.silentFor(recentIntervals, readPause) &&
+		time.Since(t.readFailedAt) > deadIntervals*max(s.Interval, readPause)+readDelay
 }
 
 // Ended reports whether the newest record shows that an instance has left or that a later run has replaced it.
@@ -319,8 +256,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	best, bestHash := t.self, uint64(0)
+	readPause := ReadPause(len(t.byID))
 	for id, s := range t.byID {
-		if id == t.self.ID || s.DataCentre != t.dataCentre || !s.acceptsWork() {
+		if id == t.self.ID || s.DataCentre != t.dataCentre || !s.acceptsWork(readPause) {
 			continue
 		}
 		if h := xxhash.Sum64String(key + "/" + id); best == t.self || h < bestHash {
@@ -337,8 +275,9 @@
 	defer t.mu.Unlock()
 	best, bestHash, bestIsNear := t.instance, uint64(0), false
 	found := false
+	readPause := ReadPause(len(t.byID))
 	for id, s := range t.byID {
-		if !s.acceptsWork() {
+		if !s.acceptsWork(readPause) {
 			continue
 		}
 		isNear, h := s.DataCentre == dataCentre, xxhash.Sum64String(key+"/"+id)
@@ -357,9 +296,10 @@
 func (t *Table) Peers() []machine.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	readPause := ReadPause(len(t.byID))
 	var peers []machine.Instance
 	for id, s := range t.byID {
-		if id == t.self.ID || s.Left || s.PeerAddr == "" || s.silentFor(deadIntervals) {
+		if id == t.self.ID || s.Left || s.PeerAddr == "" || s.silentFor(deadIntervals, readPause) {
 			continue
 		}
 		peers = append(peers, machine.Instance{
@@ -383,7 +323,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, known := t.byID[ref.ID]
-	return known && s.Incarnation == ref.Incarnation && s.DataCentre == t.dataCentre && s.acceptsWork()
+	return known && s.Incarnation == ref.Incarnation && s.DataCentre == t.dataCentre && s.acceptsWork(ReadPause(len(t.byID)))
 }
 
 // Rank returns this instance's position among the live ones, from 0, in an order that depends on key and is the
@@ -392,9 +332,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	own := xxhash.Sum64String(key + "/" + t.self.ID)
-	rank := 0
+	rank, readPause := 0, ReadPause(len(t.byID))
 	for id, s := range t.byID {
-		if id == t.self.ID || s.Left || s.silentFor(deadIntervals) {
+		if id == t.self.ID || s.Left || s.silentFor(deadIntervals, readPause) {
 			continue
 		}
 		if cmp.Compare(xxhash.Sum64String(key+"/"+id), own) < 0 {
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -28,7 +28,7 @@
 	self := machine.Instance{
 		ID: id, Incarnation: incarnation, PeerAddr: id + ":1", Zone: zone.Zone{Region: "r", DataCentre: dataCentre},
 	}
-	table := New(self, client, telemetry.Discard())
+	table := New(self, client, func() int { return 0 }, telemetry.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -125,7 +125,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		s := a.byID["b"]
-		return s.silentFor(2 * deadIntervals)
+		return s.silentFor(2*deadIntervals, minReadPause)
 	})
 	is.True(!a.Dead(ref))
 }
