--- a/job/peerread.go
+++ b/job/peerread.go
@@ -51,6 +51,8 @@
 	Found   bool     `cbor:"1,keyasint"`
 	Results []Result `cbor:"2,keyasint"`
 	Body    []byte   `cbor:"3,keyasint"`
+	// Total is the number of the job's items.
+	Total int `cbor:"4,keyasint"`
 }
 
 // copyRequestError reports a request for a partition or position that does not exist.
@@ -61,8 +63,7 @@
 	return fmt.Sprintf("no position %d in data partition number %d", e.After, e.Partition)
 }
 
-// HandleRead handles ReadMethod: it returns what this instance's copy of a partition holds of a job, at once and without
-// reading the store.
+// HandleRead handles ReadMethod: it returns what this instance's copies hold of a job, at once and without reading the store.
 func (g *Registry) HandleRead(_ context.Context, payload []byte) ([]byte, error) {
 	var request copyRequest
 	if err := cbor.Unmarshal(payload, &request); err != nil {
@@ -71,18 +72,23 @@
 	if request.Partition < 0 || request.Partition >= len(g.partitions) || request.After < 0 {
 		return nil, &copyRequestError{Partition: request.Partition, After: request.After}
 	}
-	content := g.partitions[request.Partition].content(&request)
+	content := g.content(&request)
 	return cbor.Marshal(&content)
 }
 
-// content returns what this instance's copy of the partition holds.
-func (p *partition) content(request *copyRequest) copyContent {
+// content returns what this instance's copies of the index and of a partition hold.
+func (g *Registry) content(request *copyRequest) copyContent {
+	s, known := g.Summary(request.Job)
+	if !known {
+		return copyContent{}
+	}
+	p := g.partitions[request.Partition]
 	if request.Item != "" {
 		body, found := p.body(request.Job, request.Item)
-		return copyContent{Found: found, Body: body}
+		return copyContent{Found: found, Body: body, Total: s.Total}
 	}
 	results := p.results(request.Job, request.After)
-	return copyContent{Found: len(results) > 0, Results: results}
+	return copyContent{Found: len(results) > 0, Results: results, Total: s.Total}
 }
 
 // peerReadLog logs and counts reads that other instances were asked for.
@@ -113,24 +119,44 @@
 	err     error // of the calls that failed
 }
 
-// syncOrAsk waits until the copy of the job's partition is current. If the store fails or has not answered within
-// ownReadTime, it also asks other instances, and returns as soon as one of them or this instance's own copy holds what the
-// call wants. An error says that the own copy may be old or lacks records.
-func (r *jobRead) syncOrAsk(ctx context.Context, s *Summary) (holderAnswers, error) {
+// page returns the results that were found.
+func (a *holderAnswers) page() Page { return Page{Total: a.content.Total, Results: a.content.Results} }
+
+// syncIndexOrAsk waits until the copy of the index is current, or asks other instances as syncOrAsk does.
+func (r *jobRead) syncIndexOrAsk(ctx context.Context) (holderAnswers, error) {
+	return r.syncOrAsk(ctx, &Summary{Partition: r.partitionOf(r.id)}, r.indexReplica.Sync)
+}
+
+// syncPartitionOrAsk waits until the copy of the job's partition is current, or asks other instances as syncOrAsk does. An error
+// says that the own copy may be old or lacks records.
+func (r *jobRead) syncPartitionOrAsk(ctx context.Context, s *Summary) (holderAnswers, error) {
+	if r.answered {
+		r.unansweredSince = time.Now()
+	}
+	answers, err := r.syncOrAsk(ctx, s, func(ctx context.Context) error {
+		if err := r.partitions[s.Partition].Sync(ctx); err != nil {
+			return err
+		}
+		return r.checkCopy(ctx, s)
+	})
+	r.answered = err == nil
+	return answers, err
+}
+
+// syncOrAsk calls sync, which reads from the store. If it fails, or the store has not answered this call for ownReadTime, it also
+// asks other instances, and returns as soon as one of them or this instance's own copy holds what the call wants.
+func (r *jobRead) syncOrAsk(ctx context.Context, s *Summary, sync func(context.Context) error) (holderAnswers, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	asked := make(chan holderAnswers, 1)
-	timer := time.AfterFunc(ownReadTime, func() {
+	timer := time.AfterFunc(time.Until(r.unansweredSince.Add(ownReadTime)), func() {
 		a := r.ask(ctx, s)
 		asked <- a
 		if a.content.Found {
 			cancel()
 		}
 	})
-	err := r.partitions[s.Partition].Sync(ctx)
-	if err == nil {
-		err = r.checkCopy(ctx, s)
-	}
+	err := sync(ctx)
 	switch {
 	case err == nil:
 		timer.Stop()
@@ -146,10 +172,10 @@
 // read asks others when the store first fails and when its wait is over, but not in between.
 func (r *jobRead) ask(ctx context.Context, s *Summary) holderAnswers {
 	request := &copyRequest{Job: r.id, Partition: s.Partition, After: r.after, Item: r.item}
-	if own := r.partitions[s.Partition].content(request); own.Found {
+	if own := r.content(request); own.Found {
 		return holderAnswers{content: own}
 	}
-	if r.opts.Holders == nil || ctx.Err() != nil || (r.hasAsked.Swap(true) && time.Now().Before(r.waitEnd)) {
+	if r.opts.Holders == nil || r.call == callEnd || ctx.Err() != nil || (r.hasAsked.Swap(true) && time.Now().Before(r.waitEnd)) {
 		return holderAnswers{}
 	}
 	payload, err := cbor.Marshal(request)
--- a/job/peerread_test.go
+++ b/job/peerread_test.go
@@ -54,6 +54,14 @@
 
 // newHoldersFixture returns an instance that has read the index only, and may ask the driver of the job, which holds a copy.
 func newHoldersFixture(t *testing.T) (*readFixture, *askedHolders) {
+	t.Helper()
+	f, h := newStartedFixture(t)
+	is.New(t).NoErr(f.indexReplica.Sync(t.Context()))
+	return f, h
+}
+
+// newStartedFixture returns an instance that has read nothing, and may ask the driver of the job, which holds a copy.
+func newStartedFixture(t *testing.T) (*readFixture, *askedHolders) {
 	t.Helper()
 	f := newReadFixture(t)
 	h := &askedHolders{registries: map[string]*Registry{}, ended: t.Context().Done()}
@@ -62,7 +70,6 @@
 	is.New(t).NoErr(err)
 	h.add(driver.opts.Self, driver)
 	f.opts.Holders = &Holders{Possible: func() []machine.Instance { return h.instances }, Ask: h.ask}
-	is.New(t).NoErr(f.indexReplica.Sync(t.Context()))
 	return f, h
 }
 
@@ -222,3 +229,55 @@
 	is.New(t).NoErr(err)
 	return data
 }
+
+// Guards against a job that can't be read at an instance that has just started and cannot read the job index, although another
+// instance holds the answer.
+func TestReadIsAnsweredByAHolderWithoutTheIndex(t *testing.T) {
+	for name, fail := range map[string]func(*faultyLog){
+		"index silent":  func(l *faultyLog) { l.silent = indexTopic },
+		"index refused": func(l *faultyLog) { l.refused = indexTopic },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, _ := newStartedFixture(t)
+				fail(f.log)
+				page, err := f.Results(t.Context(), fixtureJob, 0, 0)
+				is.NoErr(err)
+				is.Equal(page.Total, fixtureItems)
+				is.Equal(len(page.Results), 1)
+				body, err := f.Body(t.Context(), fixtureJob, "b")
+				is.NoErr(err)
+				is.Equal(string(body), "x")
+				_, err = f.Results(t.Context(), "other", 0, 0)
+				var unavailable *UnavailableError
+				is.True(errors.As(err, &unavailable)) // no copy proves that there is no such job
+			})
+		})
+	}
+}
+
+// Guards against a read that spends its time on the index and then waits for a silent partition until the end without asking
+// another instance.
+func TestHolderIsAskedAfterASlowIndex(t *testing.T) {
+	for _, wait := range []time.Duration{0, time.Second} {
+		t.Run(wait.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, h := newStartedFixture(t)
+				f.log.slow, f.log.delay = indexTopic, ownReadTime+100*time.Millisecond
+				f.log.silent = dataTopic
+				start := time.Now()
+				f.opts.Holders.Possible = func() []machine.Instance {
+					if time.Since(start) < f.log.delay {
+						return nil
+					}
+					return h.instances
+				}
+				page, err := f.Results(t.Context(), fixtureJob, 0, wait)
+				is.NoErr(err)
+				is.Equal(len(page.Results), 1)
+			})
+		})
+	}
+}
--- a/job/read.go
+++ b/job/read.go
@@ -32,22 +32,25 @@
 func (g *Registry) Results(ctx context.Context, id ID, after int, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	start := time.Now()
-	r := &jobRead{Registry: g, call: callResults, id: id, after: after, start: start, waitEnd: start.Add(wait)}
-	s, err := r.find(ctx)
-	if err != nil {
+	r := g.newRead(callResults, id, wait)
+	r.after = after
+	s, answers, err := r.find(ctx)
+	switch {
+	case err != nil:
 		return Page{}, err
+	case answers.content.Found:
+		return answers.page(), nil
 	}
 	p := g.partitions[s.Partition]
 	for {
-		answers, syncErr := r.syncOrAsk(ctx, &s)
+		answers, syncErr := r.syncPartitionOrAsk(ctx, &s)
 		changed := p.Changed()
 		page := Page{Total: s.Total, Results: p.results(id, after)}
 		if len(page.Results) > 0 || (syncErr == nil && after >= s.Total) {
 			return page, nil // listed results never change, so they are valid even if the read failed
 		}
 		if answers.content.Found {
-			return Page{Total: s.Total, Results: answers.content.Results}, nil
+			return answers.page(), nil
 		}
 		s, _ = g.latestSummary(id, s)
 		left := time.Until(r.waitEnd)
@@ -153,17 +156,20 @@
 func (g *Registry) Body(ctx context.Context, id ID, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	start := time.Now()
-	r := &jobRead{Registry: g, call: callBody, id: id, item: item, start: start, waitEnd: start}
-	s, err := r.find(ctx)
-	if err != nil {
+	r := g.newRead(callBody, id, 0)
+	r.item = item
+	s, answers, err := r.find(ctx)
+	switch {
+	case err != nil:
 		return nil, err
+	case answers.content.Found:
+		return answers.content.Body, nil
 	}
 	p := g.partitions[s.Partition]
 	if body, ok := p.body(id, item); ok {
 		return body, nil
 	}
-	answers, err := r.syncOrAsk(ctx, &s)
+	answers, err = r.syncPartitionOrAsk(ctx, &s)
 	switch {
 	case answers.content.Found:
 		return answers.content.Body, nil
--- a/job/readerror_test.go
+++ b/job/readerror_test.go
@@ -22,12 +22,13 @@
 // errRefused is a call that the store refuses.
 var errRefused = errors.New("refused")
 
-// faultyLog is a log that fails calls for the partitions of some topics: it refuses them, or leaves them without an answer
-// until the test ends.
+// faultyLog is a log that fails calls for the partitions of some topics: it refuses them, leaves them without an answer until the
+// test ends, or carries them out after a delay.
 type faultyLog struct {
 	*countingLog
-	refused, silent string // prefixes of topics; empty for none
-	ended           <-chan struct{}
+	refused, silent, slow string // prefixes of topics; empty for none
+	delay                 time.Duration
+	ended                 <-chan struct{}
 }
 
 func (l *faultyLog) fault(p changelog.Partition) error {
@@ -37,6 +38,8 @@
 	case l.silent != "" && strings.HasPrefix(p.Topic, l.silent):
 		<-l.ended
 		return errReleased
+	case l.slow != "" && strings.HasPrefix(p.Topic, l.slow):
+		time.Sleep(l.delay / 2) // a load reads twice
 	}
 	return nil
 }
--- a/job/registry.go
+++ b/job/registry.go
@@ -180,8 +180,8 @@
 
 // End ends a job, so that its driver stops running items. It returns nil once the store has recorded it.
 func (g *Registry) End(ctx context.Context, id ID) error {
-	r := &jobRead{Registry: g, call: callEnd, id: id, start: time.Now()}
-	s, err := r.find(ctx)
+	r := g.newRead(callEnd, id, 0)
+	s, _, err := r.find(ctx)
 	if err != nil {
 		return err
 	}
@@ -197,7 +197,7 @@
 		return &next
 	})
 	if err != nil {
-		return r.refuseByIndex(StepWrite, err)
+		return r.refuseByIndex(StepWrite, holderAnswers{}, err)
 	}
 	return nil
 }
