--- a/job/read.go
+++ b/job/read.go
@@ -40,13 +40,15 @@
 		return Page{}, err
 	case answers.content.Found:
 		return answers.page(), nil
+	case after >= s.Total:
+		return Page{Total: s.Total}, nil
 	}
 	p := g.partitions[s.Partition]
 	for {
 		answers, syncErr := r.syncPartitionOrAsk(ctx, &s)
 		changed := p.Changed()
 		page := Page{Total: s.Total, Results: p.results(id, after)}
-		if len(page.Results) > 0 || (syncErr == nil && after >= s.Total) {
+		if len(page.Results) > 0 {
 			return page, nil // listed results never change, so they are valid even if the read failed
 		}
 		if answers.content.Found {
--- a/job/silentstore_test.go
+++ b/job/silentstore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -52,3 +53,20 @@
 	is.True(errors.As(err, &unavailable))
 	is.True(time.Since(start) < clientWait)
 }
+
+// Guards against a refused read behind the last item of a job, which no store is needed for.
+func TestReadBehindTheLastItemNeedsNoStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, h := newHoldersFixture(t)
+		f.log.silent = dataTopic
+		for _, wait := range []time.Duration{0, time.Second} {
+			start := time.Now()
+			page, err := f.Results(t.Context(), fixtureJob, fixtureItems, wait)
+			is.NoErr(err)
+			is.Equal(page, Page{Total: fixtureItems})
+			is.Equal(time.Since(start), time.Duration(0))
+		}
+		is.Equal(len(h.calls()), 0)
+	})
+}
