--- a/job/read.go
+++ b/job/read.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,6 +28,48 @@
 	return size
 }
 
+// jobRead is a read or an end of a job.
+type jobRead struct {
+	*Registry
+	call  readCall
+	id    ID
+	item  string
+	after int
+	start time.Time
+	// waitEnd is the time up to which the client waits for results.
+	waitEnd  time.Time
+	hasAsked atomic.Bool // other instances
+	// unansweredSince is when the call began to wait for the job's partition, answered whether the last read of that succeeded.
+	unansweredSince time.Time
+	answered        bool
+}
+
+// newRead returns a read or an end of a job that begins now.
+func (g *Registry) newRead(call readCall, id ID, wait time.Duration) *jobRead {
+	now := time.Now()
+	return &jobRead{Registry: g, call: call, id: id, start: now, waitEnd: now.Add(wait), unansweredSince: now}
+}
+
+// find returns the summary of the job. It reads the index from the store if this instance doesn't know the job yet. If the store
+// does not answer, another instance may, and the summary is empty.
+func (r *jobRead) find(ctx context.Context) (Summary, holderAnswers, error) {
+	if s, ok := r.Summary(r.id); ok {
+		return s, holderAnswers{}, nil
+	}
+	answers, err := r.syncIndexOrAsk(ctx)
+	switch {
+	case answers.content.Found:
+		return Summary{}, answers, nil
+	case err != nil:
+		return Summary{}, answers, r.refuseByIndex(StepIndex, answers, &UnavailableError{Err: err})
+	}
+	if s, ok := r.Summary(r.id); ok {
+		r.hasAsked.Store(false) // its driver is known now
+		return s, answers, nil
+	}
+	return Summary{}, answers, r.refuseByIndex(StepNotFound, answers, &NotFoundError{Job: r.id})
+}
+
 // Results returns results from position after on. If there are none yet, it waits for them, for wait at
 // most.
 func (g *Registry) Results(ctx context.Context, id ID, after int, wait time.Duration) (Page, error) {
