--- a/job/read.go
+++ b/job/read.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,27 +28,74 @@
 	return size
 }
 
+// jobRead is a read or an end of a job.
+type jobRead struct {
+	*Registry
+	call  readCall
+	id    ID
+	item  string
+	after int
+	start time.Time
+	// waitEnd is the time up to which the client waits for results.
+	waitEnd  time.Time
+	hasAsked atomic.Bool // other instances
+	// unansweredSince is when the call began to wait for the job's partition, answered whether the last read of that succeeded.
+	unansweredSince time.Time
+	answered        bool
+}
+
+// newRead returns a read or an end of a job that begins now.
+func (g *Registry) newRead(call readCall, id ID, wait time.Duration) *jobRead {
+	now := time.Now()
+	return &jobRead{Registry: g, call: call, id: id, start: now, waitEnd: now.Add(wait), unansweredSince: now}
+}
+
+// find returns the summary of the job. It reads the index from the store if this instance doesn't know the job yet. If the store
+// does not answer, another instance may, and the summary is empty.
+func (r *jobRead) find(ctx context.Context) (Summary, holderAnswers, error) {
+	if s, ok := r.Summary(r.id); ok {
+		return s, holderAnswers{}, nil
+	}
+	answers, err := r.syncIndexOrAsk(ctx)
+	switch {
+	case answers.content.Found:
+		return Summary{}, answers, nil
+	case err != nil:
+		return Summary{}, answers, r.refuseByIndex(StepIndex, answers, &UnavailableError{Err: err})
+	}
+	if s, ok := r.Summary(r.id); ok {
+		r.hasAsked.Store(false) // its driver is known now
+		return s, answers, nil
+	}
+	return Summary{}, answers, r.refuseByIndex(StepNotFound, answers, &NotFoundError{Job: r.id})
+}
+
 // Results returns results from position after on. If there are none yet, it waits for them, for wait at
 // most.
 func (g *Registry) Results(ctx context.Context, id ID, after int, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	start := time.Now()
-	r := &jobRead{Registry: g, call: callResults, id: id, after: after, start: start, waitEnd: start.Add(wait)}
-	s, err := r.find(ctx)
-	if err != nil {
+	r := g.newRead(callResults, id, wait)
+	r.after = after
+	s, answers, err := r.find(ctx)
+	switch {
+	case err != nil:
 		return Page{}, err
+	case answers.content.Found:
+		return answers.page(), nil
+	case after >= s.Total:
+		return Page{Total: s.Total}, nil
 	}
 	p := g.partitions[s.Partition]
 	for {
-		answers, syncErr := r.syncOrAsk(ctx, &s)
+		answers, syncErr := r.syncPartitionOrAsk(ctx, &s)
 		changed := p.Changed()
 		page := Page{Total: s.Total, Results: p.results(id, after)}
-		if len(page.Results) > 0 || (syncErr == nil && after >= s.Total) {
+		if len(page.Results) > 0 {
 			return page, nil // listed results never change, so they are valid even if the read failed
 		}
 		if answers.content.Found {
-			return Page{Total: s.Total, Results: answers.content.Results}, nil
+			return answers.page(), nil
 		}
 		s, _ = g.latestSummary(id, s)
 		left := time.Until(r.waitEnd)
@@ -153,17 +201,20 @@
 func (g *Registry) Body(ctx context.Context, id ID, item string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	start := time.Now()
-	r := &jobRead{Registry: g, call: callBody, id: id, item: item, start: start, waitEnd: start}
-	s, err := r.find(ctx)
-	if err != nil {
+	r := g.newRead(callBody, id, 0)
+	r.item = item
+	s, answers, err := r.find(ctx)
+	switch {
+	case err != nil:
 		return nil, err
+	case answers.content.Found:
+		return answers.content.Body, nil
 	}
 	p := g.partitions[s.Partition]
 	if body, ok := p.body(id, item); ok {
 		return body, nil
 	}
-	answers, err := r.syncOrAsk(ctx, &s)
+	answers, err = r.syncPartitionOrAsk(ctx, &s)
 	switch {
 	case answers.content.Found:
 		return answers.content.Body, nil
--- a/job/readerror.go
+++ b/job/readerror.go
@@ -1,10 +1,8 @@
 package job
 
 import (
-	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -135,36 +133,9 @@
 	l.logger.Warn("read of a job refused", fields...)
 }
 
-// jobRead is a read or an end of a job.
-type jobRead struct {
-	*Registry
-	call  readCall
-	id    ID
-	item  string
-	after int
-	start time.Time
-	// waitEnd is the time up to which the client waits for results.
-	waitEnd  time.Time
-	hasAsked atomic.Bool // other instances
-}
-
-// find returns the summary of the job. It reads the index from the store if this instance doesn't know the job yet.
-func (r *jobRead) find(ctx context.Context) (Summary, error) {
-	if s, ok := r.Summary(r.id); ok {
-		return s, nil
-	}
-	if err := r.indexReplica.Sync(ctx); err != nil {
-		return Summary{}, r.refuseByIndex(StepIndex, &UnavailableError{Err: err})
-	}
-	if s, ok := r.Summary(r.id); ok {
-		return s, nil
-	}
-	return Summary{}, r.refuseByIndex(StepNotFound, &NotFoundError{Job: r.id})
-}
-
 // refuseByIndex records that the call failed at a step that concerns the index, and returns the error for the caller.
-func (r *jobRead) refuseByIndex(step ReadStep, err error) error {
-	e := &ReadError{Step: step, Partition: changelog.Partition{Topic: indexTopic}, Err: err}
+func (r *jobRead) refuseByIndex(step ReadStep, answers holderAnswers, err error) error {
+	e := &ReadError{Step: step, Partition: changelog.Partition{Topic: indexTopic}, Asked: answers.asked, PeerErr: answers.err, Err: err}
 	if s, ok := r.Summary(r.id); ok {
 		e.Total = s.Total
 	}
