--- a/changelog/load_test.go
+++ b/changelog/load_test.go
@@ -229,3 +229,42 @@
 		})
 	}
 }
+
+// pairLog is a log in which two keys, the first and the last one, are replaced together after each page.
+type pairLog struct {
+	*pagedLog
+	value int
+}
+
+// Newest implements changelog.Log.
+func (l *pairLog) Newest(ctx context.Context, p changelog.Partition, after string) (changelog.Page, error) {
+	page, err := l.pagedLog.Newest(ctx, p, after)
+	l.value++
+	l.put("a", fmt.Sprint(l.value))
+	l.put("z", fmt.Sprint(l.value))
+	return page, err
+}
+
+// pairState is a State that looks at the pair when a load is complete.
+type pairState struct {
+	keyState
+	pairs [][2]string
+}
+
+// Loaded implements changelog.LoadObserver.
+func (s *pairState) Loaded() { s.pairs = append(s.pairs, [2]string{s.values["a"], s.values["z"]}) }
+
+// Guards against a load that shows records of a later time beside older ones, as if some in between were missing.
+func TestLoadShowsOneOffset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &pairLog{pagedLog: newPagedLog(5, 1)}
+		log.put("a", "0")
+		log.put("z", "0")
+		state := &pairState{}
+		is.NoErr(changelog.NewReplica(log, testPartition, state).Sync(t.Context()))
+		t.Log(state.pairs)
+		is.Equal(len(state.pairs), 1)
+		is.Equal(state.pairs[0][0], state.pairs[0][1])
+	})
+}
