presence: the order of drivers hashes each instance once

The order is made for each submission, and again for each attempt to append its index record. Sorting hashed two instances per comparison.

No change of behaviour; go test ./presence -race passes.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -319,23 +319,27 @@
 func (t *Table) Drivers(key string) []machine.Ref {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var near, remote []machine.Ref
+	type ranked struct {
+		ref  machine.Ref
+		near bool
+		hash uint64
+	}
+	var others []ranked
 	for id, s := range t.byID {
-		if id == t.self.ID || !s.acceptsWork() {
-			continue
+		if id != t.self.ID && s.acceptsWork() {
+			ref := machine.Ref{ID: id, Incarnation: s.Incarnation}
+			others = append(others, ranked{ref, s.DataCentre == t.dataCentre, xxhash.Sum64String(key + "/" + id)})
 		}
-		ref := machine.Ref{ID: id, Incarnation: s.Incarnation}
-		if s.DataCentre == t.dataCentre {
-			near = append(near, ref)
+	}
+	slices.SortFunc(others, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	var near, remote []machine.Ref
+	for _, other := range others {
+		if other.near {
+			near = append(near, other.ref)
 		} else {
-			remote = append(remote, ref)
+			remote = append(remote, other.ref)
 		}
 	}
-	for _, refs := range [][]machine.Ref{near, remote} {
-		slices.SortFunc(refs, func(a, b machine.Ref) int {
-			return cmp.Compare(xxhash.Sum64String(key+"/"+a.ID), xxhash.Sum64String(key+"/"+b.ID))
-		})
-	}
 	if t.draining {
 		return slices.Concat(near, remote, []machine.Ref{t.self})
 	}
