presence: a heartbeat is repeated before its instance may count as dead

What callers saw: nothing directly; a job whose driver passes for dead is taken over and its items run again. instance.TestNoInstanceIsDeadDuringSilence failed twice beside load (36 to 50 on 8 cores), "all, to the store" and "all, from the store": a live instance counted as dead.

Cause: not the load. The first attempt of a heartbeat waits 0.7 s on a silent connection. With the time to the next heartbeat (0.4 s), the pause between reads (0.3 s) and a read that meets a silent connection as well (0.36 s), the repeat is read 1.76 s after the last record, and an instance counts as dead after 1.5 s. Load only makes the worst phase of these more likely.

Change: the first attempt has 0.35 s, as reads have, or four times as long as the last append took. A heartbeat that is written twice counts once.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -59,7 +59,7 @@
 	// slowAppendFactor times as long as the last append took: if its connection has gone silent, the repeat has to be read
 	// before the instance counts as dead.
 	appendTimeout      = 2 * time.Second
-	firstAppendTimeout = 700 * time.Millisecond
+	firstAppendTimeout = 350 * time.Millisecond
 	slowAppendFactor   = 4
 	// maxReadAge is the age of the last successful read up to which the copy counts as current if reads are
 	// minReadPause apart. A longer pause between reads extends it.
