link: callers of a failed ping do not wait for their connection to be closed

What callers saw: a caller that waited for the ping of a silent session got the outcome only after the session had been closed, although a new connection to the peer would have served it in time. In the test it left with its context, not sent.

Cause: the ping in progress ends after ping has closed the session, and closing waits for the connection, for the receiver and for the end of all streams.

Change: the end of the session's context, which precedes the close of the connection, ends the wait. By then the session is retired, so that the next attempt takes another one.

--- a/link/session.go
+++ b/link/session.go
@@ -146,6 +146,8 @@
 	}
 	select {
 	case <-ping.done:
+	case <-s.ctx.Done(): // the ping has failed, and ends when the connection is closed
+		return errPingFailed
 	case <-ctx.Done():
 		return ctx.Err()
 	}
