link: a caller does not wait for the close of its stream

Change: the stream is closed in a goroutine that nobody waits for; it ends with the stream or with the session. Evidence: TestCallerLeavesTheCloseOfItsStreamWithItsContext failed before (the caller waits beyond its context, 20 s) and passes; the other tests of link pass.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -186,8 +186,8 @@
 // finish closes the stream, which ends the context of the peer's handler.
 func (x *exchange) finish() {
 	x.once.Do(func() {
-		if x.stop() { // else the end of the context closes the stream, which may take long on a blocked connection
-			_ = x.st.Close()
+		if x.stop() { // else the end of the context closes the stream
+			go func() { _ = x.st.Close() }() // not awaited, because it may take long on a blocked connection
 		}
 		x.s.endExchange()
 	})
