--- a/job/peerread.go
+++ b/job/peerread.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // ReadMethod is the name under which instances call each other's HandleRead.
@@ -21,6 +22,8 @@
 	// ownReadTime is how long a read waits for the store alone. It is over half of storeTimeout, so that a call that has gone
 	// silent may be noticed, and leaves time for a call to another instance.
 	ownReadTime = 700 * time.Millisecond
+	// repeatTime is how long a read repeats calls to the store that fail at once, as when one page of many is refused.
+	repeatTime = 500 * time.Millisecond
 	// maxHolders bounds the instances that a read asks. holderDelay is how long it waits for one before it also asks the
 	// next, so that all are asked in the time that is left after ownReadTime.
 	maxHolders  = 3
@@ -143,29 +146,33 @@
 	return answers, err
 }
 
-// syncOrAsk calls sync, which reads from the store. If it fails, or the store has not answered this call for ownReadTime, it also
-// asks other instances, and returns as soon as one of them or this instance's own copy holds what the call wants.
+// syncOrAsk calls sync, which reads from the store, and again if it fails within repeatTime. After the first failure, or if the
+// store has not answered this call for ownReadTime, it also asks other instances, and returns as soon as one of them or this
+// instance's own copy holds what the call wants.
 func (r *jobRead) syncOrAsk(ctx context.Context, s *Summary, sync func(context.Context) error) (holderAnswers, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	asked := make(chan holderAnswers, 1)
-	timer := time.AfterFunc(time.Until(r.unansweredSince.Add(ownReadTime)), func() {
+	ask := func() {
 		a := r.ask(ctx, s)
 		asked <- a
 		if a.content.Found {
 			cancel()
 		}
-	})
+	}
+	timer := time.AfterFunc(time.Until(r.unansweredSince.Add(ownReadTime)), ask)
 	err := sync(ctx)
-	switch {
-	case err == nil:
+	if err != nil && timer.Stop() {
+		go ask()
+	}
+	for err != nil && time.Since(r.start) < repeatTime && timing.Sleep(ctx, resultPollInterval) {
+		err = sync(ctx)
+	}
+	if err == nil {
 		timer.Stop()
 		return holderAnswers{}, nil
-	case timer.Stop():
-		return r.ask(ctx, s), err
-	default:
-		return <-asked, err
 	}
+	return <-asked, err
 }
 
 // ask returns what this instance's copy holds, or the first answer of another instance that holds what the call wants. A
