job: a copy without the last results of a listed job is loaded again (LOST)

A copy that lacks the last results of a job that the index names as listed, or items of an open job, refused each read for as long as the process lived, unless another instance answered it: only a gap between results had the partition loaded again.

--- a/changelog/load.go
+++ b/changelog/load.go
@@ -130,6 +130,9 @@
 	r.notify()
 }
 
+// Reload makes the next read load the partition again. A caller that finds that the copy lacks records calls it.
+func (r *Replica) Reload() { r.startLoad() }
+
 // startLoad starts a load, unless one is under way.
 func (r *Replica) startLoad() {
 	r.mu.Lock()
--- a/job/read.go
+++ b/job/read.go
@@ -167,6 +167,7 @@
 	p := r.partitions[s.Partition]
 	if r.item == "" {
 		if found := p.listed(r.id); s.Listed && found < s.Total {
+			p.repair()
 			return &IncompleteCopyError{Job: r.id, Found: found, Total: s.Total}
 		}
 		return nil
@@ -181,9 +182,21 @@
 	if latest, known := r.Summary(r.id); !known || !latest.Open() {
 		return nil // its items have been deleted
 	}
+	p.repair()
 	return &IncompleteCopyError{Job: r.id, Found: found, Total: s.Total}
 }
 
+// repair makes the next read load the partition again, unless it did so within gapRepairInterval.
+func (p *partition) repair() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.repairedAt.IsZero() && time.Since(p.repairedAt) < gapRepairInterval {
+		return
+	}
+	p.repairedAt = time.Now()
+	p.Reload()
+}
+
 // itemCount returns the number of items of a job in this instance's copy of the partition.
 func (p *partition) itemCount(id ID) int {
 	n := 0
--- a/job/registry.go
+++ b/job/registry.go
@@ -97,6 +97,7 @@
 	state *partitionState
 
 	mu                 sync.Mutex // guards the fields below
+	repairedAt         time.Time  // of the last load that repair has caused
 	pendingResults     map[ID][]Result
 	flushing           bool
 	pendingCheckpoints map[itemRef]Checkpoint
