--- a/soak/checks.go
+++ b/soak/checks.go
@@ -113,9 +113,13 @@
 		op      *net.OpError
 		timeout net.Error
 	)
+	isTimeout := errors.As(err, &timeout) && timeout.Timeout()
+	if isTimeout {
+		c.obs.count("no answer in time")
+	}
 	switch at := time.Now().UTC().Format(time.RFC3339Nano); {
 	case !c.obs.mustAnswer || (errors.As(err, &op) && op.Op == "dial"):
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case isTimeout:
 		c.obs.addViolation("request %s got no answer from %s until %s: %v", id, addr, at, err)
 	default:
 		c.obs.mu.Lock()
--- a/soak/dayend.go
+++ b/soak/dayend.go
@@ -144,10 +144,13 @@
 	}
 	var kills sync.WaitGroup
 	for _, p := range f.processes {
+		if !p.running() {
+			obs.addViolation("%s has ended during the day; log in %s", p.id, p.log.Name())
+		}
 		kills.Go(func() { p.stop(false) })
 	}
-	kills.Wait()
 	close(lost)
+	kills.Wait()
 	work.Wait()
 }
 
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -83,6 +83,13 @@
 	return nil
 }
 
+// running returns whether the process has been started and has not ended.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command != nil
+}
+
 // signal sends a signal to the process if it is running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
