presence: an outage of the store doesn't move the trainers' jobs to other drivers

Peer (now Drivers) returned this instance if it knew no other, and after 7 s without the store all others had been silent for more than two intervals.

Cause: silence proves nothing while the store does not answer, and Dead keeps to that; the choice of a driver, and of the owner of a rate limit, did not.

Change: one test for silence, which counts only if reads have succeeded long enough for the instance to write again and this instance's own heartbeats get through. Dead, AvailableInDataCentre, Drivers and Owner use it. Before, each instance made itself the owner of each rate limit during an outage. An instance that dies during the outage may get the first job after it; that job is taken over once its silence counts. Peers and Rank are as they were.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -91,11 +91,6 @@
 	hasChanged bool
 }
 
-// acceptsWork reports whether the instance takes new work and is live according to its records, which are read with readPause.
-func (s *observedRecord) acceptsWork(readPause time.Duration) bool {
-	return s.hasChanged && !s.Left && !s.Draining && !s.silentFor(recentIntervals, readPause)
-}
-
 // silentFor reports whether no new record has been read for a number of intervals although the records are read with readPause.
 func (s *observedRecord) silentFor(intervals int, readPause time.Duration) bool {
 	return time.Since(s.receivedAt) > time.Duration(intervals)*s.Interval+max(readDelay, s.Interval/2, readPause)
@@ -224,21 +219,32 @@
 	age := t.replica.Age()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	readPause := ReadPause(len(t.byID))
-	if age > maxReadAge+readPause-minReadPause {
+	if age > maxReadAge+ReadPause(len(t.byID))-minReadPause {
 		return false
 	}
-	own := t.byID[t.self.ID]
 	s, known := t.byID[ref.ID]
 	if known && (s.Incarnation != ref.Incarnation || s.Left) {
 		return true
 	}
 	if !known {
-		s.Interval = max(own.Interval, heartbeatInterval(len(t.byID)))
+		s.Interval = max(t.byID[t.self.ID].Interval, heartbeatInterval(len(t.byID)))
 	}
+	return t.isSilent(&s, deadIntervals)
+}
+
+// isSilent reports whether an instance has written no record for a number of intervals. Silence proves nothing while the store
+// does not answer, nor after that until the instance has had time to write again. The caller holds mu.
+func (t *Table) isSilent(s *observedRecord, intervals int) bool {
+	readPause := ReadPause(len(t.byID))
+	own := t.byID[t.self.ID]
 	// If this instance's own heartbeats do not get through, those of others may not either.
-	return s.silentFor(deadIntervals, readPause) && !own.silentFor(recentIntervals, readPause) &&
-		time.Since(t.readFailedAt) > deadIntervals*max(s.Interval, readPause)+readDelay
+	return s.silentFor(intervals, readPause) && !own.silentFor(recentIntervals, readPause) &&
+		time.Since(t.readFailedAt) > time.Duration(intervals)*max(s.Interval, readPause)+readDelay
+}
+
+// acceptsWork reports whether an instance takes new work and is live as far as its records show. The caller holds mu.
+func (t *Table) acceptsWork(s *observedRecord) bool {
+	return s.hasChanged && !s.Left && !s.Draining && !t.isSilent(s, recentIntervals)
 }
 
 // Ended reports whether the newest record shows that an instance has left or that a later run has replaced it.
@@ -256,7 +262,6 @@
 func (t *Table) Drivers(key string) []machine.Ref {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	readPause := ReadPause(len(t.byID))
 	type ranked struct {
 		ref  machine.Ref
 		near bool
@@ -264,7 +269,7 @@
 	}
 	var others []ranked
 	for id, s := range t.byID {
-		if id != t.self.ID && s.acceptsWork(readPause) {
+		if id != t.self.ID && t.acceptsWork(&s) {
 			ref := machine.Ref{ID: id, Incarnation: s.Incarnation}
 			others = append(others, ranked{ref, s.DataCentre == t.dataCentre, xxhash.Sum64String(key + "/" + id)})
 		}
@@ -291,9 +296,8 @@
 	defer t.mu.Unlock()
 	best, bestHash, bestIsNear := t.instance, uint64(0), false
 	found := false
-	readPause := ReadPause(len(t.byID))
 	for id, s := range t.byID {
-		if !s.acceptsWork(readPause) {
+		if !t.acceptsWork(&s) {
 			continue
 		}
 		isNear, h := s.DataCentre == dataCentre, xxhash.Sum64String(key+"/"+id)
@@ -350,7 +354,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, known := t.byID[ref.ID]
-	return known && s.Incarnation == ref.Incarnation && s.DataCentre == t.dataCentre && s.acceptsWork(ReadPause(len(t.byID)))
+	return known && s.Incarnation == ref.Incarnation && s.DataCentre == t.dataCentre && t.acceptsWork(&s)
 }
 
 // Rank returns this instance's position among the live ones, from 0, in an order that depends on key and is the
