link: a blocked connection does not hold up the drain

What is wrong: drain sends its go-aways one after the other before its timeout starts. yamux bounds each by its own write timeout alone, so that every connection that takes no bytes adds a keep-alive timeout to a planned stop.

Change: the go-aways are sent at the same time, and the drain timeout bounds them.

Evidence: TestBlockedConnectionDoesNotHoldUpTheDrain failed before ("the drain waits for a connection that takes no bytes", 20 s with a drain timeout of 10 ms) and passes in 0.02 s.

--- a/link/serve.go
+++ b/link/serve.go
@@ -74,10 +74,11 @@
 	n.mu.Lock()
 	sessions := n.allSessionsLocked()
 	n.mu.Unlock()
-	for _, s := range sessions {
-		_ = s.ys.GoAway()
-	}
 	deadline := time.After(n.opts.DrainTimeout)
+	if !sendGoAways(sessions, deadline) {
+		n.log.Warn("drain timeout, closing sessions that take no go-away")
+		return
+	}
 	t := time.NewTicker(retryInterval)
 	defer t.Stop()
 	for n.inFlight() > 0 {
@@ -90,6 +91,25 @@
 	}
 }
 
+// sendGoAways sends a go-away on each session. It returns false at the deadline, which a blocked connection may outlast.
+func sendGoAways(sessions []*session, deadline <-chan time.Time) bool {
+	sent := make(chan struct{}, len(sessions))
+	for _, s := range sessions {
+		go func() {
+			_ = s.ys.GoAway()
+			sent <- struct{}{}
+		}()
+	}
+	for range sessions {
+		select {
+		case <-sent:
+		case <-deadline:
+			return false
+		}
+	}
+	return true
+}
+
 // inFlight returns the number of exchanges in flight in both directions.
 func (n *Node) inFlight() int64 {
 	n.mu.Lock()
