link: sessions are checked while another one cannot be retired

What is wrong: retire waits for its go-away, for up to the keep-alive timeout on a connection that takes no bytes. The goroutine that checks all sessions waits with it: meanwhile nobody pings silent sessions, retires idle ones or closes retired ones. tryExchange waits with it too, whatever its context.

Change: the go-away is sent in a goroutine that nobody waits for. The session is retired before.

Evidence: TestSessionsAreCheckedWhileAnotherCannotBeRetired failed before ("an idle session is not retired while another one cannot send its go-away", 20 s) and passes.

--- a/link/session.go
+++ b/link/session.go
@@ -81,10 +81,11 @@
 	_ = s.ys.Close()
 }
 
-// retire refuses new exchanges in both directions and lets those in flight finish.
+// retire refuses new exchanges in both directions and lets those in flight finish. It does not wait until the go-away has been
+// sent, which may take long on a blocked connection.
 func (s *session) retire() {
 	if s.retiredAt.CompareAndSwap(0, time.Now().UnixNano()) {
-		_ = s.ys.GoAway()
+		go func() { _ = s.ys.GoAway() }()
 	}
 }
 
