changelog: a reader leaves a call that turns out to be stuck (LOST)

What callers saw: a read of a job that waited its whole time for one call to the store without an answer, although a call of its own would have succeeded. Found by the review: whether a call may be stuck was judged only when a reader began, so that the reader that began it, and all that came within 0.5 s, stayed.

Change: a waiting reader looks again every 0.5 s, and starts the second run of reads itself. There are still two runs at most.

--- a/changelog/sync.go
+++ b/changelog/sync.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// joinLimit is how long a call to the log may have taken when a call of Sync begins that still waits for it. A later one
-	// makes a call of its own.
+	// joinLimit is how long a call to the log may have taken for calls of Sync to wait for it. After that they make one of their
+	// own.
 	joinLimit = 500 * time.Millisecond
 	// maxSyncReaders bounds the calls to the log that all calls of Sync make at the same time.
 	maxSyncReaders = 2
@@ -28,16 +28,25 @@
 
 // Sync waits until the replica has applied every record that was appended before the call.
 func (r *Replica) Sync(ctx context.Context) error {
-	done := make(chan error, 1)
+	call := &syncCall{done: make(chan error, 1)}
 	r.mu.Lock()
 	r.syncNumber++
-	r.syncCalls = append(r.syncCalls, &syncCall{number: r.syncNumber, reader: r.selectSyncReader(), done: done})
+	call.number, call.reader = r.syncNumber, r.selectSyncReader()
+	r.syncCalls = append(r.syncCalls, call)
 	r.mu.Unlock()
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-		return ctx.Err()
+	ticker := time.NewTicker(joinLimit)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-call.done:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C: // the call to the log that it waits for may have turned out to be stuck
+			r.mu.Lock()
+			call.reader = r.selectSyncReader()
+			r.mu.Unlock()
+		}
 	}
 }
 
