job: a result may be queued while the registry ends

Cause: queueResult started a flush in the wait group that Run waits for at its end. A flush that starts from none while Run waits is a data race, and nobody waits for it.

Change: flushes have a group of their own that may grow from none during a wait.

--- a/job/incompleteload_test.go
+++ b/job/incompleteload_test.go
@@ -45,7 +45,7 @@
 		is.NoErr(writer.indexReplica.Sync(t.Context()))
 		s, _ := writer.Summary(fixtureJob)
 		writer.queueResult(&s, Result{Item: "b", State: Complete, Output: []byte("more")})
-		writer.tasks.Wait()
+		writer.flushes.Wait()
 		is.NoErr(writer.markListed(t.Context(), &s))
 		g := testRegistry(&staleOnceLog{faultyLog: f.log})
 		var err error
--- a/job/list.go
+++ b/job/list.go
@@ -29,7 +29,7 @@
 	p.flushing = true
 	p.mu.Unlock()
 	if start {
-		g.tasks.Go(func() { g.flushResults(p) })
+		g.flushes.Go(func() { g.flushResults(p) })
 	}
 }
 
--- a/job/readerror_test.go
+++ b/job/readerror_test.go
@@ -86,7 +86,7 @@
 	is.NoErr(writer.Submit(t.Context(), &Spec{ID: fixtureJob, Items: []Item{{ID: "a"}, {ID: "b", Body: []byte("x")}}}))
 	s, _ := writer.Summary(fixtureJob)
 	writer.queueResult(&s, Result{Item: "a", State: Complete, Output: []byte("text")})
-	writer.tasks.Wait()
+	writer.flushes.Wait()
 	logger, err := telemetry.NewLogger(&f.lines, "info", "")
 	is.NoErr(err)
 	self := machine.Ref{ID: "reader", Incarnation: 1}
--- a/job/registry.go
+++ b/job/registry.go
@@ -84,6 +84,7 @@
 	refusals     *refusalLog
 	peerReads    *peerReadLog
 	tasks        conc.WaitGroup
+	flushes      flushGroup
 	// writeCtx is the context of writes that may outlast Run's context. It is cancelled stopTimeout later,
 	// so that a stopping instance can still store its last results.
 	writeCtx     context.Context
@@ -131,6 +132,7 @@
 	g.indexReplica.Follow(ctx, changelog.ConstantWait(IndexReadWait), g.opts.IndexPause, g.opts.IndexRead)
 	time.AfterFunc(stopTimeout, g.cancelWrites)
 	g.tasks.Wait()
+	g.flushes.Wait()
 }
 
 // partitionOf returns the number of the data partition that holds a job.
