--- a/job/index.go
+++ b/job/index.go
@@ -15,18 +15,20 @@
 
 // index is the replicated state of the index partition: the summaries of all jobs.
 type index struct {
-	log     *log.Logger
-	jobs    map[ID]*Summary
-	reads   map[ID]firstRead // kept over loads
-	loading bool
+	log   *log.Logger
+	jobs  map[ID]*Summary
+	reads map[ID]firstRead // kept over loads
+	// unreadable holds the jobs whose newest record cannot be decoded.
+	unreadable map[ID]bool
+	loading    bool
 }
 
 func newIndex(logger *log.Logger) *index {
-	return &index{log: logger, jobs: map[ID]*Summary{}, reads: map[ID]firstRead{}}
+	return &index{log: logger, jobs: map[ID]*Summary{}, reads: map[ID]firstRead{}, unreadable: map[ID]bool{}}
 }
 
 // Reset implements changelog.State.
-func (x *index) Reset() { x.jobs, x.loading = map[ID]*Summary{}, true }
+func (x *index) Reset() { x.jobs, x.unreadable, x.loading = map[ID]*Summary{}, map[ID]bool{}, true }
 
 // Loaded implements changelog.LoadObserver.
 func (x *index) Loaded() {
@@ -36,6 +38,7 @@
 
 // Apply implements changelog.State.
 func (x *index) Apply(r changelog.Record) {
+	delete(x.unreadable, ID(r.Key))
 	if r.Value == nil {
 		delete(x.jobs, ID(r.Key))
 		delete(x.reads, ID(r.Key))
@@ -44,6 +47,7 @@
 	var s Summary
 	if err := cbor.Unmarshal(r.Value, &s); err != nil {
 		x.log.Error("index record not readable", "job", r.Key, "offset", r.Offset, "err", err)
+		x.unreadable[ID(r.Key)] = true
 		return
 	}
 	if _, known := x.reads[ID(r.Key)]; !known {
--- a/job/read.go
+++ b/job/read.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -67,9 +68,21 @@
 		r.hasAsked.Store(false) // its driver is known now
 		return s, answers, nil
 	}
+	if r.isUnreadable(r.id) {
+		return Summary{}, answers, r.refuseByIndex(StepIndex, answers, &UnavailableError{Err: errUnreadable})
+	}
 	return Summary{}, answers, r.refuseByIndex(StepNotFound, answers, &NotFoundError{Job: r.id})
 }
 
+// errUnreadable reports that the newest record of a job cannot be decoded.
+var errUnreadable = errors.New("the job's record in the index cannot be decoded")
+
+// isUnreadable reports whether the newest index record of a job cannot be decoded.
+func (g *Registry) isUnreadable(id ID) (unreadable bool) {
+	g.indexReplica.View(func() { unreadable = g.index.unreadable[id] })
+	return unreadable
+}
+
 // Results returns results from position after on. If there are none yet, it waits for them, for wait at
 // most.
 func (g *Registry) Results(ctx context.Context, id ID, after int, wait time.Duration) (Page, error) {
