link: the tests share one connection that takes no bytes

Two copies of it, and of its dial function, stood in three test files. It goes to faultnet beside the connections that fall silent.

--- a/link/blockedclose_test.go
+++ b/link/blockedclose_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/link/faultnet"
 )
 
 // Guards against callers that wait beyond their contexts for the close of a stream, on a connection that takes no bytes,
@@ -20,13 +20,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var blocked atomic.Bool
-			a := startPeer(t, "a", 1, anyPort(), patientOptions(func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-				if err != nil {
-					return nil, err
-				}
-				return &blockingConn{Conn: c, blocked: &blocked, closed: make(chan struct{})}, nil
-			}), nil)
+			a := startPeer(t, "a", 1, anyPort(), patientOptions(faultnet.BlockingDialer("", &blocked)), nil)
 			b := startPeer(t, "b", 1, anyPort(), link.Options{}, func(n *link.Node) {
 				n.Handle("block", func(context.Context, []byte) ([]byte, error) {
 					blocked.Store(true) // the caller's connection, after the request
--- a/link/blockedwatch_test.go
+++ b/link/blockedwatch_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cicadasill/cicadasill/link/faultnet"
+
 	"github.com/cicadasill/cicadasill/machine"
 )
 
@@ -16,11 +18,11 @@
 	is := is.New(t)
 	b := startEchoNode(t, "b", Options{})
 	c := startEchoNode(t, "c", Options{})
-	var stuck atomic.Bool
+	var blocked atomic.Bool
 	a := startEchoNode(t, "a", Options{
 		KeepaliveInterval: 10 * time.Millisecond, KeepaliveTimeout: time.Minute, PingAfter: time.Minute, IdleTimeout: 100 * time.Millisecond,
 		DrainTimeout: 10 * time.Millisecond,
-		DialContext:  dialStuck(b.Self().PeerAddr, &stuck),
+		DialContext:  faultnet.BlockingDialer(b.Self().PeerAddr, &blocked),
 	})
 	call := func(to machine.Instance) {
 		_, err := a.Call(t.Context(), to, CauseForward, "echo", nil)
@@ -36,7 +38,7 @@
 	}
 	call(b.Self())
 	time.Sleep(20 * time.Millisecond) // lets the stream be closed
-	stuck.Store(true)
+	blocked.Store(true)
 	for end := time.Now().Add(patience); !allRetired("b"); time.Sleep(time.Millisecond) {
 		is.True(time.Now().Before(end))
 		call(c.Self())
--- a/link/patience_test.go
+++ b/link/patience_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,40 +75,11 @@
 	}
 }
 
-// blockingConn is a connection whose writes wait for its end once blocked is set.
-type blockingConn struct {
-	net.Conn
-	blocked *atomic.Bool
-	once    sync.Once
-	closed  chan struct{}
-}
-
-// Write implements net.Conn.
-func (c *blockingConn) Write(p []byte) (int, error) {
-	if c.blocked.Load() {
-		<-c.closed
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(p)
-}
-
-// Close implements net.Conn.
-func (c *blockingConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	return c.Conn.Close()
-}
-
 // Guards against callers that wait beyond their contexts for a connection that takes no bytes.
 func TestCallerLeavesABlockedWriteWithItsContext(t *testing.T) {
 	is := is.New(t)
 	var blocked atomic.Bool
-	a := startPeer(t, "a", 1, anyPort(), patientOptions(func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &blockingConn{Conn: c, blocked: &blocked, closed: make(chan struct{})}, nil
-	}), nil)
+	a := startPeer(t, "a", 1, anyPort(), patientOptions(faultnet.BlockingDialer("", &blocked)), nil)
 	b := startPeer(t, "b", 1, anyPort(), link.Options{}, echo)
 	_, err := a.Call(t.Context(), b.self, link.CauseForward, "echo", nil)
 	is.NoErr(err)
