--- a/link/blockedwatch_test.go
+++ b/link/blockedwatch_test.go
@@ -8,7 +8,6 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/link/faultnet"
-
 	"github.com/cicadasill/cicadasill/machine"
 )
 
