settings: sections for duties, client accounts, the platform's API and usage; scaling of services

Cause: a deployment with client accounts gives bounds for revocations, duties and usage windows and the address of the platform's API; no other one does, and nothing of it was read. Change: optional settings, decoded from the empty strings that the platform fills in for missing values; Scaling and Public in the configuration; an account's name in forwarded requests. Nothing uses them yet.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -34,6 +34,8 @@
 	Header   http.Header
 	Body     []byte
 	Deadline time.Time
+	// Account is the name of the client account that sends the request; empty if the deployment has none or the route is public.
+	Account string
 }
 
 // Response is a complete response of a back end.
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -18,6 +18,47 @@
 	Limits    LimitSettings     `json:"limits" validate:"required"`
 	Stop      StopSettings      `json:"stop" validate:"required"`
 	Telemetry TelemetrySettings `json:"telemetry"`
+
+	// The sections below belong to parts that a deployment may not have. A part is off where its values are missing.
+	Duties      DutySettings        `json:"duties"`
+	Accounts    AccountSettings     `json:"accounts"`
+	PlatformAPI PlatformAPISettings `json:"platform_api"`
+	Usage       UsageSettings       `json:"usage"`
+}
+
+// DutySettings tell how the platform and the engines judge the orders of the holders of duties.
+type DutySettings struct {
+	// LeaseMs is the time in milliseconds within which two holders may not act in turns.
+	LeaseMs Number `json:"lease_ms"`
+	// FencesEnforced states that receivers refuse a lower fencing token than one that they have seen.
+	FencesEnforced Flag `json:"fences_enforced"`
+}
+
+// AccountSettings configure the keys of client accounts.
+type AccountSettings struct {
+	// StrictRevocation states that no request may run that was sent later than RevocationMs after the store accepted the
+	// revocation of its key.
+	StrictRevocation Flag   `json:"strict_revocation"`
+	RevocationMs     Number `json:"revocation_ms"`
+}
+
+// PlatformAPISettings hold the address of the platform's API for usage reports and capacity orders, and its limits for all
+// instances together. The API is not used if Addr is empty.
+type PlatformAPISettings struct {
+	Addr string `json:"addr" validate:"omitempty,hostname_port"`
+	// CallsPerS bounds the calls of one duty.
+	CallsPerS Number `json:"calls_per_s"`
+	// Duties are the names of the platform's duties, separated by commas.
+	Duties string `json:"duties"`
+}
+
+// UsageSettings configure the usage reports.
+type UsageSettings struct {
+	// WindowS is the length of a reporting window in seconds, DueS the time after its end at which its report is due.
+	WindowS Number `json:"window_s"`
+	DueS    Number `json:"due_s"`
+	// Tolerance is the fraction by which the counts of a report may be off.
+	Tolerance Number `json:"tolerance"`
 }
 
 // InstanceSettings holds the id of the instance and its location.
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -72,6 +72,8 @@
 	SingleVersion bool
 	// Resumable streams can be continued at another back end after the last event received.
 	Resumable bool
+	// Public routes take requests without a key of a client account.
+	Public bool
 }
 
 // ServiceFor returns the route's service for the request with the given id. The choice is a hash of
@@ -106,6 +108,20 @@
 	Slots int
 	// Models are the names of the models that the engines run.
 	Models []string
+	// Scaling states how many back ends can be ordered; nil if their number is fixed.
+	Scaling *Scaling
+}
+
+// Scaling bounds and prices the back ends that can be ordered for a service.
+type Scaling struct {
+	// Min and Max bound the back ends in each data centre, reclaimable ones included.
+	Min, Max int
+	// BootTime is the time from an order until the new back ends serve.
+	BootTime time.Duration
+	// ReclaimablePrice is the price of a back end that the platform may reclaim, as a fraction of the price of another one.
+	ReclaimablePrice float64
+	// Prices holds, by data centre, the price of a back end per second.
+	Prices map[string]float64
 }
 
 // ClientLimits bound the size of clients' requests and the time that clients may take.
