--- a/instance/settings.go
+++ b/instance/settings.go
@@ -101,6 +101,9 @@
 type LimitSettings struct {
 	// MemoryMB is the memory in megabytes at which the process is killed.
 	MemoryMB float64 `json:"memory_mb" validate:"gt=0"`
+	// MaxFDs is the number of file descriptors that the process may have; the limit of the operating system applies if it is
+	// missing.
+	MaxFDs Number `json:"max_fds"`
 }
 
 // StopSettings configure the planned stop.
