job, platform/hosted: a send is checked again when its connection is ready

Cause: an item was checked against the index before it got a connection. Change: connections to back ends ask for a permission before the first byte of a request. Items and reward calls are withheld if their job has ended or the index has grown too old meanwhile; a withheld request says nothing about the back end and is refused at once. Requests of clients can carry such a check too.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -36,6 +36,8 @@
 	Deadline time.Time
 	// Account is the name of the client account that sends the request; empty if the deployment has none or the route is public.
 	Account string
+	// Permit is asked right before each send; an error withholds the request. nil if no permission is needed.
+	Permit func() error
 }
 
 // Response is a complete response of a back end.
@@ -68,6 +70,8 @@
 	Err error
 	// Down states that the back end's port refuses connections, so that its process has ended.
 	Down bool
+	// Withheld states that this instance did not send the request, because Request.Permit failed with Err.
+	Withheld bool
 }
 
 // Error implements error.
@@ -286,7 +290,7 @@
 				return result.response, nil
 			}
 			if notRun != nil {
-				if e.attempts.inFlight > 0 || e.sendAfterRefusal(ctx, notRun) {
+				if e.attempts.inFlight > 0 || (!notRun.Withheld && e.sendAfterRefusal(ctx, notRun)) {
 					continue
 				}
 				if e.attempts.possibleRuns == 0 {
@@ -477,9 +481,11 @@
 
 // recordRefusal records that b has not run a request.
 func recordRefusal(b *backends.Backend, refusal *NotRunError) {
-	if refusal.Down {
+	switch {
+	case refusal.Withheld: // says nothing about b
+	case refusal.Down:
 		b.RecordDown()
-		return
+	default:
+		b.RecordRefusal(refusalBackoff)
 	}
-	b.RecordRefusal(refusalBackoff)
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -118,3 +118,21 @@
 	}
 	is.Equal(repeated, []bool{false, false, true, true})
 }
+
+// Guards against offering a request to every back end after this instance has withheld it, and against counting that against the
+// back end.
+func TestWithheldRequestIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	client := &fakeClient{answer: func(context.Context, int, *backends.Backend) (*Response, error) {
+		return nil, &NotRunError{Err: errTest, Withheld: true}
+	}}
+	forwarder := newForwarder(client, 3)
+	_, err := forwarder.Forward(t.Context(), testRoute(routes.Idempotent, 3), &Request{ID: "1"})
+	var refused *RefusedError
+	is.True(errors.As(err, &refused))
+	is.True(errors.Is(err, errTest))
+	is.Equal(len(client.all()), 1)
+	for _, c := range forwarder.opts.Backends.Candidates(testService, "") {
+		is.True(!c.Avoid)
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -89,6 +89,9 @@
 			return nil
 		case errors.As(err, &notRun):
 			recordRefusal(b, notRun)
+			if notRun.Withheld {
+				return &RefusedError{RetryAfter: retryAfter, Err: notRun.Err}
+			}
 			continue
 		}
 		var silent *SilenceError
--- a/job/engine.go
+++ b/job/engine.go
@@ -18,6 +18,8 @@
 	// Repeated is set if the attempt needs a connection of its own: if this engine has answered an earlier attempt of the item,
 	// because a late copy of that answer bears the item's id too, or if the attempt before met a silent connection.
 	Repeated bool
+	// Permit is asked right before the item is sent. Generate returns its error and has not sent the item then.
+	Permit func() error
 }
 
 // Event is one chunk of an item's output.
--- a/job/fresh.go
+++ b/job/fresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cicadasill/cicadasill/changelog"
@@ -69,3 +70,25 @@
 	}
 	return ctx.Err() == nil
 }
+
+// StaleIndexError reports an item or a reward call that was not sent because the index was too old when its connection was
+// ready.
+type StaleIndexError struct{ Age time.Duration }
+
+// Error implements error.
+func (e *StaleIndexError) Error() string { return fmt.Sprintf("the job index is %v old", e.Age) }
+
+// permit returns the check that is made right before a send of a job with context ctx: the job has not ended as far as this
+// instance knows, and it would know. The wait for a connection may be longer than the index may be old.
+func (d *Driver) permit(ctx context.Context) func() error {
+	return func() error {
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		if age, err := d.indexState(); !maySend(age, err) {
+			d.metrics.staleIndex.Inc()
+			return &StaleIndexError{Age: age}
+		}
+		return nil
+	}
+}
--- a/job/fresh_test.go
+++ b/job/fresh_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/backends"
 )
 
 // limitedError is the error of a read that exceeded the store's rate limit.
@@ -62,3 +64,56 @@
 		is.Equal(f.inFlight(), 0)
 	})
 }
+
+// slowDialEngine is an Engine whose connections take a time to open.
+type slowDialEngine struct {
+	dial  time.Duration
+	ready func(attempt int) // called when the connection is open
+	sends int
+
+	attempts int
+}
+
+// Generate implements Engine.
+func (e *slowDialEngine) Generate(_ context.Context, _ *backends.Backend, call Call, to Receiver) error {
+	time.Sleep(e.dial)
+	e.attempts++
+	e.ready(e.attempts)
+	if err := call.Permit(); err != nil {
+		return err
+	}
+	e.sends++
+	if err := to.Started(1); err != nil {
+		return &BrokenError{Err: err}
+	}
+	return to.Event(Event{ID: 1, Data: []byte("text"), Version: 1})
+}
+
+// Replays engines of another region whose connections take long to open. Guards against an item that is sent after its job has
+// ended, or on an index that has grown too old, although both were in order when the engine was chosen.
+func TestItemIsCheckedWhenItsConnectionIsReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newMoveFixture()
+		age := time.Duration(0)
+		f.driver.indexState = func() (time.Duration, error) { return age, nil }
+		engine := &slowDialEngine{dial: 300 * time.Millisecond, ready: func(attempt int) {
+			age = 0
+			if attempt == 1 {
+				age = MaxIndexAge + time.Millisecond
+				time.AfterFunc(time.Millisecond, func() { age = 0 })
+			}
+		}}
+		f.driver.opts.Engine = engine
+		_, done := f.driver.runItem(t.Context(), f.job, 0)
+		is.True(done)
+		is.Equal(engine.attempts, 2)
+		is.Equal(engine.sends, 1)
+
+		ctx, end := context.WithCancel(t.Context())
+		engine.ready = func(int) { end() }
+		_, done = f.driver.runItem(ctx, f.job, 0)
+		is.True(!done)
+		is.Equal(engine.sends, 1)
+	})
+}
--- a/job/run.go
+++ b/job/run.go
@@ -251,6 +251,11 @@
 		if ctx.Err() != nil {
 			return 0, false
 		}
+		var stale *StaleIndexError
+		if errors.As(err, &stale) { // the item was not sent, which says nothing about the engine
+			d.log.Info("item withheld", "job", job.ID, "item", item.ID, "backend", b.ID, "index_age", stale.Age)
+			continue
+		}
 		var moved *MovedError
 		if errors.As(err, &moved) {
 			d.metrics.moves.Inc()
@@ -356,7 +361,9 @@
 	if route.Resumable {
 		a.saveCheckpoint = func() { d.opts.Registry.queueCheckpoint(&job.Summary, item.ID, out.checkpoint()) }
 	}
-	err = d.opts.Engine.Generate(ctx, b, Call{Host: job.Host, Item: whole, After: out.lastEvent, Repeated: a.repeated}, a)
+	err = d.opts.Engine.Generate(ctx, b, Call{
+		Host: job.Host, Item: whole, After: out.lastEvent, Repeated: a.repeated, Permit: d.permit(jobCtx),
+	}, a)
 	var (
 		notRun     *NotRunError
 		broken     *BrokenError
--- a/job/score.go
+++ b/job/score.go
@@ -155,7 +155,7 @@
 	sent := time.Now()
 	d.metrics.rewardWait.Observe(sent.Sub(start).Seconds())
 	response, err := d.opts.Requests.Forward(ctx, route, &forward.Request{
-		ID: call.ID, Method: http.MethodPost, Target: call.Path, Host: call.Host, Body: whole.Reward.Body, Owed: true, Repeated: repeated,
+		ID: call.ID, Method: http.MethodPost, Target: call.Path, Host: call.Host, Body: whole.Reward.Body, Owed: true, Repeated: repeated, Permit: d.permit(ctx),
 		Deadline: reward.Deadline(sent, job.AcceptedAt().Add(itemRoute.RunObjective), giveUp, route.Objective, route.Timeout),
 	})
 	d.rewards.Release(service, err != nil && ctx.Err() == nil && !forward.IsHeldBack(err))
