digest: a few instances read the back ends' entries for all others

Cause: each instance reads every heartbeat of every back end. Change: above 30,000 instances times back ends, two or more instances of each data centre read the entries and number the changes of their meaning; the others ask one of them each 0.4 s and read the store only if none answers. Smaller deployments read as before.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -203,6 +203,13 @@
 	return b, ok
 }
 
+// Len returns the number of known back ends.
+func (d *Directory) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.byID)
+}
+
 // Candidate is a back end with a snapshot of the values by which callers choose among back ends.
 type Candidate struct {
 	*Backend
--- /dev/null
+++ b/digest/follower.go
@@ -0,0 +1,60 @@
+package digest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Follower applies the answers of readers to a Target. Its methods must not be called concurrently.
+type Follower struct {
+	target Target
+	// recordOutage is called if the reader's store has failed to answer recently.
+	recordOutage func()
+	reader       string // id of the instance whose numbers position holds
+	position     request
+}
+
+// NewFollower returns a Follower that knows no entries.
+func NewFollower(target Target, recordOutage func()) *Follower {
+	return &Follower{target: target, recordOutage: recordOutage}
+}
+
+// Request returns the request for the changes that the named reader has seen since its last answer.
+func (f *Follower) Request(reader string) ([]byte, error) {
+	if f.reader != reader {
+		f.reader, f.position = reader, request{}
+	}
+	return cbor.Marshal(&f.position)
+}
+
+// Forget makes the next request ask for all entries.
+func (f *Follower) Forget() { f.reader, f.position = "", request{} }
+
+// Apply applies the answer to the last request and returns the age of the reader's copy when it answered.
+func (f *Follower) Apply(payload []byte) (age time.Duration, err error) {
+	var a answer
+	if err := cbor.Unmarshal(payload, &a); err != nil {
+		return 0, fmt.Errorf("decode entries: %w", err)
+	}
+	if a.Outage {
+		f.recordOutage()
+	}
+	present := map[string]bool{}
+	for _, e := range a.Entries {
+		if e.Versions == nil {
+			e.Versions = map[string]int64{}
+		}
+		present[e.ID] = true
+		f.target.Put(e)
+	}
+	for _, id := range a.Removed {
+		f.target.Remove(id)
+	}
+	if a.Whole {
+		f.target.RemoveAllBut(present)
+	}
+	f.position = request{Epoch: a.Epoch, After: a.Number}
+	return a.Age, nil
+}
--- /dev/null
+++ b/digest/recorder.go
@@ -0,0 +1,153 @@
+// Package digest passes what changes about the back ends on from the few instances that read their entries in the store to all
+// others.
+//
+// Load pattern: thousands of back ends rewrite their entries about once a second, and hundreds of instances read all of them. Nearly
+// all of these records change nothing but a sequence number, and together they use up the store's bandwidth.
+package digest
+
+import (
+	"fmt"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cicadasill/cicadasill/backends"
+)
+
+// Target takes the entries of back ends, like backends.Directory.
+type Target interface {
+	Put(e backends.Entry) bool
+	Remove(id string)
+	RemoveAllBut(ids map[string]bool)
+}
+
+// goneMemory is how long a recorder remembers the removal of a back end. An instance that has not asked for longer gets all entries.
+const goneMemory = time.Minute
+
+// change is the newest change of a back end.
+type change struct {
+	number  uint64
+	entry   backends.Entry
+	removed time.Time // zero while the back end is there
+}
+
+// Recorder is a Target that numbers the changes that it passes on to another Target.
+type Recorder struct {
+	target Target
+	epoch  uint64
+	// source returns the age of this instance's own copy of the entries, and whether it reads them from the store itself.
+	source func() (age time.Duration, reads bool)
+	// outage reports whether the store has failed to answer recently.
+	outage func() bool
+
+	mu        sync.Mutex // guards the fields below
+	number    uint64
+	forgotten uint64 // highest number of a removal that is no longer remembered
+	byID      map[string]change
+}
+
+// NewRecorder returns a Recorder without entries. epoch tells its numbers apart from those of an earlier run.
+func NewRecorder(target Target, epoch uint64, source func() (time.Duration, bool), outage func() bool) *Recorder {
+	return &Recorder{target: target, epoch: epoch, source: source, outage: outage, byID: map[string]change{}}
+}
+
+// Put implements Target.
+func (r *Recorder) Put(e backends.Entry) bool {
+	r.mu.Lock()
+	if old, ok := r.byID[e.ID]; !ok || !old.removed.IsZero() || !reflect.DeepEqual(old.entry, e) {
+		r.number++
+		r.byID[e.ID] = change{number: r.number, entry: e}
+	}
+	r.mu.Unlock()
+	return r.target.Put(e)
+}
+
+// Remove implements Target.
+func (r *Recorder) Remove(id string) {
+	r.mu.Lock()
+	r.removeLocked(id)
+	r.mu.Unlock()
+	r.target.Remove(id)
+}
+
+// removeLocked numbers the removal of a back end. The caller holds mu.
+func (r *Recorder) removeLocked(id string) {
+	old, ok := r.byID[id]
+	if !ok || !old.removed.IsZero() {
+		return
+	}
+	r.number++
+	r.byID[id] = change{number: r.number, entry: backends.Entry{ID: id}, removed: time.Now()}
+	for other, c := range r.byID {
+		if !c.removed.IsZero() && time.Since(c.removed) > goneMemory {
+			r.forgotten = max(r.forgotten, c.number)
+			delete(r.byID, other)
+		}
+	}
+}
+
+// RemoveAllBut implements Target.
+func (r *Recorder) RemoveAllBut(ids map[string]bool) {
+	r.mu.Lock()
+	for id := range r.byID {
+		if !ids[id] {
+			r.removeLocked(id)
+		}
+	}
+	r.mu.Unlock()
+	r.target.RemoveAllBut(ids)
+}
+
+// request asks for the changes after a number.
+type request struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+	After uint64 `cbor:"2,keyasint"`
+}
+
+// answer holds changes. If Whole is set, it holds all entries, and other back ends are gone.
+type answer struct {
+	Epoch   uint64           `cbor:"1,keyasint"`
+	Number  uint64           `cbor:"2,keyasint"`
+	Whole   bool             `cbor:"3,keyasint"`
+	Entries []backends.Entry `cbor:"4,keyasint"`
+	Removed []string         `cbor:"5,keyasint"`
+	// Age is the age of the reader's copy.
+	Age time.Duration `cbor:"6,keyasint"`
+	// Outage states that the store has failed to answer recently, so that removed entries may return.
+	Outage bool `cbor:"7,keyasint"`
+}
+
+// NotReaderError reports a request to an instance that does not read the entries from the store.
+type NotReaderError struct{}
+
+// Error implements error.
+func (*NotReaderError) Error() string { return "this instance does not read the entries itself" }
+
+// Handle answers the request of another instance. It fails with *NotReaderError if this instance has its entries from
+// another one too, so that no two instances ask each other.
+func (r *Recorder) Handle(payload []byte) ([]byte, error) {
+	var asked request
+	if err := cbor.Unmarshal(payload, &asked); err != nil {
+		return nil, fmt.Errorf("decode request for entries: %w", err)
+	}
+	age, reads := r.source()
+	if !reads {
+		return nil, &NotReaderError{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := answer{Epoch: r.epoch, Number: r.number, Age: age, Outage: r.outage()}
+	a.Whole = asked.Epoch != r.epoch || asked.After > r.number || asked.After < r.forgotten
+	for id, c := range r.byID {
+		switch {
+		case !a.Whole && c.number <= asked.After:
+		case c.removed.IsZero():
+			a.Entries = append(a.Entries, c.entry)
+		case !a.Whole:
+			a.Removed = append(a.Removed, id)
+		}
+	}
+	return cbor.Marshal(&a)
+}
--- /dev/null
+++ b/instance/entries.go
@@ -0,0 +1,231 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadasill/cicadasill/changelog"
+	"github.com/cicadasill/cicadasill/digest"
+	"github.com/cicadasill/cicadasill/link"
+	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/platform/hosted"
+	"github.com/cicadasill/cicadasill/timing"
+)
+
+// digestMethod is the name under which instances ask each other for changed entries.
+const digestMethod = "entries"
+
+// Reads of the back ends' entries.
+const (
+	// minEntriesReadPause is the shortest pause between reads of the back ends' entries. Each entry
+	// changes about once a second.
+	minEntriesReadPause = 250 * time.Millisecond
+	// entriesReadPausePerInstance lengthens the pause with the number of instances, so that all
+	// instances together make at most a thousand reads of the entries a second.
+	entriesReadPausePerInstance = time.Millisecond
+	// maxDirectReads is the product of instances and back ends up to which all instances read the entries from the store. An entry
+	// of about 350 bytes is rewritten each 1.2 s, so this is 9 MB/s, a ninth of what the users' stores send.
+	maxDirectReads = 30_000
+	// instancesPerReader is the number of instances of a data centre to one that reads the entries for them. There are at
+	// least minReaders, so that the end of one leaves another.
+	instancesPerReader = 25
+	minReaders         = 2
+	// digestInterval is the pause between two requests to a reader. The news of a planned stop then takes under a second to
+	// reach each instance, and deployments give at least 2.5 s.
+	digestInterval = 400 * time.Millisecond
+	// digestTimeout bounds a request to a reader. A reader of another data centre answers within tens of milliseconds.
+	digestTimeout = 500 * time.Millisecond
+	// maxDigestAge is the age of the entries at which an instance reads the store itself, below maxStoreSilence.
+	maxDigestAge = 1200 * time.Millisecond
+	// directReadTime is how long it then does so before it asks the readers again.
+	directReadTime = 5 * time.Second
+	// roleCheckInterval is how often an instance that reads the store checks whether it is still to do so.
+	roleCheckInterval = time.Second
+)
+
+// entryReader keeps this instance's entries of back ends current, from the store or, in a large deployment, from other
+// instances that read it.
+type entryReader struct {
+	instance *Instance
+	recorder *digest.Recorder
+	entries  *hosted.Entries
+	outcome  func(error)
+	// maxDirectReads is the constant of that name but in tests.
+	maxDirectReads atomic.Int64
+
+	mu       sync.Mutex // guards the fields below
+	replica  *changelog.Replica
+	reading  bool          // whether this instance reads the store
+	readAt   time.Duration // since boot: when the entries were current, if they come from another instance
+	failedAt time.Duration // since boot: the last failed read of the store; 0 if none has failed
+}
+
+// newEntryReader returns an entryReader that knows no entries.
+func newEntryReader(i *Instance) *entryReader {
+	r := &entryReader{instance: i, outcome: i.storeMonitor("entries"), reading: true}
+	r.maxDirectReads.Store(maxDirectReads)
+	r.recorder = digest.NewRecorder(i.directory, i.self.Incarnation, r.source, r.outage)
+	r.entries = &hosted.Entries{Logger: i.log, Backends: r.recorder}
+	r.replica = r.newReplica()
+	return r
+}
+
+// newReplica returns a replica of the entries that has read none.
+func (r *entryReader) newReplica() *changelog.Replica {
+	return changelog.NewReplica(r.instance.store, hosted.EntryPartition, r.entries)
+}
+
+// Age returns the time since which the entries may have changed unnoticed.
+func (r *entryReader) Age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reading && r.replica.HasRead() {
+		return r.replica.Age()
+	}
+	if r.readAt == 0 {
+		return r.replica.Age()
+	}
+	return timing.SinceBoot() - r.readAt
+}
+
+// source returns what other instances are told about this one as a reader.
+func (r *entryReader) source() (time.Duration, bool) {
+	r.mu.Lock()
+	reads := r.reading && r.replica.HasRead()
+	r.mu.Unlock()
+	return r.Age(), reads
+}
+
+// outage reports whether a read of the store has failed recently.
+func (r *entryReader) outage() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failedAt > 0 && timing.SinceBoot()-r.failedAt < outageMemory
+}
+
+// outageMemory is how long other instances are told of a failed read.
+const outageMemory = time.Second
+
+// entriesReadPause returns the pause between an instance's reads of the back ends' entries.
+func entriesReadPause(instances int) time.Duration {
+	return max(minEntriesReadPause, time.Duration(instances)*entriesReadPausePerInstance)
+}
+
+// run keeps the entries current until ctx ends.
+func (r *entryReader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.readStore(ctx)
+		r.askReaders(ctx)
+	}
+}
+
+// readStore reads the entries from the store while it is this instance's part.
+func (r *entryReader) readStore(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	if !r.reading { // the copy is old, and a load takes less than the records since
+		r.replica, r.reading = r.newReplica(), true
+	}
+	replica := r.replica
+	r.mu.Unlock()
+	start := timing.SinceBoot()
+	go func() {
+		defer cancel()
+		for timing.Sleep(ctx, roleCheckInterval) {
+			if timing.SinceBoot()-start > directReadTime && len(r.readers()) > 0 {
+				return
+			}
+		}
+	}()
+	pause := func() time.Duration { return entriesReadPause(r.instance.presence.Count()) }
+	replica.Follow(ctx, changelog.ConstantWait(0), pause, func(err error) {
+		if err != nil {
+			r.instance.directory.RecordOutage()
+			r.mu.Lock()
+			r.failedAt = timing.SinceBoot()
+			r.mu.Unlock()
+		}
+		r.outcome(err)
+	})
+}
+
+// readers returns the instances that read the entries for this one, the preferred one first. It returns none if this instance
+// is one of them, if there are none, or if the deployment is small.
+func (r *entryReader) readers() []machine.Instance {
+	i := r.instance
+	if int64(i.presence.Count()*i.directory.Len()) <= r.maxDirectReads.Load() {
+		return nil
+	}
+	self := i.node.Self()
+	slots := max(minReaders, (i.presence.CountInDataCentre()+instancesPerReader-1)/instancesPerReader)
+	first := int(i.self.Incarnation % uint64(slots))
+	var list []machine.Instance
+	for n := range slots {
+		owner := i.presence.Owner(fmt.Sprintf("entries/%d", (first+n)%slots), self.Zone.DataCentre)
+		if owner.ID == self.ID {
+			return nil
+		}
+		list = append(list, owner)
+	}
+	return list
+}
+
+// askReaders has the entries from other instances until this one has to read the store.
+func (r *entryReader) askReaders(ctx context.Context) {
+	follower := digest.NewFollower(r.recorder, r.instance.directory.RecordOutage)
+	for ctx.Err() == nil {
+		readers := r.readers()
+		if len(readers) == 0 {
+			return
+		}
+		readAt, err := r.askOne(ctx, follower, readers)
+		if err == nil {
+			r.recordAnswer(readAt)
+		} else if age := r.Age(); age > maxDigestAge {
+			// An old answer is no reason to read the store: that would make a slow store slower.
+			r.instance.log.Info("entries are read from the store", "age", age, "err", err)
+			return
+		}
+		if !timing.Sleep(ctx, digestInterval) {
+			return
+		}
+	}
+}
+
+// recordAnswer records that the entries were current at readAt, since boot, and come from another instance.
+func (r *entryReader) recordAnswer(readAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reading {
+		r.instance.log.Info("entries come from another instance", "back_ends", r.instance.directory.Len())
+	}
+	r.reading, r.readAt = false, readAt
+}
+
+// askOne asks the readers in turn and applies the first answer. It returns when its entries were current, since boot.
+func (r *entryReader) askOne(ctx context.Context, follower *digest.Follower, readers []machine.Instance) (readAt time.Duration, err error) {
+	for _, reader := range readers {
+		var payload, reply []byte
+		if payload, err = follower.Request(reader.ID); err != nil {
+			return 0, err
+		}
+		start := timing.SinceBoot()
+		callCtx, cancel := context.WithTimeout(ctx, digestTimeout)
+		reply, err = r.instance.node.Call(callCtx, reader, link.CauseFeed, digestMethod, payload)
+		cancel()
+		if err != nil {
+			continue
+		}
+		var age time.Duration
+		if age, err = follower.Apply(reply); err != nil {
+			follower.Forget()
+			continue
+		}
+		return start - age, nil
+	}
+	return 0, err
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -48,12 +48,6 @@
 	minRateLimitReadPause = 50 * time.Millisecond
 	// minCrashReadPause is the shortest pause between reads of the crashes of back ends under requests.
 	minCrashReadPause = 5 * time.Millisecond
-	// minEntriesReadPause is the shortest pause between reads of the back ends' entries. Each entry
-	// changes about once a second.
-	minEntriesReadPause = 250 * time.Millisecond
-	// entriesReadPausePerInstance lengthens the pause with the number of instances, so that all
-	// instances together make at most a thousand reads of the entries a second.
-	entriesReadPausePerInstance = time.Millisecond
 	// maxStoreSilence is how long the store may not respond before the instance reports that it is not
 	// ready: the store may still respond to other instances.
 	maxStoreSilence = 2 * time.Second
@@ -120,7 +114,7 @@
 	directStore   *hosted.Store
 	node          *link.Node
 	operators     *changelog.Replica
-	entries       *changelog.Replica
+	entries       *entryReader
 	directory     *backends.Directory
 	presence      *presence.Table
 	rateLimits    *ratelimit.Replica
@@ -170,9 +164,8 @@
 	i.operators = changelog.NewReplica(i.store, hosted.OperatorPartition, &hosted.OperatorRecords{
 		Logger: logger, OnConfig: i.applyConfig, OnVersion: i.recordTargetVersion,
 	})
-	i.entries = changelog.NewReplica(i.store, hosted.EntryPartition, &hosted.Entries{
-		Logger: logger, Backends: i.directory,
-	})
+	i.entries = newEntryReader(i)
+	i.node.Handle(digestMethod, func(_ context.Context, payload []byte) ([]byte, error) { return i.entries.recorder.Handle(payload) })
 	i.presence = presence.New(self, i.store, func() int { return i.driver.ActiveDrivers() }, logger)
 	i.rateLimits = ratelimit.NewReplica(ratelimit.ReplicaOptions{
 		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger,
@@ -348,7 +341,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.followEntries, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.followOperators, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
@@ -375,22 +368,6 @@
 	i.operators.Follow(ctx, changelog.ConstantWait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
-// entriesReadPause returns the pause between an instance's reads of the back ends' entries.
-func entriesReadPause(instances int) time.Duration {
-	return max(minEntriesReadPause, time.Duration(instances)*entriesReadPausePerInstance)
-}
-
-// followEntries reads the back ends' entries until ctx ends, and tells the directory of failed reads.
-func (i *Instance) followEntries(ctx context.Context) {
-	logOutcome := i.storeMonitor("entries")
-	i.entries.Follow(ctx, changelog.ConstantWait(0), func() time.Duration { return entriesReadPause(i.presence.Count()) }, func(err error) {
-		if err != nil {
-			i.directory.RecordOutage()
-		}
-		logOutcome(err)
-	})
-}
-
 // serve runs an HTTP server until it or its listener is closed.
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -38,7 +38,7 @@
 			c.register(c.desk) // the entry says ready
 			c.store.Put("keyed.servers", c.desk.ID, nil)
 			c.register(c.desk)
-			is.NoErr(m.entries.Sync(t.Context()))
+			is.NoErr(m.entries.replica.Sync(t.Context()))
 			for end := n + 30; n < end; n++ {
 				is.Equal(send(n), http.StatusOK)
 			}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -151,6 +151,19 @@
 	return max(1, len(t.byID))
 }
 
+// CountInDataCentre returns the number of instances of this one's data centre that take new work, this one included.
+func (t *Table) CountInDataCentre() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 1
+	for id, s := range t.byID {
+		if id != t.self.ID && s.DataCentre == t.dataCentre && t.acceptsWork(&s) {
+			n++
+		}
+	}
+	return n
+}
+
 // AnnounceDraining announces that this instance takes no new work.
 func (t *Table) AnnounceDraining(ctx context.Context) {
 	t.mu.Lock()
