--- a/job/fresh_test.go
+++ b/job/fresh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,13 +96,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newMoveFixture()
-		age := time.Duration(0)
-		f.driver.indexState = func() (time.Duration, error) { return age, nil }
+		var age atomic.Int64
+		f.driver.indexState = func() (time.Duration, error) { return time.Duration(age.Load()), nil }
 		engine := &slowDialEngine{dial: 300 * time.Millisecond, ready: func(attempt int) {
-			age = 0
 			if attempt == 1 {
-				age = MaxIndexAge + time.Millisecond
-				time.AfterFunc(time.Millisecond, func() { age = 0 })
+				age.Store(int64(MaxIndexAge + time.Millisecond))
+				time.AfterFunc(time.Millisecond, func() { age.Store(0) })
 			}
 		}}
 		f.driver.opts.Engine = engine
