account, platform/hosted: keys of client accounts

A deployment whose configuration has accounts could not be served: keys were passed on to back ends, unknown and revoked ones ran.

An instance now maps the key of a request to its account, by the configuration in force, before the body is read and again right before each send. It removes the key and states the account's name on every way out, items included. A key that the copy does not know is looked up once in a shared, bounded refresh; then 401, or 503 if the store did not answer. Jobs are named by account inside, so that another account finds nothing.

Tests: go test -race ./account and the new tests of platform/hosted pass. go test -p 1 ./instance beside a load average of 31 failed in TestCrashingEndpointIsStopped and TestRewardCallsOnSilentConnections, both bounded by time; each passed 3 of 3 runs afterwards.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -36,6 +36,8 @@
 	Deadline time.Time
 	// Account is the name of the client account that sends the request; empty if the deployment has none or the route is public.
 	Account string
+	// Priority is the urgency of the request, 0 the most urgent: that of its account or, without one, of its route.
+	Priority int
 	// Permit is asked right before each send; an error withholds the request. nil if no permission is needed.
 	Permit func() error
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -116,19 +116,20 @@
 	mu      sync.Mutex       // guards targets
 	targets map[string]int64 // newest announced version of the weights by model
 
-	store         *relay.Log
-	directStore   *hosted.Store
-	node          *link.Node
-	operators     *changelog.Replica
-	entries       *changelog.Replica
-	directory     *backends.Directory
-	presence      *presence.Table
-	rateLimits    *ratelimit.Replica
-	quarantine    *quarantine.Table
-	orders        *duty.Duty
-	jobs          *job.Registry
-	driver        *job.Driver
-	loadScheduler *versions.LoadScheduler
+	store           *relay.Log
+	directStore     *hosted.Store
+	node            *link.Node
+	operators       *changelog.Replica
+	operatorRecords *hosted.OperatorRecords
+	entries         *changelog.Replica
+	directory       *backends.Directory
+	presence        *presence.Table
+	rateLimits      *ratelimit.Replica
+	quarantine      *quarantine.Table
+	orders          *duty.Duty
+	jobs            *job.Registry
+	driver          *job.Driver
+	loadScheduler   *versions.LoadScheduler
 
 	clientListener net.Listener
 	readyListener  net.Listener
@@ -167,9 +168,8 @@
 		Peers: func() []machine.Instance { return i.presence.Peers() },
 	})
 	i.node.Handle(relay.Method, i.store.Handle)
-	i.operators = changelog.NewReplica(i.store, hosted.OperatorPartition, &hosted.OperatorRecords{
-		Logger: logger, OnConfig: i.applyConfig, OnVersion: i.recordTargetVersion,
-	})
+	i.operatorRecords = &hosted.OperatorRecords{Logger: logger, OnConfig: i.applyConfig, OnVersion: i.recordTargetVersion}
+	i.operators = changelog.NewReplica(i.store, hosted.OperatorPartition, i.operatorRecords)
 	i.entries = changelog.NewReplica(i.store, hosted.EntryPartition, &hosted.Entries{
 		Logger: logger, Backends: i.directory,
 	})
@@ -223,7 +223,7 @@
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
-		Logger: i.log, Forwarder: forwarder, BodyBytes: int64(bodyFraction * s.Limits.MemoryMB * (1 << 20)),
+		Access: i.newAccess(), Logger: i.log, Forwarder: forwarder, BodyBytes: int64(bodyFraction * s.Limits.MemoryMB * (1 << 20)),
 		ItemBytes: i.jobs.OpenItemBytes,
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
--- a/job/engine.go
+++ b/job/engine.go
@@ -12,6 +12,8 @@
 type Call struct {
 	Host string
 	Item *Item
+	// Account is the name of the client account that holds the item's job; empty if the job has none.
+	Account string
 	// After is the id of the last event received in earlier attempts, after which the engine resumes; 0
 	// starts from the beginning.
 	After int64
--- a/job/job.go
+++ b/job/job.go
@@ -59,7 +59,9 @@
 	GroupCount int
 	// ConfigVersion is the version of the configuration by which the job is accepted.
 	ConfigVersion int64
-	Items         []Item
+	// Account is the name of the client account that holds the job; empty if the job has none.
+	Account string
+	Items   []Item
 }
 
 // State is the outcome of an item.
@@ -108,6 +110,8 @@
 	ConfigVersion int64 `cbor:"14,keyasint,omitempty"`
 	// ItemBytes is about the size of the items, which the driver holds while the job is open.
 	ItemBytes int64 `cbor:"15,keyasint,omitempty"`
+	// Account is the name of the client account that holds the job; empty if the job has none.
+	Account string `cbor:"16,keyasint,omitempty"`
 
 	read firstRead
 }
--- a/job/run.go
+++ b/job/run.go
@@ -362,7 +362,7 @@
 		a.saveCheckpoint = func() { d.opts.Registry.queueCheckpoint(&job.Summary, item.ID, out.checkpoint()) }
 	}
 	err = d.opts.Engine.Generate(ctx, b, Call{
-		Host: job.Host, Item: whole, After: out.lastEvent, Repeated: a.repeated, Permit: d.permit(jobCtx),
+		Host: job.Host, Item: whole, Account: job.Account, After: out.lastEvent, Repeated: a.repeated, Permit: d.permit(jobCtx),
 	}, a)
 	var (
 		notRun     *NotRunError
--- a/job/submit.go
+++ b/job/submit.go
@@ -45,7 +45,7 @@
 	summary := Summary{
 		ID: spec.ID, Partition: partitionNumber, Host: spec.Host, Path: spec.Path, Total: len(spec.Items),
 		SubmittedMs: time.Now().UnixMilli(), Step: spec.Step, Model: spec.Model,
-		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, ConfigVersion: spec.ConfigVersion, ItemBytes: size,
+		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, ConfigVersion: spec.ConfigVersion, ItemBytes: size, Account: spec.Account,
 	}
 	_, err = g.update(ctx, spec.ID, func(old *Summary) *Summary {
 		full = nil
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cicadasill/cicadasill/account"
 )
 
 // Kind classifies a route's requests by how they are answered and whether they may be repeated.
@@ -138,6 +140,8 @@
 	Services map[string]Service
 	Limits   ClientLimits
 	Routes   []Route
+	// Accounts are the client accounts; nil if the deployment has none, so that requests need no key.
+	Accounts *account.Directory
 
 	byHost map[string][]*Route // longest prefix first
 }
@@ -185,6 +189,25 @@
 	return slices.ContainsFunc(c.byHost[strings.ToLower(host)], func(r *Route) bool { return r.Kind == BatchJob })
 }
 
+// HasPublicBatchJobs reports whether any route with the given host accepts batch jobs without a key.
+func (c *Config) HasPublicBatchJobs(host string) bool {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return slices.ContainsFunc(c.byHost[strings.ToLower(host)], func(r *Route) bool { return r.Kind == BatchJob && r.Public })
+}
+
+// Priority returns the urgency of the requests of an account on a route. An account's own priority goes before the route's. The
+// name of the account is empty for requests without one.
+func (c *Config) Priority(r *Route, name string) int {
+	if c.Accounts != nil && name != "" {
+		if a, ok := c.Accounts.ByName(name); ok && a.HasPriority {
+			return a.Priority
+		}
+	}
+	return r.Priority
+}
+
 // RequiresSingleVersion reports whether any batch job route to the service requires a single version.
 func (c *Config) RequiresSingleVersion(service string) bool {
 	for i := range c.Routes {
