--- a/instance/entries.go
+++ b/instance/entries.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/digest"
 	"github.com/cicadasill/cicadasill/link"
@@ -53,6 +55,7 @@
 	recorder *digest.Recorder
 	entries  *hosted.Entries
 	outcome  func(error)
+	reads    *prometheus.CounterVec // by source
 	// maxDirectReads is the constant of that name but in tests.
 	maxDirectReads atomic.Int64
 
@@ -65,8 +68,13 @@
 
 // newEntryReader returns an entryReader that knows no entries.
 func newEntryReader(i *Instance) *entryReader {
-	r := &entryReader{instance: i, outcome: i.storeMonitor("entries"), reading: true}
+	r := &entryReader{instance: i, outcome: i.storeMonitor("entries"), reading: true, reads: prometheus.NewCounterVec(
+		prometheus.CounterOpts{Name: "cicadasill_entry_reads_total",
+			Help: "Successful reads of the back ends' entries, from the store or from another instance that reads it, and failed ones."},
+		[]string{"source"})}
 	r.maxDirectReads.Store(maxDirectReads)
+	i.registry.MustRegister(r.reads, prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_entry_age_seconds",
+		Help: "Time since which the back ends' entries may have changed unnoticed."}, func() float64 { return r.Age().Seconds() }))
 	r.recorder = digest.NewRecorder(i.directory, i.self.Incarnation, r.source, r.outage)
 	r.entries = &hosted.Entries{Logger: i.log, Backends: r.recorder}
 	r.replica = r.newReplica()
@@ -143,7 +151,10 @@
 	}()
 	pause := func() time.Duration { return entriesReadPause(r.instance.presence.Count()) }
 	replica.Follow(ctx, changelog.ConstantWait(0), pause, func(err error) {
-		if err != nil {
+		if err == nil {
+			r.reads.WithLabelValues("store").Inc()
+		} else {
+			r.reads.WithLabelValues("failed").Inc()
 			r.instance.directory.RecordOutage()
 			r.mu.Lock()
 			r.failedAt = timing.SinceBoot()
@@ -184,6 +195,7 @@
 		}
 		readAt, err := r.askOne(ctx, follower, readers)
 		if err == nil {
+			r.reads.WithLabelValues("instance").Inc()
 			r.recordAnswer(readAt)
 		} else if age := r.Age(); age > maxDigestAge {
 			// An old answer is no reason to read the store: that would make a slow store slower.
