--- a/backends/backends.go
+++ b/backends/backends.go
@@ -67,6 +67,7 @@
 	avoidUntil    time.Time
 	loadingUntil  map[string]time.Time // by model
 	eventInterval time.Duration        // smoothed time between the events of a stream; 0 if unknown
+	eventSeenAt   time.Time            // when eventInterval was last updated
 	crashedUntil  time.Time            // end of the time in which the process is taken to have ended
 	sends         int                  // requests of any kind sent since the rate limit last changed
 	throttled     time.Time            // end of the time in which the rate limit allows no request of this instance
@@ -218,6 +219,8 @@
 	Avoid bool
 	// EventInterval is the smoothed time between the events of a stream; 0 if unknown.
 	EventInterval time.Duration
+	// EventSeenAt is the time of the last event that EventInterval includes.
+	EventSeenAt time.Time
 	// RateLimited is true if the back end has a rate limit.
 	RateLimited bool
 	// ThrottledUntil is the end of the time in which the rate limit allows no request of this instance; zero if none.
@@ -239,7 +242,7 @@
 			continue
 		}
 		list = append(list, Candidate{
-			Backend: b, Slots: b.slots, Versions: b.versions, InFlight: b.inFlight, EventInterval: b.eventInterval, OpenConns: b.openConns(now),
+			Backend: b, Slots: b.slots, Versions: b.versions, InFlight: b.inFlight, EventInterval: b.eventInterval, EventSeenAt: b.eventSeenAt, OpenConns: b.openConns(now),
 			Avoid:       now.Before(b.avoidUntil) || now.Before(b.loadingUntil[model]),
 			RateLimited: b.rateLimit() > 0, ThrottledUntil: b.throttled,
 		})
@@ -399,6 +402,7 @@
 	}
 	b.dir.mu.Lock()
 	defer b.dir.mu.Unlock()
+	b.eventSeenAt = time.Now()
 	if b.eventInterval == 0 {
 		b.eventInterval = d
 		return
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -160,6 +160,8 @@
 	Client     Client
 	RateLimits RateLimits
 	Quarantine Quarantine
+	// Self is the id of this instance, by which it prefers one of equal back ends.
+	Self       string
 	DataCentre string
 	Logger     *log.Logger
 	Registerer prometheus.Registerer
--- a/job/move.go
+++ b/job/move.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/balance"
 )
 
 // Moves of running items to faster engines.
@@ -27,10 +28,13 @@
 	// minMoveGain is the minimum time that a move must save. A move takes up to 0.1 s and sometimes needs
 	// a new connection.
 	minMoveGain = 250 * time.Millisecond
+	// minSpellGain is the minimum time that a move must save if the engine is expected to be fast again before the item ends.
+	// Clients read results about twice a second, so that less does not reach them.
+	minSpellGain = 500 * time.Millisecond
 	// minMoveIntervalRatio is the minimum ratio of an engine's event interval to a fast engine's for an
 	// item to move away. An engine with all slots taken is up to 1.4 times slower than an equal one that is
 	// almost empty. Moves for less only exchange load between engines, and each costs a connection.
-	minMoveIntervalRatio = 1.6
+	minMoveIntervalRatio = balance.SlowRatio
 	// minTargetIntervalRatio is the minimum ratio of the current engine's event interval to the new
 	// engine's.
 	minTargetIntervalRatio = 1.1
@@ -130,7 +134,15 @@
 	if !isMoveWorthwhile(remaining, interval, fastInterval, medianInterval) {
 		return
 	}
-	if remainingHere := time.Duration(float64(remaining) * float64(interval) / float64(medianInterval)); !isAmongLast(time.Since(m.submitted), remainingHere, longest) {
+	remainingHere := time.Duration(float64(remaining) * float64(interval) / float64(medianInterval))
+	if rest := m.placer.slowFor(m.backend, candidates, fastInterval); rest < remainingHere {
+		delay := balance.Delay(remaining, rest, float64(interval)/float64(fastInterval))
+		if delay < minSpellGain {
+			return
+		}
+		remainingHere = remaining + delay
+	}
+	if !isAmongLast(time.Since(m.submitted), remainingHere, longest) {
 		return
 	}
 	req := m.request
--- a/job/place.go
+++ b/job/place.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/balance"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
@@ -80,6 +80,8 @@
 type placer struct {
 	dir  *backends.Directory
 	zone string
+	// self is the id of this instance, by which it prefers one of equal engines.
+	self string
 	// slotShare is the fraction of an engine's slots that this instance may use.
 	slotShare float64
 
@@ -87,10 +89,11 @@
 	waiting  []*engineRequest             // sorted by order
 	groups   map[string]*backends.Backend // last engine of each group
 	searches int                          // of all engines for one request, counted for tests
+	spells   map[string]*slowSpells       // by service
 }
 
 func newPlacer(dir *backends.Directory, zone string, slotShare float64) *placer {
-	return &placer{dir: dir, zone: zone, slotShare: slotShare, groups: map[string]*backends.Backend{}}
+	return &placer{dir: dir, zone: zone, slotShare: slotShare, groups: map[string]*backends.Backend{}, spells: map[string]*slowSpells{}}
 }
 
 // run dispatches waiting requests until ctx ends.
@@ -161,13 +164,19 @@
 	// unmet holds the requirements for which no slot was free, because many requests share one that full does not tell about:
 	// all those that the same engine has failed.
 	unmet map[requirement]bool
+	// spells tells how long slow engines are expected to stay slow.
+	spells *slowSpells
+	// self is the id of this instance.
+	self string
 }
 
 func newPool(candidates []backends.Candidate) *pool {
-	return &pool{
+	e := &pool{
 		candidates: candidates, full: math.MaxInt64, noIdleConn: math.MaxInt64, unmet: map[requirement]bool{},
 		medianInterval: eventIntervalQuantile(candidates, 0.5), fastInterval: eventIntervalQuantile(candidates, fastQuantile),
 	}
+	e.track(&slowSpells{})
+	return e
 }
 
 // dispatch assigns engines with free slots to waiting requests, in queue order.
@@ -183,6 +192,8 @@
 		engines := pools[k]
 		if engines == nil {
 			engines = newPool(p.dir.Candidates(req.service, req.model))
+			engines.self = p.self
+			engines.track(p.spellsOf(req.service))
 			pools[k] = engines
 		}
 		needsIdleConn := now.Before(req.idleConnUntil)
@@ -257,16 +268,17 @@
 			continue
 		}
 		slots := max(1, float64(c.Slots)*slotShare)
+		speed := e.speedOf(&c, now)
 		slowdown := 1.0
-		if isSlow(c.EventInterval, medianInterval) {
-			slowdown = float64(c.EventInterval) / float64(medianInterval)
+		if speed.rest >= req.expected && isSlow(speed.interval, medianInterval) {
+			slowdown = float64(speed.interval) / float64(medianInterval)
 		}
 		if float64(c.InFlight)+1 > max(1, slots/slowdown) {
 			continue
 		}
 		cost := slowdown * float64(c.InFlight+1) / slots
-		if fastInterval > 0 && c.EventInterval > fastInterval {
-			cost += delayPenaltyPerSecond * req.expected.Seconds() * (float64(c.EventInterval)/float64(fastInterval) - 1)
+		if fastInterval > 0 && speed.interval > fastInterval {
+			cost += delayPenaltyPerSecond * balance.Delay(req.expected, speed.rest, float64(speed.interval)/float64(fastInterval)).Seconds()
 		}
 		if c.Zone != zone {
 			cost += remotePenalty
@@ -277,7 +289,7 @@
 		if c.Backend == groupEngine {
 			cost -= groupBonus
 		}
-		if best < 0 || cost < bestCost || (cost == bestCost && cmp.Less(c.ID, candidates[best].ID)) {
+		if best < 0 || cost < bestCost || (cost == bestCost && balance.Prefers(e.self, c.ID, candidates[best].ID)) {
 			best, bestCost = i, cost
 		}
 	}
