--- a/job/driver.go
+++ b/job/driver.go
@@ -148,6 +148,7 @@
 	d.placer.self = opts.Self.ID
 	d.rewards = reward.NewGate(d.rewardLimit)
 	d.metrics = newDriverMetrics(opts.Registerer, d.rewards)
+	d.placer.register(opts.Registerer)
 	return d
 }
 
--- a/job/move.go
+++ b/job/move.go
@@ -138,6 +138,7 @@
 	if rest := m.placer.slowFor(m.backend, candidates, fastInterval); rest < remainingHere {
 		delay := balance.Delay(remaining, rest, float64(interval)/float64(fastInterval))
 		if delay < minSpellGain {
+			m.placer.movesSpared.Add(1)
 			return
 		}
 		remainingHere = remaining + delay
--- a/job/place.go
+++ b/job/place.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cicadasill/cicadasill/backends"
@@ -90,6 +91,9 @@
 	groups   map[string]*backends.Backend // last engine of each group
 	searches int                          // of all engines for one request, counted for tests
 	spells   map[string]*slowSpells       // by service
+
+	// movesSpared counts the checks of an item at a slow engine that was expected to be fast again soon.
+	movesSpared atomic.Int64
 }
 
 func newPlacer(dir *backends.Directory, zone string, slotShare float64) *placer {
--- a/job/slow.go
+++ b/job/slow.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/cicadasill/cicadasill/backends"
 	"github.com/cicadasill/cicadasill/balance"
 )
@@ -51,6 +53,31 @@
 	return speed{interval: c.EventInterval, rest: rest}
 }
 
+// register registers the metrics of slow spells; r may be nil.
+func (p *placer) register(r prometheus.Registerer) {
+	if r == nil {
+		return
+	}
+	r.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "cicadasill_item_moves_spared_total",
+			Help: "Checks that left an item at a slow engine because the engine is expected to be fast again soon."},
+			func() float64 { return float64(p.movesSpared.Load()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_engine_slow_spell_seconds",
+			Help: "Median duration of the recent slow spells of engines, of the service with the longest."}, p.typicalSpell),
+	)
+}
+
+// typicalSpell returns the median duration of the recent spells in seconds, of the service with the longest.
+func (p *placer) typicalSpell() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var longest time.Duration
+	for _, s := range p.spells {
+		longest = max(longest, s.Typical())
+	}
+	return longest.Seconds()
+}
+
 // spellsOf returns the slow spells of a service. The caller holds p.mu.
 func (p *placer) spellsOf(service string) *slowSpells {
 	s := p.spells[service]
