presence: weak instances get the work that any instance can do last

Cause: a job's driver was chosen by hash alone. Change: heartbeats state the processor time of an instance, from its settings. Instances with less than half of the strongest come last among the drivers of new jobs, the readers of entries, and in takeovers and elections. Equal instances keep their order.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -167,6 +167,7 @@
 	i.entries = newEntryReader(i)
 	i.node.Handle(digestMethod, func(_ context.Context, payload []byte) ([]byte, error) { return i.entries.recorder.Handle(payload) })
 	i.presence = presence.New(self, i.store, func() int { return i.driver.ActiveDrivers() }, logger)
+	i.presence.StateProcessors(s.Limits.CPUShare.Value * s.Limits.Cores.Or(1))
 	i.rateLimits = ratelimit.NewReplica(ratelimit.ReplicaOptions{
 		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger,
 		ReadWait:  func() time.Duration { return presence.LongPollWait(i.presence.Count()) },
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -104,6 +104,10 @@
 	// MaxFDs is the number of file descriptors that the process may have; the limit of the operating system applies if it is
 	// missing.
 	MaxFDs Number `json:"max_fds"`
+	// CPUShare is the share of a core that the process may use, Cores how many times as fast as one that core is. Instances with much
+	// less than others get less of the work that any instance can do; without the values, all count as equal.
+	CPUShare Number `json:"cpu_share"`
+	Cores    Number `json:"cores"`
 }
 
 // StopSettings configure the planned stop.
--- a/presence/heartbeat.go
+++ b/presence/heartbeat.go
@@ -49,6 +49,7 @@
 		Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Left: t.hasLeft, Draining: t.draining,
 		Sequence: t.sequence, Interval: interval + t.appendDuration,
 		Region: t.instance.Zone.Region, PeerAddr: t.instance.PeerAddr,
+		Processors: t.processors,
 	}
 	t.mu.Unlock()
 	data, err := cbor.Marshal(r)
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -80,6 +80,8 @@
 	// Region and PeerAddr are the location and the address for calls of other instances.
 	Region   string `cbor:"7,keyasint"`
 	PeerAddr string `cbor:"8,keyasint"`
+	// Processors is the processor time that the instance may use, in cores; 0 if it is not known.
+	Processors float64 `cbor:"15,keyasint,omitempty"`
 }
 
 // observedRecord is the newest record of an instance with the time at which this instance read it.
@@ -111,6 +113,7 @@
 	readFailedAt time.Time // last failed read, at first the creation of the table
 	hasLeft      bool
 	draining     bool
+	processors   float64
 	sequence     uint64
 	heartbeatAt  time.Time // start of the last acknowledged heartbeat
 	// appendDuration is the time that the append of that heartbeat took. It is part of the announced interval,
@@ -270,24 +273,26 @@
 }
 
 // Drivers returns the live instances that take new work: the others of this data centre, then this instance, then those of other
-// data centres. It orders them by rendezvous hashing, so equal keys give the same order as long as the instances stay. While this
-// instance takes no new work, it is the last.
+// data centres, in each place the weak ones last. It orders them by rendezvous hashing, so equal keys give the same order as long
+// as the instances stay. While this instance takes no new work, it is the last.
 func (t *Table) Drivers(key string) []machine.Ref {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	type ranked struct {
 		ref  machine.Ref
 		near bool
+		weak bool
 		hash uint64
 	}
 	var others []ranked
+	most := t.mostProcessors()
 	for id, s := range t.byID {
 		if id != t.self.ID && t.acceptsWork(&s) {
 			ref := machine.Ref{ID: id, Incarnation: s.Incarnation}
-			others = append(others, ranked{ref, s.DataCentre == t.dataCentre, xxhash.Sum64String(key + "/" + id)})
+			others = append(others, ranked{ref, s.DataCentre == t.dataCentre, isWeak(s.Processors, most), xxhash.Sum64String(key + "/" + id)})
 		}
 	}
-	slices.SortFunc(others, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(others, func(a, b ranked) int { return cmp.Or(compareBool(a.weak, b.weak), cmp.Compare(a.hash, b.hash)) })
 	var near, remote []machine.Ref
 	for _, other := range others {
 		if other.near {
@@ -307,17 +312,17 @@
 func (t *Table) Owner(key, dataCentre string) machine.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, bestHash, bestIsNear := t.instance, uint64(0), false
-	found := false
+	best, bestHash, bestIsNear, bestIsWeak := t.instance, uint64(0), false, false
+	found, most := false, t.mostProcessors()
 	for id, s := range t.byID {
 		if !t.acceptsWork(&s) {
 			continue
 		}
-		isNear, h := s.DataCentre == dataCentre, xxhash.Sum64String(key+"/"+id)
-		if found && (bestIsNear && !isNear || bestIsNear == isNear && h >= bestHash) {
+		isNear, weak, h := s.DataCentre == dataCentre, isWeak(s.Processors, most), xxhash.Sum64String(key+"/"+id)
+		if found && cmp.Or(compareBool(!isNear, !bestIsNear), compareBool(weak, bestIsWeak), cmp.Compare(h, bestHash)) >= 0 {
 			continue
 		}
-		found, bestHash, bestIsNear = true, h, isNear
+		found, bestHash, bestIsNear, bestIsWeak = true, h, isNear, weak
 		best = machine.Instance{
 			ID: id, Incarnation: s.Incarnation, PeerAddr: s.PeerAddr, Zone: zone.Zone{Region: s.Region, DataCentre: s.DataCentre},
 		}
@@ -371,17 +376,18 @@
 }
 
 // Rank returns this instance's position among the live ones, from 0, in an order that depends on key and is the
-// same at all instances.
+// same at all instances. Weak instances are the last.
 func (t *Table) Rank(key string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := xxhash.Sum64String(key + "/" + t.self.ID)
+	own, most := xxhash.Sum64String(key+"/"+t.self.ID), t.mostProcessors()
+	ownIsWeak := isWeak(t.processors, most)
 	rank, readPause := 0, ReadPause(len(t.byID))
 	for id, s := range t.byID {
 		if id == t.self.ID || s.Left || s.silentFor(deadIntervals, readPause) {
 			continue
 		}
-		if cmp.Compare(xxhash.Sum64String(key+"/"+id), own) < 0 {
+		if cmp.Or(compareBool(isWeak(s.Processors, most), ownIsWeak), cmp.Compare(xxhash.Sum64String(key+"/"+id), own)) < 0 {
 			rank++
 		}
 	}
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -137,7 +137,7 @@
 		"internal_ports.0": strconv.Itoa(ports[2]), "platform.addr": d.StoreAddr(name), "platform.parts": "8",
 		"platform.writes_per_s": "800", "platform.reads_per_s": "2000", "bounds.status_s": strconv.Itoa(cmp.Or(d.StatusS, 120)),
 		"limits.memory_mb": strconv.Itoa(d.MemoryMB), "bounds.grace_s": strconv.Itoa(d.GraceS),
-		"limits.max_fds": "", "bounds.lease_ms": "3000", "bounds.fencing_enforced": "true", "bounds.strict_revoke": "", "bounds.revoke_ms": "",
+		"limits.max_fds": "", "limits.cpu_share": "", "limits.cores": "", "bounds.lease_ms": "3000", "bounds.fencing_enforced": "true", "bounds.strict_revoke": "", "bounds.revoke_ms": "",
 		"cloud.addr": "", "cloud.duty_per_s": "", "cloud.duties": "", "bounds.window_s": "", "bounds.usage_late_s": "", "bounds.usage_off": "",
 	}
 	missing := ""
