changelog: the age of a copy counts suspensions; a rewound store is no proof

The age of the operators' copy decides whether a revoked key may still run. The monotonic clock stops while a machine is suspended, and a store whose log had become shorter counted as read to its end.

--- a/changelog/load.go
+++ b/changelog/load.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 const (
@@ -28,7 +30,7 @@
 	afterKey   string            // last key of the pages that have been read
 	next       int64             // offset of the next record to follow
 	end        int64             // the state is consistent when the records before this offset have been followed
-	followedAt time.Time         // start of the last call that advanced next, or of the first page
+	followedAt timing.Instant    // start of the last call that advanced next, or of the first page
 }
 
 func newLoad() *load { return &load{newest: map[string]Record{}} }
@@ -41,7 +43,7 @@
 }
 
 // addPage adds the page after afterKey.
-func (l *load) addPage(page Page, start time.Time) error {
+func (l *load) addPage(page Page, start timing.Instant) error {
 	if page.More && (len(page.Records) == 0 || page.Records[len(page.Records)-1].Key == l.afterKey) {
 		return errNoProgress
 	}
@@ -60,7 +62,7 @@
 }
 
 // addBatch adds records that follow the first page's end, from a call that began when end was known.
-func (l *load) addBatch(batch Batch, start time.Time, end int64) error {
+func (l *load) addBatch(batch Batch, start timing.Instant, end int64) error {
 	before := l.next
 	for _, record := range batch.Records {
 		if record.Offset >= l.next {
@@ -108,7 +110,7 @@
 	case l.scanned && l.next >= l.end:
 		r.install(l)
 		return loadStep{done: true}
-	case l.scanned, l.begun && time.Since(l.followedAt) > loadFollowInterval:
+	case l.scanned, l.begun && l.followedAt.Age() > loadFollowInterval:
 		return loadStep{load: l, follow: true, from: l.next, end: l.end}
 	}
 	return loadStep{load: l, afterKey: l.afterKey}
@@ -124,7 +126,7 @@
 		observer.Loaded()
 	}
 	r.next, r.loaded, r.loading = l.next, true, nil
-	if l.followedAt.After(r.readAt) {
+	if l.followedAt.Time.After(r.readAt.Time) {
 		r.readAt = l.followedAt
 	}
 	r.notify()
@@ -167,7 +169,7 @@
 
 // runLoadStep makes the call of a step and adds its result, unless another call has advanced the load meanwhile.
 func (r *Replica) runLoadStep(ctx context.Context, step loadStep) error {
-	start := time.Now()
+	start := timing.NowInstant()
 	if step.follow {
 		batch, err := r.log.Read(ctx, r.partition, step.from, 0)
 		if err != nil {
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -43,13 +44,13 @@
 	mu          sync.Mutex // guards state and the fields up to syncReaders
 	next        int64      // offset of the next record to apply
 	loaded      bool
-	loading     *load         // the load that is under way; nil if there is none
-	changed     chan struct{} // closed when records are applied
-	readAt      time.Time     // start of the last successful read or append
-	lastReadErr error         // of the last read; nil after a successful one
-	syncNumber  uint64        // number of the last call of Sync
-	syncCalls   []*syncCall   // the calls of Sync that wait
-	syncReaders []*syncReader // those that run
+	loading     *load          // the load that is under way; nil if there is none
+	changed     chan struct{}  // closed when records are applied
+	readAt      timing.Instant // start of the last successful read or append
+	lastReadErr error          // of the last read; nil after a successful one
+	syncNumber  uint64         // number of the last call of Sync
+	syncCalls   []*syncCall    // the calls of Sync that wait
+	syncReaders []*syncReader  // those that run
 
 	commitTurn chan struct{} // holds a value while one of this instance's commits runs
 }
@@ -74,14 +75,14 @@
 }
 
 // Age returns the time since the start of the last successful read or append, or the largest duration before the
-// first read.
+// first read. It counts the time for which the machine was suspended.
 func (r *Replica) Age() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.loaded {
 		return time.Duration(1<<63 - 1)
 	}
-	return time.Since(r.readAt)
+	return r.readAt.Age()
 }
 
 // HasRead reports whether the replica has read the whole partition once.
@@ -138,6 +139,18 @@
 // errNoProgress reports an answer without records although more records follow.
 var errNoProgress = errors.New("the log returned no records although there are more")
 
+// RewoundError reports a partition that ends before records that this instance has read. Its records say nothing about the present.
+type RewoundError struct {
+	Partition Partition
+	// End is the partition's end, Read the offset up to which this instance has read it.
+	End, Read int64
+}
+
+// Error implements error.
+func (e *RewoundError) Error() string {
+	return fmt.Sprintf("%v ends at %d although it has been read up to %d", e.Partition, e.End, e.Read)
+}
+
 // errIncomplete reports a state that loads do not complete.
 var errIncomplete = errors.New("the state lacks records after a load")
 
@@ -157,7 +170,7 @@
 // readToEnd implements catchUp. It returns the number of the last call of Sync before its last read.
 func (r *Replica) readToEnd(ctx context.Context, wait time.Duration, reader *syncReader) (synced uint64, err error) {
 	for reloads := 0; ; {
-		start := time.Now()
+		start := timing.NowInstant()
 		r.mu.Lock()
 		synced = r.beginCall(reader)
 		from, mustLoad := r.next, !r.loaded || r.loading != nil
@@ -184,6 +197,9 @@
 		if err != nil {
 			return synced, err
 		}
+		if batch.End < from {
+			return synced, &RewoundError{Partition: r.partition, End: batch.End, Read: from}
+		}
 		wait = 0
 		next, complete := r.apply(batch.Records, start)
 		switch {
@@ -201,7 +217,7 @@
 
 // apply applies those of the contiguous records that are new. It returns the offset of the next record, and false if the state
 // has to be loaded again.
-func (r *Replica) apply(records []Record, start time.Time) (next int64, complete bool) {
+func (r *Replica) apply(records []Record, start timing.Instant) (next int64, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	applied := false
@@ -213,7 +229,7 @@
 		r.next = record.Offset + 1
 		applied = true
 	}
-	if start.After(r.readAt) {
+	if start.Time.After(r.readAt.Time) {
 		r.readAt = start
 	}
 	if applied {
@@ -309,7 +325,7 @@
 	if len(records) == 0 {
 		return 0, nil
 	}
-	start := time.Now()
+	start := timing.NowInstant()
 	end, err := r.log.Append(ctx, r.partition, records, expectEnd)
 	if err != nil {
 		return 0, err
