instance: strict revocation at instances without the store

The proof of freshness aged with the usual reads, which are given up after 0.9 s: a store that was late by a second made every instance refuse, and one that the store alone did not answer lost sight of its peers, through which it reads, before it used them. From 30% of the bound on, further reads run beside, directly and through peers.

--- a/account/decide.go
+++ b/account/decide.go
@@ -67,6 +67,15 @@
 	return time.Duration((1 - rateTolerance) * float64(revocation))
 }
 
+// renewFraction is the part of the bound from which on a copy is read on further ways. The rest of the bound fits a read that is late
+// by seconds.
+const renewFraction = 0.3
+
+// NeedsRenewal reports whether the copy grows so old that the usual reads alone may not renew it in time.
+func (p Proof) NeedsRenewal() bool {
+	return p.Bound > 0 && p.Age >= time.Duration(renewFraction*float64(p.Bound))
+}
+
 // Credentials are what a request says of its account.
 type Credentials struct {
 	// Keys are the values of the key header.
--- a/instance/accounts.go
+++ b/instance/accounts.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/cicadasill/cicadasill/account"
+	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/platform/hosted"
 	"github.com/cicadasill/cicadasill/presence"
+	"github.com/cicadasill/cicadasill/relay"
+	"github.com/cicadasill/cicadasill/telemetry"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 const (
@@ -15,14 +22,72 @@
 	minRefreshPause = 100 * time.Millisecond
 	// refreshTimeout bounds such a read. A call to the store on a silent connection and its repeat fit.
 	refreshTimeout = 800 * time.Millisecond
+	// renewalInterval is the time between two further reads of a configuration that grows old, on each way.
+	renewalInterval = 400 * time.Millisecond
+	// renewalPatience bounds such a read. With renewalInterval it also bounds how many run at the same time.
+	renewalPatience = 2500 * time.Millisecond
+	// readsPerProof is the least number of reads that the usual way begins within the bound of a proof.
+	readsPerProof = 4
 )
 
-// newAccess returns the check of the keys of client accounts.
-func (i *Instance) newAccess() hosted.Access {
-	bound := time.Duration(0)
+// errNoDirectCalls is the cause with which calls go through other instances only.
+var errNoDirectCalls = errors.New("direct calls are made beside")
+
+// peersOnly is a store that no direct call reaches.
+type peersOnly struct{ changelog.Log }
+
+// Read implements changelog.Log.
+func (peersOnly) Read(context.Context, changelog.Partition, int64, time.Duration) (changelog.Batch, error) {
+	return changelog.Batch{}, &changelog.NotDoneError{Call: "read", Err: errNoDirectCalls}
+}
+
+// proofBound returns the age from which on the configuration no longer proves that a key is valid; 0 if no proof is needed.
+func (i *Instance) proofBound() time.Duration {
 	if s := i.settings.Accounts; s.StrictRevocation.Value {
-		bound = account.ProofBound(milliseconds(s.RevocationMs.Value))
+		return account.ProofBound(milliseconds(s.RevocationMs.Value))
+	}
+	return 0
+}
+
+// renewProof keeps the configuration fresh until ctx ends, where requests depend on that. While the usual reads are stuck or late, it
+// begins further ones that may take longer, directly and through other instances, those that may only seem to have ended included.
+func (i *Instance) renewProof(ctx context.Context) {
+	s, bound := i.settings, i.proofBound()
+	if bound == 0 {
+		return
+	}
+	direct := hosted.NewStore(hosted.StoreOptions{
+		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS, Patience: renewalPatience,
+	})
+	throughPeers := relay.New(relay.Options{Direct: peersOnly{}, Caller: i.node, Logger: telemetry.Discard(), Peers: i.presence.PossiblyLive})
+	var reads conc.WaitGroup
+	defer reads.Wait()
+	for old := false; timing.Sleep(ctx, renewalInterval); {
+		proof := account.Proof{Age: i.configAge(), Bound: bound}
+		if config := i.config.Load(); config == nil || config.Accounts == nil || !proof.NeedsRenewal() {
+			if old {
+				i.log.Info("configuration is fresh again", "version", i.config.Load().Version)
+			}
+			old = false
+			continue
+		}
+		if !old {
+			old = true
+			i.log.Warn("configuration grows old", "age", proof.Age, "bound", bound, "version", i.config.Load().Version, "err", i.operators.LastReadError())
+		}
+		for _, way := range []changelog.Log{direct, throughPeers} {
+			reads.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, renewalPatience)
+				defer cancel()
+				_ = i.operators.ReadThrough(ctx, way) // the age tells whether any of them has succeeded
+			})
+		}
 	}
+}
+
+// newAccess returns the check of the keys of client accounts.
+func (i *Instance) newAccess() hosted.Access {
+	bound := i.proofBound()
 	refresher := &account.Refresher{
 		Read: i.operators.Sync, Timeout: refreshTimeout,
 		Pause: func() time.Duration { return presence.LongPollPause(minRefreshPause, i.presence.Count()) },
@@ -35,6 +100,14 @@
 	}, i.registry)
 }
 
+// configReadWait returns how long a usual read of the operators' records waits for new ones.
+func (i *Instance) configReadWait() time.Duration {
+	if bound := i.proofBound(); bound > 0 {
+		return min(operatorReadWait, bound/readsPerProof)
+	}
+	return operatorReadWait
+}
+
 // configAge returns the time since the begin of the last read that returned the newest configuration, or the largest duration if that
 // is not in force.
 func (i *Instance) configAge() time.Duration {
--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -40,6 +41,27 @@
 	engines []*hostedtest.Engine
 	desk    *hostedtest.Engine
 	members []*member
+	// adjust changes the settings of instances before they start; logs receives what they log. Both may be nil.
+	adjust func(*Settings)
+	logs   *lockedBuffer
+}
+
+// lockedBuffer is a buffer that several goroutines may write.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
 }
 
 // member is a running instance. kill ends it without a planned stop.
@@ -66,16 +88,22 @@
 		c.engines = append(c.engines, e)
 		c.register(e)
 	}
-	for i := range instances {
+	c.startInstances(instances)
+	return c
+}
+
+// startInstances starts instances and waits until each is ready and knows all back ends.
+func (c *cluster) startInstances(n int) {
+	c.t.Helper()
+	for i := range n {
 		c.startInstance(fmt.Sprintf("instance-%d", i))
 	}
 	for _, m := range c.members {
 		c.waitUntil("instance is ready", m.isReady)
 		c.waitUntil("instance knows the back ends", func() bool {
-			return len(m.directory.Candidates("llm", "m")) == engines && len(m.directory.Candidates("desk", "")) == 1
+			return len(m.directory.Candidates("llm", "m")) == len(c.engines) && len(m.directory.Candidates("desk", "")) == 1
 		})
 	}
-	return c
 }
 
 // register writes the entry of a back end to the store.
@@ -96,8 +124,15 @@
 		Limits:   LimitSettings{MemoryMB: 1000},
 		Stop:     StopSettings{GraceS: 8},
 	}
+	if c.adjust != nil {
+		c.adjust(s)
+	}
+	logger := telemetry.Discard()
+	if c.logs != nil {
+		logger = log.NewWithOptions(c.logs, log.Options{Level: log.DebugLevel})
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{Instance: New(s, telemetry.Discard(), prometheus.NewRegistry()), storeProxy: storeProxy}
+	m := &member{Instance: New(s, logger, prometheus.NewRegistry()), storeProxy: storeProxy}
 	if err := m.Listen(); err != nil {
 		c.t.Fatal(err)
 	}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -348,7 +348,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.followEntries, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.followOperators, i.renewProof, i.followEntries, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
@@ -372,7 +372,7 @@
 
 // followOperators reads the operators' records until ctx ends.
 func (i *Instance) followOperators(ctx context.Context) {
-	i.operators.Follow(ctx, changelog.ConstantWait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
+	i.operators.Follow(ctx, changelog.ConstantWait(i.configReadWait()), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
 // entriesReadPause returns the pause between an instance's reads of the back ends' entries.
