--- a/instance/instance.go
+++ b/instance/instance.go
@@ -343,7 +343,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.followOperators, i.renewProof, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
@@ -367,7 +367,7 @@
 
 // followOperators reads the operators' records until ctx ends.
 func (i *Instance) followOperators(ctx context.Context) {
-	i.operators.Follow(ctx, changelog.ConstantWait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
+	i.operators.Follow(ctx, changelog.ConstantWait(i.configReadWait()), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
 // serve runs an HTTP server until it or its listener is closed.
