duty: a renewal in flight does not bring a refused token back

Cause: a renewal that began before Invalidate made the refused token valid again when it was answered, so one more call used it (seen in the usage reports' test of refused tokens, beside load).

Change: an attempt whose record has the refused token gives no hold; the next renewal raises the token.

Result: TestRenewalInFlightDoesNotOutliveARefusal fails without the change and passes with it; go test -race ./duty passes.

--- a/duty/duty.go
+++ b/duty/duty.go
@@ -258,6 +258,9 @@
 	if d.hasReleased || d.current == nil || d.current.Holder != d.self || d.current.Released || (end == 0 && d.current.Attempt != start) {
 		return // only an append of this attempt proves that no other instance has taken the duty since start
 	}
+	if d.current.Fence == d.refusedFence {
+		return // the attempt began before Invalidate
+	}
 	if d.fence != d.current.Fence {
 		d.log.Info("duty taken", "duty", d.name, "fence", d.current.Fence)
 	}
--- a/duty/rules_test.go
+++ b/duty/rules_test.go
@@ -26,6 +26,14 @@
 	return d
 }
 
+// lateAppends makes appends late.
+func lateAppends(r *http.Request) hostedtest.Fault {
+	if r.URL.Path == "/api/log-append" {
+		return hostedtest.Late
+	}
+	return hostedtest.None
+}
+
 // released reports whether Release has been called.
 func released(d *Duty) bool {
 	d.mu.Lock()
@@ -160,12 +168,7 @@
 	d := newStrictDuty(store, "a", 1)
 	startDuty(t, d)
 	waitHeld(t, d)
-	store.SetFault(func(r *http.Request) hostedtest.Fault {
-		if r.URL.Path == "/api/log-append" {
-			return hostedtest.Late
-		}
-		return hostedtest.None
-	})
+	store.SetFault(lateAppends)
 	before := store.Calls("/api/log-append")
 	for store.Calls("/api/log-append") == before {
 		time.Sleep(time.Millisecond)
@@ -180,6 +183,24 @@
 	}
 }
 
+// Guards against a renewal in flight that brings a token back into use which a receiver has refused.
+func TestRenewalInFlightDoesNotOutliveARefusal(t *testing.T) {
+	is := is.New(t)
+	store := hostedtest.NewStore()
+	t.Cleanup(store.Close)
+	store.SetLateness(300 * time.Millisecond)
+	d := newStrictDuty(store, "a", 1)
+	startDuty(t, d)
+	fence := waitHeld(t, d)
+	store.SetFault(lateAppends)
+	before := store.Calls("/api/log-append")
+	for store.Calls("/api/log-append") == before {
+		time.Sleep(time.Millisecond)
+	}
+	d.Invalidate(fence)
+	is.True(waitHeld(t, d) > fence)
+}
+
 // Guards against a hold that outlasts the margin for calls on a link on which a renewal, and so a call, takes long.
 func TestSlowRenewalShortensTheHold(t *testing.T) {
 	is := is.New(t)
