truetime, presence: true time from the clocks of all instances

Usage windows are windows of true time, which neither the store nor one machine's clock tells. Heartbeats carry the writer's time of day and time since boot, where the deployment needs it; the median opinion is true time. Without that, heartbeats are as before (TestHeartbeatsCarryReadingsOnDemand).

--- a/presence/heartbeat.go
+++ b/presence/heartbeat.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/timing"
+	"github.com/cicadasill/cicadasill/truetime"
 )
 
 // heartbeatInterval returns the time between the records of an instance that drives no jobs.
@@ -51,6 +52,10 @@
 		Region: t.instance.Zone.Region, PeerAddr: t.instance.PeerAddr,
 	}
 	t.mu.Unlock()
+	if t.clock != nil {
+		now := truetime.Read()
+		r.WallMs, r.BootMs = now.Wall.Milliseconds(), now.Boot.Milliseconds()
+	}
 	data, err := cbor.Marshal(r)
 	if err != nil {
 		t.log.Error("cannot encode heartbeat", "err", err)
@@ -88,3 +93,16 @@
 	}
 	return err
 }
+
+// SetClock makes the heartbeats carry readings of this machine's clocks, and passes the readings of all instances on to clock.
+// It must be called before Run.
+func (t *Table) SetClock(clock *truetime.Clock) { t.clock = clock }
+
+// observeClock passes a reading in a record on to the clock. The caller holds mu.
+func (t *Table) observeClock(id string, r record) {
+	if t.clock == nil || r.BootMs == 0 {
+		return
+	}
+	reading := truetime.Reading{Wall: time.Duration(r.WallMs) * time.Millisecond, Boot: time.Duration(r.BootMs) * time.Millisecond}
+	t.clock.Observe(id, r.Incarnation, reading, timing.SinceBoot())
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -18,6 +18,7 @@
 
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/truetime"
 	"github.com/cicadasill/cicadasill/zone"
 )
 
@@ -80,6 +81,10 @@
 	// Region and PeerAddr are the location and the address for calls of other instances.
 	Region   string `cbor:"7,keyasint"`
 	PeerAddr string `cbor:"8,keyasint"`
+	// WallMs and BootMs are the time of day and the time since boot at which the record was written, in milliseconds; 0 if
+	// the deployment does not need them.
+	WallMs int64 `cbor:"9,keyasint,omitempty"`
+	BootMs int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // observedRecord is the newest record of an instance with the time at which this instance read it.
@@ -105,6 +110,7 @@
 	store      changelog.Log
 	replica    *changelog.Replica
 	drivers    func() int
+	clock      *truetime.Clock // nil if the deployment does not need true time
 
 	mu           sync.Mutex // guards the fields below
 	byID         map[string]observedRecord
@@ -208,6 +214,9 @@
 		t.log.Info("instance restarted", "peer", r.Key, "incarnation", next.Incarnation)
 	}
 	t.byID[r.Key] = observedRecord{record: next, receivedAt: time.Now(), hasChanged: known}
+	if known { // the age of the first record is unknown
+		t.observeClock(r.Key, next)
+	}
 }
 
 // Dead reports whether an instance has ended or does no more work. It returns false while the last successful
