forward: an observer is told of each request of an account that began to run

Once for a request, with the start of the send that ran or may have run; a stream with its first event; not for requests that have not run, reward calls and requests without an account. Nothing changes where no observer is set.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -161,8 +161,11 @@
 	RateLimits RateLimits
 	Quarantine Quarantine
 	DataCentre string
-	Logger     *log.Logger
-	Registerer prometheus.Registerer
+	// RequestBegan is told of each request of a client account that began to run, with the moment by the clock since boot. nil
+	// if nobody counts them.
+	RequestBegan func(account string, at time.Duration)
+	Logger       *log.Logger
+	Registerer   prometheus.Registerer
 }
 
 // Forwarder forwards requests to the back ends of their route's service.
@@ -210,6 +213,9 @@
 		sentTo: map[*backends.Backend]bool{},
 	}
 	response, err := e.run()
+	if at, began := e.begun.at(); began {
+		f.reportBegun(r, at)
+	}
 	outcome := "answered"
 	var refused *RefusedError
 	switch {
@@ -238,6 +244,7 @@
 	sentTo        map[*backends.Backend]bool // unlike tried, over all rounds
 	attempts      attempts
 	sends         int
+	begun         beginnings
 	verdict       quarantine.Verdict
 	failedRuns    int  // sends answered with status 500
 	sawSilentConn bool // further sends use new connections
@@ -248,6 +255,7 @@
 
 // sendResult is the outcome of sending the request to one back end.
 type sendResult struct {
+	number   int // of the send, from 1
 	backend  *backends.Backend
 	response *Response
 	err      error
@@ -278,12 +286,7 @@
 	for {
 		select {
 		case result := <-e.results:
-			var notRun *NotRunError
-			if errors.As(result.err, &notRun) {
-				e.attempts.endRefused()
-			} else {
-				e.attempts.endPossiblyRun()
-			}
+			notRun := e.settle(result)
 			if result.err == nil && result.response.Status < http.StatusInternalServerError {
 				e.lastBackendID = result.backend.ID
 				e.f.recordAnswer(e.request)
@@ -439,6 +442,8 @@
 		e.first, e.firstSentAt = b, time.Now()
 	}
 	e.attempts.begin()
+	number := e.sends
+	e.begun.send(number)
 	request := e.request
 	if e.sentTo[b] || e.sawSilentConn || e.mayHaveLostConns(b) {
 		repeated := *request
@@ -459,7 +464,7 @@
 		case ctx.Err() == nil && !isSilentConn(err):
 			b.RecordFailure()
 		}
-		e.results <- sendResult{backend: b, response: response, err: err}
+		e.results <- sendResult{number: number, backend: b, response: response, err: err}
 	}()
 }
 
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -80,10 +80,15 @@
 type timedWriter struct {
 	http.ResponseWriter
 	timer *silenceTimer
+	begun func() // called before the first write; nil after that
 }
 
 // Write implements io.Writer.
 func (w *timedWriter) Write(data []byte) (int, error) {
+	if w.begun != nil {
+		w.begun()
+		w.begun = nil
+	}
 	w.timer.suspend()
 	defer w.timer.resume()
 	return w.ResponseWriter.Write(data)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cicadasill/cicadasill/backends"
 	"github.com/cicadasill/cicadasill/ratelimit"
 	"github.com/cicadasill/cicadasill/routes"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // StreamClient is a Client that can copy a back end's response to the caller while it arrives.
@@ -47,7 +48,7 @@
 	}
 	ctx, timer := newSilenceTimer(ctx, route.Timeout, maxSilence(route))
 	defer timer.stop()
-	w = &timedWriter{ResponseWriter: w, timer: timer}
+	w = &timedWriter{ResponseWriter: w, timer: timer, begun: func() { f.reportBegun(r, timing.SinceBoot()) }}
 	client, ok := f.opts.Client.(StreamClient)
 	if !ok {
 		return &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
