usage: counts and reports of usage windows

Each instance appends its counts by window and account to the store; the holder of the duty seals each window before it sends it, so that every repeat has the same counts, and marks it when the platform has confirmed it. On where the settings have a window and the platform's duties name usage reports; otherwise nothing runs and nothing is stored.

--- a/instance/duties.go
+++ b/instance/duties.go
@@ -23,12 +23,24 @@
 	return rules
 }
 
+// newPlatformAPI returns the client of the platform's API, or nil if the deployment has none.
+func (i *Instance) newPlatformAPI() *hosted.PlatformAPI {
+	if i.settings.PlatformAPI.Addr == "" {
+		return nil
+	}
+	return hosted.NewPlatformAPI(i.settings.PlatformAPI.Addr, i.settings.Instance.ID, i.log, i.registry)
+}
+
 // protectOrders sets the rules of the duty, and makes each order under it be checked right before it is sent where only the
 // holders can keep their calls in order.
 func (i *Instance) protectOrders(engines *hosted.Backends) {
 	rules := i.settings.Duties.dutyRules()
 	i.orders.SetRules(rules)
-	if rules.Unfenced {
-		engines.CheckOrders(i.orders.Check)
+	if !rules.Unfenced {
+		return
+	}
+	engines.CheckOrders(i.orders.Check)
+	if i.platformAPI != nil {
+		i.platformAPI.CheckCalls(i.orders.Check)
 	}
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -126,6 +126,8 @@
 	rateLimits    *ratelimit.Replica
 	quarantine    *quarantine.Table
 	orders        *duty.Duty
+	platformAPI   *hosted.PlatformAPI // nil if the deployment has none
+	usage         *usageReports       // nil if the deployment reports no usage
 	jobs          *job.Registry
 	driver        *job.Driver
 	loadScheduler *versions.LoadScheduler
@@ -194,7 +196,9 @@
 	backendClient := hosted.NewBackends(s.Instance.ID, i.rateLimits, i.log)
 	backendClient.RegisterMetrics(i.registry)
 	backendClient.ShareBuffers(i.directStore)
+	i.platformAPI = i.newPlatformAPI()
 	i.protectOrders(backendClient)
+	i.usage = i.buildUsage()
 	limiter := ratelimit.New(ratelimit.Options{
 		Self: i.self, Caller: i.node, Instances: i.presence, Logger: i.log, Registerer: i.registry,
 	})
@@ -209,7 +213,7 @@
 	i.node.Handle(job.ReadMethod, i.jobs.HandleRead)
 	forwarder := forward.New(forward.Options{
 		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, DataCentre: s.Instance.DataCentre,
-		Logger: i.log, Registerer: i.registry,
+		RequestBegan: i.usage.observer(), Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
@@ -349,7 +353,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.followEntries, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.followOperators, i.followEntries, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run, i.usage.run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
@@ -453,6 +457,7 @@
 	if err := i.server.Shutdown(ctx); err != nil {
 		i.log.Warn("planned stop interrupted requests", "err", err)
 	}
+	i.usage.flush(ctx)
 	i.log.Info("planned stop done", "took", time.Since(start))
 }
 
