--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -40,6 +40,7 @@
 	engines []*hostedtest.Engine
 	desk    *hostedtest.Engine
 	members []*member
+	adjust  []func(*Settings)
 }
 
 // member is a running instance. kill ends it without a planned stop.
@@ -51,10 +52,11 @@
 	storeProxy *hostedtest.Proxy
 }
 
-// newCluster starts a cluster and waits until each instance is ready and knows all back ends.
-func newCluster(t *testing.T, instances, engines int) *cluster {
+// newCluster starts a cluster and waits until each instance is ready and knows all back ends. adjust changes the settings of each
+// instance.
+func newCluster(t *testing.T, instances, engines int, adjust ...func(*Settings)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: hostedtest.NewStore()}
+	c := &cluster{t: t, store: hostedtest.NewStore(), adjust: adjust}
 	t.Cleanup(c.store.Close)
 	c.store.Put("keyed.op", "config", fmt.Appendf(nil, testConfig, 1))
 	c.desk = hostedtest.NewEngine("desk-1", "desk", "a", "")
@@ -96,6 +98,9 @@
 		Limits:   LimitSettings{MemoryMB: 1000},
 		Stop:     StopSettings{GraceS: 8},
 	}
+	for _, adjust := range c.adjust {
+		adjust(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{Instance: New(s, telemetry.Discard(), prometheus.NewRegistry()), storeProxy: storeProxy}
 	if err := m.Listen(); err != nil {
