--- a/forward/forward.go
+++ b/forward/forward.go
@@ -165,8 +165,11 @@
 	// Self is the id of this instance, by which it prefers one of equal back ends.
 	Self       string
 	DataCentre string
-	Logger     *log.Logger
-	Registerer prometheus.Registerer
+	// RequestBegan is told of each request of a client account that began to run, with the moment by the clock since boot. nil
+	// if nobody counts them.
+	RequestBegan func(account string, at time.Duration)
+	Logger       *log.Logger
+	Registerer   prometheus.Registerer
 }
 
 // Forwarder forwards requests to the back ends of their route's service.
@@ -214,6 +217,9 @@
 		sentTo: map[*backends.Backend]bool{},
 	}
 	response, err := e.run()
+	if at, began := e.begun.at(); began {
+		f.reportBegun(r, at)
+	}
 	outcome := "answered"
 	var refused *RefusedError
 	switch {
@@ -242,6 +248,7 @@
 	sentTo        map[*backends.Backend]bool // unlike tried, over all rounds
 	attempts      attempts
 	sends         int
+	begun         beginnings
 	verdict       quarantine.Verdict
 	failedRuns    int  // sends answered with status 500
 	sawSilentConn bool // further sends use new connections
@@ -252,6 +259,7 @@
 
 // sendResult is the outcome of sending the request to one back end.
 type sendResult struct {
+	number   int // of the send, from 1
 	backend  *backends.Backend
 	response *Response
 	err      error
@@ -282,12 +290,7 @@
 	for {
 		select {
 		case result := <-e.results:
-			var notRun *NotRunError
-			if errors.As(result.err, &notRun) {
-				e.attempts.endRefused()
-			} else {
-				e.attempts.endPossiblyRun()
-			}
+			notRun := e.settle(result)
 			if result.err == nil && result.response.Status < http.StatusInternalServerError {
 				e.lastBackendID = result.backend.ID
 				e.f.recordAnswer(e.request)
@@ -443,6 +446,8 @@
 		e.first, e.firstSentAt = b, time.Now()
 	}
 	e.attempts.begin()
+	number := e.sends
+	e.begun.send(number)
 	request := e.request
 	if e.sentTo[b] || e.sawSilentConn || e.mayHaveLostConns(b) {
 		repeated := *request
@@ -463,7 +468,7 @@
 		case ctx.Err() == nil && !isSilentConn(err):
 			b.RecordFailure()
 		}
-		e.results <- sendResult{backend: b, response: response, err: err}
+		e.results <- sendResult{number: number, backend: b, response: response, err: err}
 	}()
 }
 
--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -41,8 +41,8 @@
 	engines []*hostedtest.Engine
 	desk    *hostedtest.Engine
 	members []*member
-	// adjust changes the settings of instances before they start; logs receives what they log. Both may be nil.
-	adjust func(*Settings)
+	// adjust changes the settings of instances before they start; logs receives what they log, if it is not nil.
+	adjust []func(*Settings)
 	logs   *lockedBuffer
 }
 
@@ -73,10 +73,11 @@
 	storeProxy *hostedtest.Proxy
 }
 
-// newCluster starts a cluster and waits until each instance is ready and knows all back ends.
-func newCluster(t *testing.T, instances, engines int) *cluster {
+// newCluster starts a cluster and waits until each instance is ready and knows all back ends. adjust changes the settings of each
+// instance.
+func newCluster(t *testing.T, instances, engines int, adjust ...func(*Settings)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: hostedtest.NewStore()}
+	c := &cluster{t: t, store: hostedtest.NewStore(), adjust: adjust}
 	t.Cleanup(c.store.Close)
 	c.store.Put("keyed.op", "config", fmt.Appendf(nil, testConfig, 1))
 	c.desk = hostedtest.NewEngine("desk-1", "desk", "a", "")
@@ -124,8 +125,8 @@
 		Limits:   LimitSettings{MemoryMB: 1000},
 		Stop:     StopSettings{GraceS: 8},
 	}
-	if c.adjust != nil {
-		c.adjust(s)
+	for _, adjust := range c.adjust {
+		adjust(s)
 	}
 	logger := telemetry.Discard()
 	if c.logs != nil {
