backends, platform/hosted: kind and leave time of back ends

Cause: entries tell which back ends can be reclaimed and, on a notice, when they leave; both were ignored.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -22,6 +22,10 @@
 	StartedUnixMs int64
 	// Versions maps each model to the version of its weights; it is never nil.
 	Versions map[string]int64
+	// Reclaimable back ends can be taken away by the platform, all of a data centre at once.
+	Reclaimable bool
+	// LeavesAt is when a leaving back end ends, by the clock of timing.SinceBoot; 0 if it is not known.
+	LeavesAt time.Duration
 }
 
 // Times for which an observation counts.
@@ -54,10 +58,13 @@
 	Addr          string
 	Zone          string
 	StartedUnixMs int64
+	// Reclaimable back ends can be taken away by the platform, all of a data centre at once.
+	Reclaimable bool
 
 	dir           *Directory // dir.mu guards the fields below
 	slots         int
 	leaving       bool
+	leavesAt      time.Duration    // earliest end that a notice has stated, since boot; 0 if none
 	versions      map[string]int64 // by model; replaced as a whole, never modified
 	removedAt     time.Time        // zero while the entry exists
 	inFlight      int
@@ -120,8 +127,8 @@
 	}
 	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service {
 		d.byID[e.ID] = &Backend{
-			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs,
-			dir: d, slots: e.Slots, leaving: e.Leaving, versions: e.Versions,
+			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs, Reclaimable: e.Reclaimable,
+			dir: d, slots: e.Slots, leaving: e.Leaving, leavesAt: e.LeavesAt, versions: e.Versions,
 			loadingUntil: map[string]time.Time{},
 		}
 		if e.StartedUnixMs > d.leavingRuns[e.ID] {
@@ -136,6 +143,7 @@
 	}
 	changed := b.leaving != e.Leaving || !maps.Equal(b.versions, versions) || !b.removedAt.IsZero()
 	b.slots, b.leaving, b.versions, b.removedAt = e.Slots, e.Leaving, versions, time.Time{}
+	b.recordNotice(e)
 	if changed {
 		d.notify()
 	}
