job: items move away from engines that leave before they end

Cause: an item at an engine with a notice went on until the engine cut it, and resumed only after that failure was noticed. Change: at a notice an item that may not end in time asks for a slot elsewhere, in the queue order, and resumes after its last event. The limit of moves to faster engines does not hold for it.

--- a/job/move.go
+++ b/job/move.go
@@ -39,19 +39,25 @@
 	lastFraction = 0.8
 )
 
-// MovedError ends an attempt because the item resumes at a faster engine.
+// MovedError ends an attempt because the item resumes at another engine: a faster one, or any if its own one leaves.
 type MovedError struct {
-	// To is the id of the faster engine.
+	// To is the id of the other engine.
 	To string
 	// EventInterval is the time between two events at the engine that the item leaves, FastEventInterval
 	// at fast engines.
 	EventInterval, FastEventInterval time.Duration
 	// Remaining is the item's expected remaining time at the median event interval.
 	Remaining time.Duration
+	// LeavesIn is the time until the engine leaves, if Leaving states that the item moves because of that.
+	Leaving  bool
+	LeavesIn time.Duration
 }
 
 // Error implements error.
 func (e *MovedError) Error() string {
+	if e.Leaving {
+		return fmt.Sprintf("moved to %s: the engine leaves in %v, %v expected to remain", e.To, e.LeavesIn, e.Remaining)
+	}
 	return fmt.Sprintf("moved to %s: %v between events, %v at fast engines, %v expected to remain", e.To, e.EventInterval, e.FastEventInterval, e.Remaining)
 }
 
@@ -83,7 +89,7 @@
 	return float64(age+remaining) >= lastFraction*float64(longest)
 }
 
-// mover decides during an attempt whether the item moves to a faster engine, and waits for a slot there.
+// mover decides during an attempt whether the item moves to another engine, and waits for a slot there.
 type mover struct {
 	placer  *placer
 	backend *backends.Backend
@@ -95,17 +101,20 @@
 	singleVersion bool
 	// longest returns the duration of the longest recent item.
 	longest func() time.Duration
+	// leavesOnly states that the item moves only away from an engine that leaves.
+	leavesOnly bool
 
-	pending *engineRequest // queued request for a faster engine; nil if there is none
+	pending *engineRequest // queued request for another engine; nil if there is none
 	// move is the reason for the pending request.
 	move MovedError
 }
 
-// poll returns the faster engine to which the item moves and the reason, or nil if the item stays. It is
+// poll returns the engine to which the item moves and the reason, or nil if the item stays. It is
 // called after each event. The caller must call End on the engine.
 func (m *mover) poll(eventCount int, out *partialOutput) (*backends.Backend, *MovedError) {
+	m.considerLeaving(out)
 	if m.pending == nil {
-		if eventCount%moveCheckEvents == 0 {
+		if eventCount%moveCheckEvents == 0 && !m.leavesOnly {
 			m.considerMove(out)
 		}
 		return nil, nil
@@ -133,14 +142,19 @@
 	if remainingHere := time.Duration(float64(remaining) * float64(interval) / float64(medianInterval)); !isAmongLast(time.Since(m.submitted), remainingHere, longest) {
 		return
 	}
+	m.request.eventIntervalBelow = time.Duration(float64(interval) / minTargetIntervalRatio)
+	m.enqueue(out, MovedError{EventInterval: interval, FastEventInterval: fastInterval, Remaining: remaining})
+}
+
+// enqueue queues a request for another engine, for the given reason.
+func (m *mover) enqueue(out *partialOutput, reason MovedError) {
 	req := m.request
-	req.excluded, req.expected = m.backend, remaining
-	req.eventIntervalBelow = time.Duration(float64(interval) / minTargetIntervalRatio)
+	req.excluded, req.expected = m.backend, reason.Remaining
 	if m.singleVersion && len(out.versions) > 0 {
 		req.exactVersion = out.versions[0]
 	}
-	req.order = queueOrder(queueTime(m.submitted), remaining, m.itemIndex)
-	m.pending, m.move = &req, MovedError{EventInterval: interval, FastEventInterval: fastInterval, Remaining: remaining}
+	req.order = queueOrder(queueTime(m.submitted), reason.Remaining, m.itemIndex)
+	m.pending, m.move = &req, reason
 	m.placer.enqueue(&req)
 }
 
--- a/job/run.go
+++ b/job/run.go
@@ -227,10 +227,10 @@
 		start := time.Now()
 		d.metrics.wait.Observe(start.Sub(waitStart).Seconds())
 		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion, repeated: failedAt[b] || afterSilence}
-		if route.Resumable && moves < maxMoves {
+		if route.Resumable {
 			a.mover = &mover{
 				placer: d.placer, backend: b, request: *req, submitted: job.AcceptedAt(), itemIndex: itemIndex,
-				singleVersion: route.SingleVersion, longest: d.durations.longest,
+				singleVersion: route.SingleVersion, longest: d.durations.longest, leavesOnly: moves >= maxMoves,
 			}
 		}
 		err = d.runAttempt(ctx, job, item, route, a)
