job, presence: the slots that open jobs need, in the heartbeats

Cause: how many back ends a service needs is known to the drivers of its jobs only. Change: a driver computes the slots on which its jobs end in time in the order of the queue; heartbeats carry the sum by service, where back ends can be ordered. Equal heartbeats are told by their number.

--- a/job/driver.go
+++ b/job/driver.go
@@ -80,7 +80,8 @@
 
 	mu               sync.Mutex // guards the fields below
 	running          map[ID]context.CancelFunc
-	orphanedSince    map[ID]time.Time // when this instance noticed that the job's driver is dead
+	active           map[ID]*activeJob // loaded jobs among running
+	orphanedSince    map[ID]time.Time  // when this instance noticed that the job's driver is dead
 	takeovers        map[ID]bool
 	takeoversStopped bool
 	stopped          bool // no job may run any more
@@ -140,7 +141,7 @@
 func NewDriver(opts DriverOptions) *Driver {
 	d := &Driver{
 		opts: opts, log: opts.Logger, placer: newPlacer(opts.Backends, opts.DataCentre, opts.SlotShare),
-		running: map[ID]context.CancelFunc{}, orphanedSince: map[ID]time.Time{}, takeovers: map[ID]bool{},
+		running: map[ID]context.CancelFunc{}, active: map[ID]*activeJob{}, orphanedSince: map[ID]time.Time{}, takeovers: map[ID]bool{},
 	}
 	d.indexState = func() (time.Duration, error) {
 		return opts.Registry.indexReplica.Age(), opts.Registry.indexReplica.LastReadError()
@@ -160,6 +161,8 @@
 	pending groupCounter
 	// longest is the expected duration of the longest item.
 	longest time.Duration
+	// progress tells which items have started and ended.
+	progress progress
 }
 
 // Run drives jobs until ctx ends, then waits until all jobs have stopped.
@@ -231,6 +234,7 @@
 		d.runJob(ctx, &job)
 		d.mu.Lock()
 		delete(d.running, job.ID)
+		delete(d.active, job.ID)
 		d.mu.Unlock()
 	})
 }
@@ -266,11 +270,15 @@
 	for i := range job.items {
 		job.longest = max(job.longest, d.durations.expectedRun(job.items[i].LengthEstimate))
 	}
+	d.mu.Lock()
+	d.active[s.ID] = job
+	d.mu.Unlock()
 	d.runItems(ctx, job, func(i int) {
 		result, done := d.runItem(ctx, job, i)
 		if !done {
 			return
 		}
+		job.progress.end(i)
 		d.metrics.results.WithLabelValues(result.State.String()).Inc()
 		job.pending.finish(job.items[i].Group)
 		d.opts.Registry.queueResult(s, result)
--- a/job/run.go
+++ b/job/run.go
@@ -226,6 +226,7 @@
 		}
 		start := time.Now()
 		d.metrics.wait.Observe(start.Sub(waitStart).Seconds())
+		job.progress.start(itemIndex, start)
 		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion, repeated: failedAt[b] || afterSilence}
 		if route.Resumable {
 			a.mover = &mover{
--- a/presence/heartbeat.go
+++ b/presence/heartbeat.go
@@ -43,12 +43,13 @@
 // writeHeartbeat appends this instance's record and returns the pause before the next one.
 func (t *Table) writeHeartbeat(ctx context.Context) time.Duration {
 	interval := t.heartbeatInterval()
+	need := t.ownNeed()
 	t.mu.Lock()
 	t.sequence++
 	r := record{
 		Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Left: t.hasLeft, Draining: t.draining,
 		Sequence: t.sequence, Interval: interval + t.appendDuration,
-		Region: t.instance.Zone.Region, PeerAddr: t.instance.PeerAddr,
+		Region: t.instance.Zone.Region, PeerAddr: t.instance.PeerAddr, Need: need,
 	}
 	t.mu.Unlock()
 	data, err := cbor.Marshal(r)
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -80,6 +80,8 @@
 	// Region and PeerAddr are the location and the address for calls of other instances.
 	Region   string `cbor:"7,keyasint"`
 	PeerAddr string `cbor:"8,keyasint"`
+	// Need holds, by service, the back end slots that the instance's part of the work needs.
+	Need map[string]int `cbor:"10,keyasint,omitempty"`
 }
 
 // observedRecord is the newest record of an instance with the time at which this instance read it.
@@ -106,7 +108,8 @@
 	replica    *changelog.Replica
 	drivers    func() int
 
-	mu           sync.Mutex // guards the fields below
+	mu           sync.Mutex            // guards the fields below
+	need         func() map[string]int // nil if this instance states none
 	byID         map[string]observedRecord
 	readFailedAt time.Time // last failed read, at first the creation of the table
 	hasLeft      bool
@@ -201,8 +204,8 @@
 		return
 	}
 	old, known := t.byID[r.Key]
-	if known && old.record == next {
-		return
+	if known && old.Incarnation == next.Incarnation && old.Sequence == next.Sequence {
+		return // each record of a run has a number of its own
 	}
 	if known && old.Incarnation != next.Incarnation {
 		t.log.Info("instance restarted", "peer", r.Key, "incarnation", next.Incarnation)
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -198,3 +198,13 @@
 	}
 	return false
 }
+
+// HasScaling reports whether back ends can be ordered for any service.
+func (c *Config) HasScaling() bool {
+	for _, s := range c.Services {
+		if s.Scaling != nil {
+			return true
+		}
+	}
+	return false
+}
