instance: ordered back ends where configuration, settings and platform call for them

Change: the holder of the duty for orders also orders back ends if a service has scaling and the platform's API lists the duty; a fake of that API.

--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -40,6 +40,8 @@
 	engines []*hostedtest.Engine
 	desk    *hostedtest.Engine
 	members []*member
+	// configure changes the settings of instances that start; it may be nil.
+	configure func(*Settings)
 }
 
 // member is a running instance. kill ends it without a planned stop.
@@ -96,6 +98,9 @@
 		Limits:   LimitSettings{MemoryMB: 1000},
 		Stop:     StopSettings{GraceS: 8},
 	}
+	if c.configure != nil {
+		c.configure(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{Instance: New(s, telemetry.Discard(), prometheus.NewRegistry()), storeProxy: storeProxy}
 	if err := m.Listen(); err != nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -126,6 +126,7 @@
 	rateLimits    *ratelimit.Replica
 	quarantine    *quarantine.Table
 	orders        *duty.Duty
+	platform      *hosted.PlatformAPI // see platformAPI
 	jobs          *job.Registry
 	driver        *job.Driver
 	loadScheduler *versions.LoadScheduler
@@ -343,6 +344,7 @@
 // stop calls Stop before it ends ctx.
 func (i *Instance) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryFraction * i.settings.Limits.MemoryMB * (1 << 20)))
+	capacity := i.newCapacityScheduler()
 	i.log.Info("instance started", "incarnation", i.self.Incarnation, "clients", i.settings.Listen.Clients, "store", i.settings.Store.Addr)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -354,6 +356,9 @@
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
+	if capacity != nil {
+		tasks.Go(func() { capacity(ctx) })
+	}
 	tasks.Go(func() { i.serve(i.server, i.clientListener) })
 	tasks.Go(func() { i.serve(i.readyServer, i.readyListener) })
 	tasks.Go(func() { i.serveMetrics(ctx) })
