--- a/backends/backends.go
+++ b/backends/backends.go
@@ -24,8 +24,8 @@
 	Versions map[string]int64
 	// Reclaimable back ends can be taken away by the platform, all of a data centre at once.
 	Reclaimable bool
-	// LeavesAt is when a leaving back end ends, by the clock of timing.SinceBoot; 0 if it is not known.
-	LeavesAt time.Duration
+	// LeavesIn is the time from the read of the entry until a leaving back end ends; 0 if it is not known.
+	LeavesIn time.Duration
 }
 
 // Times for which an observation counts.
@@ -128,9 +128,10 @@
 	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service {
 		d.byID[e.ID] = &Backend{
 			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs, Reclaimable: e.Reclaimable,
-			dir: d, slots: e.Slots, leaving: e.Leaving, leavesAt: e.LeavesAt, versions: e.Versions,
+			dir: d, slots: e.Slots, leaving: e.Leaving, versions: e.Versions,
 			loadingUntil: map[string]time.Time{},
 		}
+		d.byID[e.ID].recordNotice(e)
 		if e.StartedUnixMs > d.leavingRuns[e.ID] {
 			delete(d.leavingRuns, e.ID)
 		}
@@ -211,6 +212,13 @@
 	return b, ok
 }
 
+// Len returns the number of known back ends.
+func (d *Directory) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.byID)
+}
+
 // Candidate is a back end with a snapshot of the values by which callers choose among back ends.
 type Candidate struct {
 	*Backend
--- a/backends/leaving.go
+++ b/backends/leaving.go
@@ -9,11 +9,12 @@
 // recordNotice records when b leaves by the notice in an entry. Entries reach an instance late by different times, so the
 // earliest end counts. The caller holds dir.mu.
 func (b *Backend) recordNotice(e Entry) {
+	at := timing.SinceBoot() + e.LeavesIn
 	switch {
 	case !e.Leaving:
 		b.leavesAt = 0
-	case e.LeavesAt != 0 && (b.leavesAt == 0 || e.LeavesAt < b.leavesAt):
-		b.leavesAt = e.LeavesAt
+	case e.LeavesIn != 0 && (b.leavesAt == 0 || at < b.leavesAt):
+		b.leavesAt = at
 	}
 }
 
--- a/instance/capacity.go
+++ b/instance/capacity.go
@@ -2,25 +2,16 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 
+	"github.com/cicadasill/cicadasill/platform/hosted"
 	"github.com/cicadasill/cicadasill/provision"
 )
 
-// capacityDuty is the platform's name for the duty to order back ends.
-const capacityDuty = "autoscale"
-
-// hasPlatformDuty reports whether the settings have the platform's API and list one of its duties.
-func (s *Settings) hasPlatformDuty(name string) bool {
-	return s.PlatformAPI.Addr != "" && slices.ContainsFunc(strings.Split(s.PlatformAPI.Duties, ","), func(d string) bool { return strings.TrimSpace(d) == name })
-}
-
 // newCapacityScheduler returns the task that orders back ends, or nil if the platform does not offer it. It makes the heartbeats state
 // the slots that the work of this instance needs.
 func (i *Instance) newCapacityScheduler() func(context.Context) {
 	s := i.settings
-	if !s.hasPlatformDuty(capacityDuty) {
+	if s.PlatformAPI.Addr == "" || !hosted.ParseAPIDuties(s.PlatformAPI.Duties).Capacity {
 		return nil
 	}
 	i.presence.StateNeed(i.slotsNeeded)
--- a/instance/capacity_test.go
+++ b/instance/capacity_test.go
@@ -72,8 +72,6 @@
 // Guards against orders on platforms that do not list the duty.
 func TestNoOrdersWithoutTheDuty(t *testing.T) {
 	is := is.New(t)
-	is.True(!(&Settings{PlatformAPI: PlatformAPISettings{Addr: "127.0.0.1:1", Duties: "metering"}}).hasPlatformDuty(capacityDuty))
-	is.True(!(&Settings{PlatformAPI: PlatformAPISettings{Duties: "autoscale"}}).hasPlatformDuty(capacityDuty))
 	c, platform := newScalingCluster(t, "metering")
 	is.Equal(c.call(c.members[0], http.MethodPost, "/jobs/x", "j1", nil, jobBody(40, 1)).status, http.StatusAccepted)
 	c.checkComplete(c.readAllResults(c.members[1], "j1", 40), 40, 25)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -48,12 +48,6 @@
 	minRateLimitReadPause = 50 * time.Millisecond
 	// minCrashReadPause is the shortest pause between reads of the crashes of back ends under requests.
 	minCrashReadPause = 5 * time.Millisecond
-	// minEntriesReadPause is the shortest pause between reads of the back ends' entries. Each entry
-	// changes about once a second.
-	minEntriesReadPause = 250 * time.Millisecond
-	// entriesReadPausePerInstance lengthens the pause with the number of instances, so that all
-	// instances together make at most a thousand reads of the entries a second.
-	entriesReadPausePerInstance = time.Millisecond
 	// maxStoreSilence is how long the store may not respond before the instance reports that it is not
 	// ready: the store may still respond to other instances.
 	maxStoreSilence = 2 * time.Second
@@ -116,20 +110,21 @@
 	mu      sync.Mutex       // guards targets
 	targets map[string]int64 // newest announced version of the weights by model
 
-	store         *relay.Log
-	directStore   *hosted.Store
-	node          *link.Node
-	operators     *changelog.Replica
-	entries       *changelog.Replica
-	directory     *backends.Directory
-	presence      *presence.Table
-	rateLimits    *ratelimit.Replica
-	quarantine    *quarantine.Table
-	orders        *duty.Duty
-	platform      *hosted.PlatformAPI // see platformAPI
-	jobs          *job.Registry
-	driver        *job.Driver
-	loadScheduler *versions.LoadScheduler
+	store           *relay.Log
+	directStore     *hosted.Store
+	node            *link.Node
+	operators       *changelog.Replica
+	operatorRecords *hosted.OperatorRecords
+	entries         *entryReader
+	directory       *backends.Directory
+	presence        *presence.Table
+	rateLimits      *ratelimit.Replica
+	quarantine      *quarantine.Table
+	orders          *duty.Duty
+	platform        *hosted.PlatformAPI // see platformAPI
+	jobs            *job.Registry
+	driver          *job.Driver
+	loadScheduler   *versions.LoadScheduler
 
 	clientListener net.Listener
 	readyListener  net.Listener
@@ -168,12 +163,10 @@
 		Peers: func() []machine.Instance { return i.presence.Peers() },
 	})
 	i.node.Handle(relay.Method, i.store.Handle)
-	i.operators = changelog.NewReplica(i.store, hosted.OperatorPartition, &hosted.OperatorRecords{
-		Logger: logger, OnConfig: i.applyConfig, OnVersion: i.recordTargetVersion,
-	})
-	i.entries = changelog.NewReplica(i.store, hosted.EntryPartition, &hosted.Entries{
-		Logger: logger, Backends: i.directory,
-	})
+	i.operatorRecords = &hosted.OperatorRecords{Logger: logger, OnConfig: i.applyConfig, OnVersion: i.recordTargetVersion}
+	i.operators = changelog.NewReplica(i.store, hosted.OperatorPartition, i.operatorRecords)
+	i.entries = newEntryReader(i)
+	i.node.Handle(digestMethod, func(_ context.Context, payload []byte) ([]byte, error) { return i.entries.recorder.Handle(payload) })
 	i.presence = presence.New(self, i.store, func() int { return i.driver.ActiveDrivers() }, logger)
 	i.rateLimits = ratelimit.NewReplica(ratelimit.ReplicaOptions{
 		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger,
@@ -195,6 +188,7 @@
 	backendClient := hosted.NewBackends(s.Instance.ID, i.rateLimits, i.log)
 	backendClient.RegisterMetrics(i.registry)
 	backendClient.ShareBuffers(i.directStore)
+	i.protectOrders(backendClient)
 	limiter := ratelimit.New(ratelimit.Options{
 		Self: i.self, Caller: i.node, Instances: i.presence, Logger: i.log, Registerer: i.registry,
 	})
@@ -224,7 +218,7 @@
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
-		Logger: i.log, Forwarder: forwarder, BodyBytes: int64(bodyFraction * s.Limits.MemoryMB * (1 << 20)),
+		Access: i.newAccess(), Logger: i.log, Forwarder: forwarder, BodyBytes: int64(bodyFraction * s.Limits.MemoryMB * (1 << 20)),
 		ItemBytes: i.jobs.OpenItemBytes,
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
@@ -350,7 +344,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.followEntries, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.followOperators, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
@@ -380,22 +374,6 @@
 	i.operators.Follow(ctx, changelog.ConstantWait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
-// entriesReadPause returns the pause between an instance's reads of the back ends' entries.
-func entriesReadPause(instances int) time.Duration {
-	return max(minEntriesReadPause, time.Duration(instances)*entriesReadPausePerInstance)
-}
-
-// followEntries reads the back ends' entries until ctx ends, and tells the directory of failed reads.
-func (i *Instance) followEntries(ctx context.Context) {
-	logOutcome := i.storeMonitor("entries")
-	i.entries.Follow(ctx, changelog.ConstantWait(0), func() time.Duration { return entriesReadPause(i.presence.Count()) }, func(err error) {
-		if err != nil {
-			i.directory.RecordOutage()
-		}
-		logOutcome(err)
-	})
-}
-
 // serve runs an HTTP server until it or its listener is closed.
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/instance/platformapi.go
+++ b/instance/platformapi.go
@@ -7,6 +7,9 @@
 func (i *Instance) platformAPI() *hosted.PlatformAPI {
 	if i.platform == nil {
 		i.platform = hosted.NewPlatformAPI(i.settings.PlatformAPI.Addr, i.self.ID, i.log, i.registry)
+		if i.settings.Duties.dutyRules().Unfenced {
+			i.platform.CheckCalls(i.orders.Check)
+		}
 	}
 	return i.platform
 }
--- a/job/leaving_test.go
+++ b/job/leaving_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/backends"
-	"github.com/cicadasill/cicadasill/timing"
 )
 
 // notice makes the slow engine of the fixture state that it leaves after left, once 300 ms have passed. An engine as slow with a free
@@ -22,7 +21,7 @@
 	other.RecordEventInterval(slowInterval)
 	time.AfterFunc(300*time.Millisecond, func() {
 		f.dir.Put(backends.Entry{ID: "e0", Service: "llm", Addr: "127.0.0.1:1000", Zone: "a", Slots: 1, Versions: map[string]int64{"m": 1},
-			Leaving: true, LeavesAt: timing.SinceBoot() + left})
+			Leaving: true, LeavesIn: left})
 	})
 }
 
