--- a/presence/presence.go
+++ b/presence/presence.go
@@ -87,6 +87,8 @@
 	BootMs int64 `cbor:"10,keyasint,omitempty"`
 	// Processors is the processor time that the instance may use, in cores; 0 if it is not known.
 	Processors float64 `cbor:"15,keyasint,omitempty"`
+	// Need holds, by service, the back end slots that the instance's part of the work needs.
+	Need map[string]int `cbor:"16,keyasint,omitempty"`
 }
 
 // observedRecord is the newest record of an instance with the time at which this instance read it.
@@ -114,7 +116,8 @@
 	drivers    func() int
 	clock      *truetime.Clock // nil if the deployment does not need true time
 
-	mu           sync.Mutex // guards the fields below
+	mu           sync.Mutex            // guards the fields below
+	need         func() map[string]int // nil if this instance states none
 	byID         map[string]observedRecord
 	readFailedAt time.Time // last failed read, at first the creation of the table
 	hasLeft      bool
@@ -223,8 +226,8 @@
 		return
 	}
 	old, known := t.byID[r.Key]
-	if known && old.record == next {
-		return
+	if known && old.Incarnation == next.Incarnation && old.Sequence == next.Sequence {
+		return // each record of a run has a number of its own
 	}
 	if known && old.Incarnation != next.Incarnation {
 		t.log.Info("instance restarted", "peer", r.Key, "incarnation", next.Incarnation)
