--- a/entry/build.go
+++ b/entry/build.go
@@ -84,7 +84,7 @@
 func (i *Instance) buildControlPlane() {
 	i.node = link.NewNode(i.self, link.Options{
 		Deployment: i.config.Deployment,
-		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext,
+		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext, MaxConns: maxPeerConns(),
 	})
 	i.instanceList = &cachedInstanceList{list: i.clients.list}
 	i.members = membership.New(i.self, i.node, i.instanceList, membership.Options{
@@ -212,6 +212,7 @@
 	i.adminServer = &http.Server{
 		Handler: i.adminHandler(), ReadHeaderTimeout: i.config.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	i.buildGuards()
 }
 
 // countInFlight counts the requests in flight; a planned stop waits until there are none.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/cicadasill/cicadasill/feed"
 	"github.com/cicadasill/cicadasill/gateway"
 	"github.com/cicadasill/cicadasill/health"
+	"github.com/cicadasill/cicadasill/httpguard"
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
@@ -38,6 +39,7 @@
 
 	httpListener, peerListener, adminListener net.Listener
 	httpServer, adminServer                   *http.Server
+	httpGuard, adminGuard                     *httpguard.Guard
 
 	node     *link.Node
 	members  *membership.Members
@@ -190,8 +192,8 @@
 		}
 	}
 	group.Go(func() { reportFailure(i.PeerAddr(), i.node.Serve(ctx, i.peerListener)) })
-	group.Go(func() { reportFailure(i.HTTPAddr(), i.httpServer.Serve(i.httpListener)) })
-	group.Go(func() { reportFailure(i.AdminAddr(), i.adminServer.Serve(i.adminListener)) })
+	group.Go(func() { reportFailure(i.HTTPAddr(), i.httpServer.Serve(i.httpGuard.Listener(i.httpListener))) })
+	group.Go(func() { reportFailure(i.AdminAddr(), i.adminServer.Serve(i.adminGuard.Listener(i.adminListener))) })
 }
 
 // watchCatalog passes the back ends of each catalog that comes into force to the health tracker.
--- /dev/null
+++ b/entry/guards.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"github.com/cicadasill/cicadasill/flood"
+	"github.com/cicadasill/cicadasill/httpguard"
+	"github.com/cicadasill/cicadasill/link"
+)
+
+// Bounds of connections. The settings hold no limits of the machine, so that the descriptors which the operating system allows
+// the process and constants bound them.
+const (
+	// maxHTTPConns and maxAdminConns bound the connections of callers and of operators: 48 MB and 1.5 MB of memory.
+	maxHTTPConns  = 2048
+	maxAdminConns = 64
+	// httpFDDivisor, adminFDDivisor and peerFDDivisor give the part of the descriptors that callers, operators and peers may take.
+	httpFDDivisor  = 2
+	adminFDDivisor = 16
+	peerFDDivisor  = 4
+	// maxHeadCost bounds the memory of the large heads of a listener, in bytes.
+	maxHeadCost = 8 << 20
+)
+
+// maxPeerConns returns the bound of the connections of peers.
+func maxPeerConns() int { return min(link.DefaultMaxConns, httpguard.DescriptorLimit()/peerFDDivisor) }
+
+// buildGuards bounds the connections and the heads at the HTTP listeners.
+func (i *Instance) buildGuards() {
+	fds := httpguard.DescriptorLimit()
+	metrics := httpguard.NewMetrics(i.config.Registry)
+	guard := func(listener string, conns int) *httpguard.Guard {
+		return httpguard.New(httpguard.Options{
+			Listener: listener, Flood: flood.Limits{Conns: conns, HeadCost: maxHeadCost}, Metrics: metrics, Logger: i.log,
+			Limits: func() httpguard.Limits {
+				return httpguard.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: i.config.HeaderTimeout}
+			},
+		})
+	}
+	i.httpGuard, i.adminGuard = guard("http", min(maxHTTPConns, fds/httpFDDivisor)), guard("admin", min(maxAdminConns, fds/adminFDDivisor))
+	i.httpGuard.Protect(i.httpServer)
+	i.adminGuard.Protect(i.adminServer)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/duty"
 	"github.com/cicadasill/cicadasill/forward"
+	"github.com/cicadasill/cicadasill/httpguard"
 	"github.com/cicadasill/cicadasill/job"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
@@ -136,6 +137,10 @@
 	server         *http.Server
 	clientConns    *connTracker
 	readyServer    *http.Server
+	connLimits     connLimits
+	guardMetrics   *httpguard.Metrics
+	clientGuard    *httpguard.Guard
+	readyGuard     *httpguard.Guard
 }
 
 // New returns an instance that has not been started. Call Listen and then Run to start it.
@@ -143,7 +148,7 @@
 	i := &Instance{
 		settings: s, log: logger, registry: registry, targets: map[string]int64{},
 		self:      machine.Ref{ID: s.Instance.ID, Incarnation: uint64(time.Now().UnixNano())},
-		directory: backends.New(),
+		directory: backends.New(), connLimits: limitConns(s.Limits, httpguard.DescriptorLimit()),
 	}
 	i.requests, i.endRequests = context.WithCancelCause(context.Background())
 	return i
@@ -161,7 +166,7 @@
 		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS,
 		Logger: logger, Registerer: i.registry,
 	})
-	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout})
+	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout, MaxConns: i.connLimits.peers})
 	i.store = relay.New(relay.Options{
 		Direct: i.directStore, Caller: i.node, Logger: logger, Registerer: i.registry,
 		Peers: func() []machine.Instance { return i.presence.Peers() },
@@ -219,6 +224,7 @@
 		Backends: i.directory, Engine: backendClient, RateLimits: limiter, Duty: i.orders, Config: i.config.Load,
 		Targets: i.targetVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
+	i.guardMetrics = httpguard.NewMetrics(i.registry)
 	ingress := &hosted.Ingress{
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
@@ -233,9 +239,13 @@
 		BaseContext: func(net.Listener) context.Context { return i.requests }, ConnState: i.clientConns.observe,
 		ErrorLog: i.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
+	i.clientGuard = i.newGuard("clients", i.connLimits.clients, i.clientLimits)
+	i.clientGuard.Protect(i.server)
 	router := httprouter.New()
 	router.GET(hosted.ReadyPath, i.serveReady)
 	i.readyServer = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	i.readyGuard = i.newGuard("ready", i.connLimits.probes, nil)
+	i.readyGuard.Protect(i.readyServer)
 }
 
 // readCopy passes a read of a job to another instance, which answers it from its copy of the job's partition.
@@ -354,8 +364,8 @@
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
-	tasks.Go(func() { i.serve(i.server, i.clientListener) })
-	tasks.Go(func() { i.serve(i.readyServer, i.readyListener) })
+	tasks.Go(func() { i.serve(i.server, i.clientGuard.Listener(i.clientListener)) })
+	tasks.Go(func() { i.serve(i.readyServer, i.readyGuard.Listener(i.readyListener)) })
 	tasks.Go(func() { i.serveMetrics(ctx) })
 	tasks.Go(func() {
 		if err := i.node.Serve(ctx, i.peerListener); err != nil {
@@ -412,9 +422,11 @@
 	router := httprouter.New()
 	router.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	guard := i.newGuard("metrics", i.connLimits.probes, nil)
+	guard.Protect(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	i.serve(server, listener)
+	i.serve(server, guard.Listener(listener))
 }
 
 // Stop performs a planned stop and returns when Run may be ended: the instance takes no new work,
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -104,6 +104,9 @@
 	// MaxFDs is the number of file descriptors that the process may have; the limit of the operating system applies if it is
 	// missing.
 	MaxFDs Number `json:"max_fds"`
+	// MaxConnsPerAddr is the number of connections that one peer address may have at the listener for clients. The bound of all
+	// connections applies if it is missing: all clients may come through one load balancer.
+	MaxConnsPerAddr Number `json:"max_connections_per_address"`
 }
 
 // StopSettings configure the planned stop.
--- a/link/node.go
+++ b/link/node.go
@@ -22,12 +22,13 @@
 // Node holds an instance's connections to its peers. It makes exchanges with the peers and serves
 // theirs.
 type Node struct {
-	self    machine.Instance
-	opts    Options
-	log     *log.Logger
-	account *account
-	tracer  trace.Tracer
-	prop    propagation.TraceContext
+	self     machine.Instance
+	opts     Options
+	log      *log.Logger
+	account  *account
+	accepted *acceptedConns
+	tracer   trace.Tracer
+	prop     propagation.TraceContext
 
 	handlers    map[string]Handler
 	httpHandler http.Handler
@@ -52,7 +53,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		self: self, opts: opts, log: opts.Logger, account: newAccount(self.Zone, opts.Registerer),
-		tracer: otel.Tracer("github.com/cicadasill/cicadasill/link"), handlers: map[string]Handler{},
+		accepted: newAcceptedConns(opts.MaxConns, opts.Registerer),
+		tracer:   otel.Tracer("github.com/cicadasill/cicadasill/link"), handlers: map[string]Handler{},
 		serveTokens: make(chan struct{}, opts.MaxServed), ctx: ctx, cancel: cancel, peers: map[string]*peerState{},
 		errors: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cicadasill_link_errors_total", Help: "Failed exchanges by code and cause.",
--- a/link/options.go
+++ b/link/options.go
@@ -33,6 +33,8 @@
 	DefaultMaxServed = 4096
 	// DefaultMaxMessage bounds one protobuf message in bytes.
 	DefaultMaxMessage = 16 << 20
+	// DefaultMaxConns bounds the connections that a node accepts. It is three for each instance of a deployment of 331.
+	DefaultMaxConns = 1000
 	// acceptBacklog bounds the streams of one session that the peer has not accepted yet.
 	acceptBacklog = 256
 	// streamWindow is the flow control window of a stream in bytes.
@@ -67,7 +69,9 @@
 	BackoffMin   time.Duration
 	BackoffMax   time.Duration
 	MaxServed    int
-	MaxMessage   int64
+	// MaxConns bounds the accepted connections. A newcomer replaces the one whose handshake has been incomplete longest.
+	MaxConns   int
+	MaxMessage int64
 }
 
 func (o Options) withDefaults() Options {
@@ -90,6 +94,9 @@
 	if o.MaxServed == 0 {
 		o.MaxServed = DefaultMaxServed
 	}
+	if o.MaxConns == 0 {
+		o.MaxConns = DefaultMaxConns
+	}
 	if o.MaxMessage == 0 {
 		o.MaxMessage = DefaultMaxMessage
 	}
--- a/link/serve.go
+++ b/link/serve.go
@@ -51,17 +51,20 @@
 			}
 			continue
 		}
-		wg.Go(func() { n.acceptConn(conn) })
+		if admitted := n.accepted.admit(conn); admitted != nil {
+			wg.Go(func() { n.acceptConn(admitted) })
+		}
 	}
 }
 
 // acceptConn answers the handshake of a connection and starts a session on it.
-func (n *Node) acceptConn(conn net.Conn) {
+func (n *Node) acceptConn(conn *acceptedConn) {
 	peer, overhead, accepted, err := n.acceptHandshake(conn)
 	if err != nil || !accepted || n.draining.Load() {
 		_ = conn.Close()
 		return
 	}
+	conn.establish()
 	if _, err := n.startSession(conn, overhead, peer, false); err != nil {
 		n.log.Debug("session not started", "peer", peer.Ref(), "err", err)
 	}
