--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -322,12 +322,16 @@
 }
 
 // A forwarded request must be answered and run once when instances disagree on the owner, when
-// the owner is stopping, and when the owner's answer is truncated.
+// the owner is stopping, and when the owner's answer is truncated, has no end or no valid status.
 func TestForwarding(t *testing.T) {
 	for name, prepare := range map[string]func(*deployment){
 		"each takes the other for the owner": func(d *deployment) { d.owner = eachOther },
 		"owner is stopping":                  func(d *deployment) { _ = d.instances["b"].Drain(context.Background()) },
 		"answer is cut":                      func(d *deployment) { d.truncateForwarded = true },
+		"answer has no end":                  func(d *deployment) { d.endlessForwarded = &endlessBody{} },
+		"answer has a status below 100":      func(d *deployment) { d.forwardedStatus = 99 },
+		"answer has the status 101":          func(d *deployment) { d.forwardedStatus = http.StatusSwitchingProtocols },
+		"answer has the status 600":          func(d *deployment) { d.forwardedStatus = 600 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -338,9 +342,13 @@
 			defer cancel()
 			r := d.send(ctx, "a", kindBook, "1")
 			is.Equal(r.outcome, gateway.Answered)
+			is.Equal(r.status, http.StatusOK)
 			is.Equal(r.body, expectedBody("key", []byte("body")))
 			is.Equal(d.runsOf("key", "body"), 1)
 			is.Equal(d.forwards, 1)
+			if d.endlessForwarded != nil {
+				is.True(d.endlessForwarded.read.Load() <= 2*gateway.DefaultMaxAnswer)
+			}
 		})
 	}
 }
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -49,7 +49,10 @@
 
 // Defaults of Options.
 const (
-	DefaultMaxBody     = 1 << 20
+	DefaultMaxBody = 1 << 20
+	// DefaultMaxAnswer bounds a peer's answer to a forwarded request. It is the bound of answers of back ends, which a peer
+	// passes on.
+	DefaultMaxAnswer   = 16 << 20
 	DefaultMaxTokens   = 1 << 20
 	DefaultMaxDeadline = time.Hour
 	// DefaultMaxAttempts limits the attempts of one plain call.
@@ -104,7 +107,7 @@
 	// proves that the peer did not handle the request.
 	Forward func(ctx context.Context, to machine.Instance, req *http.Request) (*http.Response, error)
 
-	MaxBody                                        int64
+	MaxBody, MaxAnswer                             int64
 	MaxTokens                                      int
 	MaxDeadline                                    time.Duration
 	MaxAttempts                                    int
@@ -120,6 +123,7 @@
 
 func (o *Options) setDefaults() {
 	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.MaxAnswer, DefaultMaxAnswer)
 	setDefault(&o.MaxTokens, DefaultMaxTokens)
 	setDefault(&o.MaxDeadline, DefaultMaxDeadline)
 	setDefault(&o.MaxAttempts, DefaultMaxAttempts)
--- a/gateway/fakes_test.go
+++ b/gateway/fakes_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	claims "github.com/cicadasill/cicadasill/claim"
@@ -56,6 +57,8 @@
 	askFirstTickets   bool                       // new tickets state that an earlier dispatch may have run
 	expiredTickets    bool
 	truncateForwarded bool // answers to forwarded requests are truncated
+	endlessForwarded  *endlessBody
+	forwardedStatus   int // replaces the status of answers to forwarded requests; 0 for none
 }
 
 // reachStep reports that a request at an instance reached a step. It waits out pauses and
@@ -339,3 +342,19 @@
 		}
 	}
 }
+
+// endlessBody is a body without end that counts what is read of it.
+type endlessBody struct{ read atomic.Int64 }
+
+// Read implements io.Reader.
+func (b *endlessBody) Read(p []byte) (int, error) {
+	const runaway = 256 << 20
+	if b.read.Add(int64(len(p))) > runaway {
+		return 0, io.ErrUnexpectedEOF
+	}
+	clear(p)
+	return len(p), nil
+}
+
+// Close implements io.Closer.
+func (b *endlessBody) Close() error { return nil }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -101,13 +102,28 @@
 		return nil, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return nil, nil, &peerAnswerError{fmt.Sprintf("%d is no status of an answer", resp.StatusCode)}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, g.opts.MaxAnswer+1))
+	if int64(len(body)) > g.opts.MaxAnswer {
+		return nil, nil, &peerAnswerError{fmt.Sprintf("the answer is longer than %d bytes", g.opts.MaxAnswer)}
+	}
 	if err == nil && resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
 		err = io.ErrUnexpectedEOF
 	}
 	return resp, body, err
 }
 
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
+// peerAnswerError reports an answer of a peer that is none. The peer may have handled the request.
+type peerAnswerError struct{ problem string }
+
+// Error implements error.
+func (e *peerAnswerError) Error() string { return "answer of a peer: " + e.problem }
+
 // provedNotRun reports whether a forwarding error proves that the owner did not handle the
 // request. An error after the response status was received proves nothing.
 func provedNotRun(err error) bool {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -167,6 +167,12 @@
 	if err == nil && d.truncateForwarded {
 		resp.Body = io.NopCloser(io.LimitReader(resp.Body, 3))
 	}
+	if err == nil && d.endlessForwarded != nil {
+		resp.Body, resp.ContentLength = d.endlessForwarded, -1
+	}
+	if err == nil && d.forwardedStatus != 0 {
+		resp.StatusCode = d.forwardedStatus
+	}
 	return resp, err
 }
 
--- a/standalone/httpplatform/client.go
+++ b/standalone/httpplatform/client.go
@@ -6,11 +6,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // client holds the transports and connections that one platform client uses.
 type client struct {
 	opts Options
+	// invalidStatus bounds the log lines about answers without a status.
+	invalidStatus rate.Sometimes
 
 	mu           sync.Mutex
 	current      *http.Transport // replaced every MaxConnAge, so that its connections get no older
@@ -24,8 +28,14 @@
 // answers have been read.
 const maxOldTransports = 4
 
+// invalidStatusInterval is the shortest time between two log lines about answers without a status.
+const invalidStatusInterval = time.Second
+
+// maxHeadBytes bounds the head of an answer, informational ones included.
+const maxHeadBytes = 64 << 10
+
 func newClient(opts Options) *client {
-	c := &client{opts: opts.withDefaults(), conns: map[string]map[*conn]struct{}{}}
+	c := &client{opts: opts.withDefaults(), invalidStatus: rate.Sometimes{Interval: invalidStatusInterval}, conns: map[string]map[*conn]struct{}{}}
 	c.current, c.currentSince = c.newTransport(false), time.Now()
 	c.fresh = c.newTransport(true)
 	return c
@@ -38,6 +48,8 @@
 		DisableCompression:  true,
 		IdleConnTimeout:     c.opts.IdleTimeout,
 		MaxIdleConnsPerHost: DefaultMaxIdlePerHost,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/standalone/httpplatform/exchange.go
+++ b/standalone/httpplatform/exchange.go
@@ -40,6 +40,20 @@
 // Error implements error.
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
+// InvalidStatusError reports an answer whose status is none: below 200 as the final one, or above 599.
+type InvalidStatusError struct {
+	// Status is the status line after the protocol's version, as received.
+	Status string
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("%.50q is no status of an answer", e.Status)
+}
+
 // EchoError reports an answer that belongs to another request: it repeats the request id Got
 // instead of Want.
 type EchoError struct{ Want, Got string }
@@ -119,6 +133,13 @@
 	}
 	x.resetTimer()
 	x.resp = resp
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		x.sealAll()
+		x.close()
+		err := &InvalidStatusError{Status: resp.Status}
+		c.invalidStatus.Do(func() { c.opts.Logger.Warn("answer without a status", "addr", in.addr, "op", in.op, "err", err) })
+		return nil, newError(platform.BadAnswer, in.op, err)
+	}
 	if got := resp.Header.Get(HeaderRequestID); got != in.requestID {
 		x.close()
 		return nil, newError(platform.BadAnswer, in.op, &EchoError{Want: in.requestID, Got: got})
