httpguard: the time of a head is the configuration's, not the server's fixed one

A header_timeout_ms above net/http's ten seconds was cut by these. TestTimeOfAHeadIsTheConfigurations was seen to fail without it. The TLS bytes of TestGarbledHeadsReachNoBackend have no line end, so that they are a head without end: 408 in its time; net/http's own time took them for a line and answered 400.

--- a/httpguard/conn.go
+++ b/httpguard/conn.go
@@ -167,7 +167,7 @@
 	c.guard.table.Progress(c.entry)
 }
 
-// SetReadDeadline implements net.Conn. The deadline of a head stays in force.
+// SetReadDeadline implements net.Conn. While a head arrives, its own deadline is in force.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -193,13 +193,13 @@
 	return c.applyDeadline()
 }
 
-// applyDeadline sets the earlier one of the deadlines. The caller holds mu.
+// applyDeadline sets the deadline of the head, else that of net/http, whose time for a head does not follow the configuration.
+// The caller holds mu.
 func (c *conn) applyDeadline() error {
-	t := c.deadline
-	if !c.headDeadline.IsZero() && (t.IsZero() || c.headDeadline.Before(t)) {
-		t = c.headDeadline
+	if !c.headDeadline.IsZero() {
+		return c.Conn.SetReadDeadline(c.headDeadline)
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.deadline)
 }
 
 // CloseWrite closes the sending side. net/http calls it to let a client read an answer before the connection closes.
--- a/httpguard/guard_test.go
+++ b/httpguard/guard_test.go
@@ -33,7 +33,7 @@
 	release chan struct{} // holds requests to /hold
 }
 
-func startGuarded(t *testing.T, limits Limits, bounds flood.Limits) *guarded {
+func startGuarded(t *testing.T, limits Limits, bounds flood.Limits, configure ...func(*http.Server)) *guarded {
 	t.Helper()
 	g := &guarded{release: make(chan struct{})}
 	g.limits.Store(&limits)
@@ -58,6 +58,9 @@
 		g.served.Add(1)
 		fmt.Fprintf(w, "%d %s", len(r.Header), body)
 	})}
+	for _, f := range configure {
+		f(server)
+	}
 	g.guard.Protect(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -288,3 +291,60 @@
 	status, _ := exchange(g.dial(t), headOf(100, ""))
 	is.Equal(status, http.StatusOK)
 }
+
+// Guards against a head inside the configuration's time that is cut by the server's own, fixed one.
+func TestTimeOfAHeadIsTheConfigurations(t *testing.T) {
+	is := is.New(t)
+	g := startGuarded(t, Limits{HeaderTimeout: patience}, flood.Limits{}, func(s *http.Server) { s.ReadHeaderTimeout = 100 * time.Millisecond })
+	conn := g.dial(t)
+	for _, part := range []string{"GET / HT", "TP/1.1\r\nHost: h\r\n"} {
+		_, err := io.WriteString(conn, part)
+		is.NoErr(err)
+		time.Sleep(200 * time.Millisecond)
+	}
+	status, _ := exchange(conn, "\r\n")
+	is.Equal(status, http.StatusOK)
+}
+
+// BenchmarkKeptConnection measures an ordinary request on a kept connection with and without a guard.
+func BenchmarkKeptConnection(b *testing.B) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // a failed read fails the request below
+		_, _ = w.Write([]byte("ok"))
+	})
+	for _, name := range []string{"plain", "guarded"} {
+		b.Run(name, func(b *testing.B) {
+			server := &http.Server{Handler: handler}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			addr := listener.Addr().String()
+			if name == "guarded" {
+				guard := New(Options{Listener: "b", Flood: flood.Limits{Conns: 100, HeadCost: 1 << 20}, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: log.New(io.Discard)})
+				guard.Protect(server)
+				listener = guard.Listener(listener)
+			}
+			go func() { _ = server.Serve(listener) }()
+			b.Cleanup(func() { _ = server.Close() })
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer conn.Close()
+			request := "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 0123456789abcdef\r\nX-Deadline-Ms: 1500\r\nX-Model: m\r\nContent-Length: 4\r\n\r\nbody"
+			reader := bufio.NewReader(conn)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := io.WriteString(conn, request); err != nil {
+					b.Fatal(err)
+				}
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body) // a failed read fails the next response
+			}
+		})
+	}
+}
