--- a/backends/backends.go
+++ b/backends/backends.go
@@ -133,7 +133,10 @@
 	}
 	versions := maps.Clone(b.versions)
 	for model, version := range e.Versions {
-		versions[model] = max(versions[model], version)
+		if version > versions[model] {
+			versions[model] = version
+			delete(b.loadingUntil, model)
+		}
 	}
 	changed := b.leaving != e.Leaving || !maps.Equal(b.versions, versions) || !b.removedAt.IsZero()
 	b.slots, b.leaving, b.versions, b.removedAt = e.Slots, e.Leaving, versions, time.Time{}
--- a/backends/backends_test.go
+++ b/backends/backends_test.go
@@ -121,3 +121,19 @@
 		})
 	}
 }
+
+// Guards against an engine that idles after its load of weights, because it refused a request during the load.
+func TestLoadedEngineIsNotAvoided(t *testing.T) {
+	is := is.New(t)
+	dir := New()
+	entry := Entry{ID: "e", Service: "llm", Slots: 1, Versions: map[string]int64{"m": 1, "other": 1}}
+	dir.Put(entry)
+	b, _ := dir.Backend("e")
+	b.RecordLoading("m", time.Hour)
+	entry.Versions = map[string]int64{"m": 1, "other": 2}
+	dir.Put(entry)
+	is.True(dir.Candidates("llm", "m")[0].Avoid)
+	entry.Versions = map[string]int64{"m": 2, "other": 2}
+	dir.Put(entry)
+	is.True(!dir.Candidates("llm", "m")[0].Avoid)
+}
--- a/job/run.go
+++ b/job/run.go
@@ -18,12 +18,10 @@
 	firstEventTimeout = 2500 * time.Millisecond
 	// eventTimeout is long enough for one load of weights between two events.
 	eventTimeout = 1800 * time.Millisecond
-	// refusalBackoff is how long an engine is avoided for a model after it refused an item of that
-	// model. Most refusals come from engines that are loading weights, which takes about a second.
-	refusalBackoff = 350 * time.Millisecond
-	// limitedRefusalBackoff is how long an engine with a rate limit is avoided instead, about the time of one load: each
-	// attempt uses up a part of the limit.
-	limitedRefusalBackoff = 900 * time.Millisecond
+	// refusalBackoff is how long an engine is avoided for a model after it refused an item of that model, unless its entry
+	// tells of a new version before. Nearly all refusals come from engines that are loading weights; it is the time of one
+	// load.
+	refusalBackoff = 900 * time.Millisecond
 	// configPollInterval is the time between the first two checks for the configuration of a job. It doubles up to
 	// maxConfigPollInterval, because all items of the job may wait.
 	configPollInterval    = 50 * time.Millisecond
@@ -375,11 +373,7 @@
 	case errors.Is(err, errTextTooLarge):
 		b.RecordFailure()
 	case errors.As(err, &notRun), errors.As(err, &oldVersion):
-		backoff := refusalBackoff
-		if b.RateLimit() > 0 {
-			backoff = limitedRefusalBackoff
-		}
-		b.RecordLoading(item.Model, backoff)
+		b.RecordLoading(item.Model, refusalBackoff)
 	case errors.As(err, &broken):
 		if cause := context.Cause(ctx); cause != nil {
 			err = &BrokenError{Err: cause, SilentConn: broken.SilentConn}
