--- a/instance/instance.go
+++ b/instance/instance.go
@@ -122,6 +122,8 @@
 	rateLimits      *ratelimit.Replica
 	quarantine      *quarantine.Table
 	orders          *duty.Duty
+	platformAPI     *hosted.PlatformAPI // nil if the deployment has none
+	usage           *usageReports       // nil if the deployment reports no usage
 	jobs            *job.Registry
 	driver          *job.Driver
 	loadScheduler   *versions.LoadScheduler
@@ -172,6 +174,7 @@
 	i.entries = newEntryReader(i)
 	i.node.Handle(digestMethod, func(_ context.Context, payload []byte) ([]byte, error) { return i.entries.recorder.Handle(payload) })
 	i.presence = presence.New(self, i.store, func() int { return i.driver.ActiveDrivers() }, logger)
+	i.presence.StateProcessors(s.Limits.CPUShare.Value * s.Limits.Cores.Or(1))
 	i.rateLimits = ratelimit.NewReplica(ratelimit.ReplicaOptions{
 		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger,
 		ReadWait:  func() time.Duration { return presence.LongPollWait(i.presence.Count()) },
@@ -192,7 +195,9 @@
 	backendClient := hosted.NewBackends(s.Instance.ID, i.rateLimits, i.log)
 	backendClient.RegisterMetrics(i.registry)
 	backendClient.ShareBuffers(i.directStore)
+	i.platformAPI = i.newPlatformAPI()
 	i.protectOrders(backendClient)
+	i.usage = i.buildUsage()
 	limiter := ratelimit.New(ratelimit.Options{
 		Self: i.self, Caller: i.node, Instances: i.presence, Logger: i.log, Registerer: i.registry,
 	})
@@ -206,8 +211,8 @@
 	})
 	i.node.Handle(job.ReadMethod, i.jobs.HandleRead)
 	forwarder := forward.New(forward.Options{
-		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, DataCentre: s.Instance.DataCentre,
-		Logger: i.log, Registerer: i.registry,
+		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Self: i.self.ID, DataCentre: s.Instance.DataCentre,
+		RequestBegan: i.usage.observer(), Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
@@ -347,17 +352,22 @@
 // stop calls Stop before it ends ctx.
 func (i *Instance) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryFraction * i.settings.Limits.MemoryMB * (1 << 20)))
+	capacity := i.newCapacityScheduler()
 	i.log.Info("instance started", "incarnation", i.self.Incarnation, "clients", i.settings.Listen.Clients, "store", i.settings.Store.Addr)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.followOperators, i.renewProof, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.usage.run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
+	if capacity != nil {
+		tasks.Go(func() { capacity(ctx) })
+	}
 	tasks.Go(func() { i.serve(i.server, i.clientGuard.Listener(i.clientListener)) })
 	tasks.Go(func() { i.serve(i.readyServer, i.readyGuard.Listener(i.readyListener)) })
 	tasks.Go(func() { i.serveMetrics(ctx) })
@@ -376,7 +386,7 @@
 
 // followOperators reads the operators' records until ctx ends.
 func (i *Instance) followOperators(ctx context.Context) {
-	i.operators.Follow(ctx, changelog.ConstantWait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
+	i.operators.Follow(ctx, changelog.ConstantWait(i.configReadWait()), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
 // serve runs an HTTP server until it or its listener is closed.
@@ -442,6 +452,7 @@
 	if err := i.server.Shutdown(ctx); err != nil {
 		i.log.Warn("planned stop interrupted requests", "err", err)
 	}
+	i.usage.flush(ctx)
 	i.log.Info("planned stop done", "took", time.Since(start))
 }
 
