--- a/cli/explain.go
+++ b/cli/explain.go
@@ -16,7 +16,7 @@
 const maxLogLine = 1 << 20
 
 // fieldPattern matches the fields of a log line that identify what it is about, and its time.
-var fieldPattern = regexp.MustCompile(`\b(time|instance|msg|request|job|item|backend|read|took)=("[^"]*"|[^ ]+)`)
+var fieldPattern = regexp.MustCompile(`\b(time|instance|msg|request|job|item|window|backend|read|took)=("[^"]*"|[^ ]+)`)
 
 // logLine is a log line with the fields that fieldPattern matches.
 type logLine struct {
@@ -51,7 +51,8 @@
 		Short: "Show the history of a request, an item or a batch job from the logs of the instances",
 		Long: `Show the lines about a request, an item or a batch job in the log files of the instances, sorted
 by time. For an item, also show the lines about its job that concern no other item. For a refused read of a
-job, also show what its instance had lost before the read and what failed during it.`,
+job, also show what its instance had lost before the read and what failed during it. For window/N, show what
+happened to the report of the usage window N, and who held the duty.`,
 		Args: func(cmd *cobra.Command, args []string) error {
 			if err := cobra.MinimumNArgs(2)(cmd, args); err != nil {
 				return &UsageError{Err: err}
@@ -98,6 +99,9 @@
 // dependencies.
 func explain(lines []logLine, id string) []logLine {
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.time.Compare(b.time) })
+	if window, ok := parseWindow(id); ok {
+		return explainWindow(lines, window)
+	}
 	job := ""
 	for i := range lines {
 		if lines[i].fields["item"] == id {
