--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -30,7 +30,7 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":10000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 // settingsTemplate is the settings file of an instance, with verbs for its id and its addresses and for
-// the address of the store.
+// the addresses of the store and of the platform's API. Nobody checks fencing tokens.
 const settingsTemplate = `{
   "instance": {"id": %q, "region": "r", "data_centre": "a"},
   "listen": {"clients": %q, "ready": %q, "peers": %q},
@@ -38,6 +38,9 @@
   "jobs": {"retention_s": 300, "slot_share": 1},
   "limits": {"memory_mb": 300},
   "stop": {"grace_s": 6},
+  "duties": {"lease_ms": 3000, "fences_enforced": false},
+  "platform_api": {"addr": %q, "calls_per_s": 50, "duties": "metering"},
+  "usage": {"window_s": 1, "due_s": 10, "tolerance": 0.05},
 }`
 
 // gracePeriod is how long a process may take to exit after SIGTERM before it is killed.
@@ -128,6 +131,7 @@
 type fleet struct {
 	dir            string
 	store          *hostedtest.Store
+	api            *hostedtest.PlatformAPI
 	engines        []*hostedtest.Engine
 	deskEngines    []*hostedtest.Engine
 	backendProxies []*proxy // in front of the back ends, in the order of backends()
@@ -168,7 +172,7 @@
 
 // newFleet starts a deployment. The caller must close the fleet also after an error.
 func newFleet(dir, program string, instances, engines int) (*fleet, error) {
-	f := &fleet{dir: dir, store: hostedtest.NewStore()}
+	f := &fleet{dir: dir, store: hostedtest.NewStore(), api: hostedtest.NewPlatformAPI()}
 	f.changeConfig()
 	for i := range engines {
 		e := hostedtest.NewEngine(fmt.Sprintf("engine-%d", i), "llm", "a", "m")
@@ -240,7 +244,7 @@
 	}
 	storeProxy.replaced, storeProxy.replacement = []byte(peers), []byte(peerProxy.addr())
 	path := filepath.Join(f.dir, id+".jsonc")
-	text := fmt.Sprintf(settingsTemplate, id, addr, ready, peers, storeProxy.addr())
+	text := fmt.Sprintf(settingsTemplate, id, addr, ready, peers, storeProxy.addr(), f.api.Addr())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -268,6 +272,8 @@
 func (f *fleet) clearFaults() error {
 	f.store.SetFault(nil)
 	f.store.RunDelayed()
+	f.api.SetFault(nil)
+	f.api.RunDelayed()
 	for _, backendProxy := range f.backendProxies {
 		backendProxy.mode.Store(int32(Pass))
 		backendProxy.resetAll()
@@ -305,4 +311,6 @@
 	}
 	f.store.CloseClientConnections()
 	f.store.Close()
+	f.api.CloseClientConnections()
+	f.api.Close()
 }
