--- a/backends/backends.go
+++ b/backends/backends.go
@@ -22,6 +22,10 @@
 	StartedUnixMs int64
 	// Versions maps each model to the version of its weights; it is never nil.
 	Versions map[string]int64
+	// Reclaimable back ends can be taken away by the platform, all of a data centre at once.
+	Reclaimable bool
+	// LeavesIn is the time from the read of the entry until a leaving back end ends; 0 if it is not known.
+	LeavesIn time.Duration
 }
 
 // Times for which an observation counts.
@@ -54,10 +58,13 @@
 	Addr          string
 	Zone          string
 	StartedUnixMs int64
+	// Reclaimable back ends can be taken away by the platform, all of a data centre at once.
+	Reclaimable bool
 
 	dir           *Directory // dir.mu guards the fields below
 	slots         int
 	leaving       bool
+	leavesAt      time.Duration    // earliest end that a notice has stated, since boot; 0 if none
 	versions      map[string]int64 // by model; replaced as a whole, never modified
 	removedAt     time.Time        // zero while the entry exists
 	inFlight      int
@@ -67,6 +74,7 @@
 	avoidUntil    time.Time
 	loadingUntil  map[string]time.Time // by model
 	eventInterval time.Duration        // smoothed time between the events of a stream; 0 if unknown
+	eventSeenAt   time.Time            // when eventInterval was last updated
 	crashedUntil  time.Time            // end of the time in which the process is taken to have ended
 	sends         int                  // requests of any kind sent since the rate limit last changed
 	throttled     time.Time            // end of the time in which the rate limit allows no request of this instance
@@ -120,10 +128,11 @@
 	}
 	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service {
 		d.byID[e.ID] = &Backend{
-			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs,
+			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs, Reclaimable: e.Reclaimable,
 			dir: d, slots: e.Slots, leaving: e.Leaving, versions: e.Versions,
 			loadingUntil: map[string]time.Time{},
 		}
+		d.byID[e.ID].recordNotice(e)
 		if e.StartedUnixMs > d.leavingRuns[e.ID] {
 			delete(d.leavingRuns, e.ID)
 		}
@@ -136,6 +145,7 @@
 	}
 	changed := b.leaving != e.Leaving || !maps.Equal(b.versions, versions) || !b.removedAt.IsZero()
 	b.slots, b.leaving, b.versions, b.removedAt = e.Slots, e.Leaving, versions, time.Time{}
+	b.recordNotice(e)
 	if changed {
 		d.notify()
 	}
@@ -225,6 +235,8 @@
 	Avoid bool
 	// EventInterval is the smoothed time between the events of a stream; 0 if unknown.
 	EventInterval time.Duration
+	// EventSeenAt is the time of the last event that EventInterval includes.
+	EventSeenAt time.Time
 	// RateLimited is true if the back end has a rate limit.
 	RateLimited bool
 	// ThrottledUntil is the end of the time in which the rate limit allows no request of this instance; zero if none.
@@ -246,7 +258,7 @@
 			continue
 		}
 		list = append(list, Candidate{
-			Backend: b, Slots: b.slots, Versions: b.versions, InFlight: b.inFlight, EventInterval: b.eventInterval, OpenConns: b.openConns(now),
+			Backend: b, Slots: b.slots, Versions: b.versions, InFlight: b.inFlight, EventInterval: b.eventInterval, EventSeenAt: b.eventSeenAt, OpenConns: b.openConns(now),
 			Avoid:       now.Before(b.avoidUntil) || now.Before(b.loadingUntil[model]),
 			RateLimited: b.rateLimit() > 0, ThrottledUntil: b.throttled,
 		})
@@ -406,6 +418,7 @@
 	}
 	b.dir.mu.Lock()
 	defer b.dir.mu.Unlock()
+	b.eventSeenAt = time.Now()
 	if b.eventInterval == 0 {
 		b.eventInterval = d
 		return
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -169,6 +169,7 @@
 	i.entries = newEntryReader(i)
 	i.node.Handle(digestMethod, func(_ context.Context, payload []byte) ([]byte, error) { return i.entries.recorder.Handle(payload) })
 	i.presence = presence.New(self, i.store, func() int { return i.driver.ActiveDrivers() }, logger)
+	i.presence.StateProcessors(s.Limits.CPUShare.Value * s.Limits.Cores.Or(1))
 	i.rateLimits = ratelimit.NewReplica(ratelimit.ReplicaOptions{
 		Log: i.store, Backends: i.directory, Rank: i.presence.Rank, Logger: logger,
 		ReadWait:  func() time.Duration { return presence.LongPollWait(i.presence.Count()) },
@@ -205,7 +206,7 @@
 	})
 	i.node.Handle(job.ReadMethod, i.jobs.HandleRead)
 	forwarder := forward.New(forward.Options{
-		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, DataCentre: s.Instance.DataCentre,
+		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Self: i.self.ID, DataCentre: s.Instance.DataCentre,
 		RequestBegan: i.usage.observer(), Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
@@ -341,17 +342,22 @@
 // stop calls Stop before it ends ctx.
 func (i *Instance) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryFraction * i.settings.Limits.MemoryMB * (1 << 20)))
+	capacity := i.newCapacityScheduler()
 	i.log.Info("instance started", "incarnation", i.self.Incarnation, "clients", i.settings.Listen.Clients, "store", i.settings.Store.Addr)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run, i.usage.run,
+		i.followOperators, i.renewProof, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.usage.run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
+	if capacity != nil {
+		tasks.Go(func() { capacity(ctx) })
+	}
 	tasks.Go(func() { i.serve(i.server, i.clientListener) })
 	tasks.Go(func() { i.serve(i.readyServer, i.readyListener) })
 	tasks.Go(func() { i.serveMetrics(ctx) })
@@ -370,7 +376,7 @@
 
 // followOperators reads the operators' records until ctx ends.
 func (i *Instance) followOperators(ctx context.Context) {
-	i.operators.Follow(ctx, changelog.ConstantWait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
+	i.operators.Follow(ctx, changelog.ConstantWait(i.configReadWait()), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
 // serve runs an HTTP server until it or its listener is closed.
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -85,6 +85,10 @@
 	// the deployment does not need them.
 	WallMs int64 `cbor:"9,keyasint,omitempty"`
 	BootMs int64 `cbor:"10,keyasint,omitempty"`
+	// Processors is the processor time that the instance may use, in cores; 0 if it is not known.
+	Processors float64 `cbor:"15,keyasint,omitempty"`
+	// Need holds, by service, the back end slots that the instance's part of the work needs.
+	Need map[string]int `cbor:"16,keyasint,omitempty"`
 }
 
 // observedRecord is the newest record of an instance with the time at which this instance read it.
@@ -112,11 +116,13 @@
 	drivers    func() int
 	clock      *truetime.Clock // nil if the deployment does not need true time
 
-	mu           sync.Mutex // guards the fields below
+	mu           sync.Mutex            // guards the fields below
+	need         func() map[string]int // nil if this instance states none
 	byID         map[string]observedRecord
 	readFailedAt time.Time // last failed read, at first the creation of the table
 	hasLeft      bool
 	draining     bool
+	processors   float64
 	sequence     uint64
 	heartbeatAt  time.Time // start of the last acknowledged heartbeat
 	// appendDuration is the time that the append of that heartbeat took. It is part of the announced interval,
@@ -220,8 +226,8 @@
 		return
 	}
 	old, known := t.byID[r.Key]
-	if known && old.record == next {
-		return
+	if known && old.Incarnation == next.Incarnation && old.Sequence == next.Sequence {
+		return // each record of a run has a number of its own
 	}
 	if known && old.Incarnation != next.Incarnation {
 		t.log.Info("instance restarted", "peer", r.Key, "incarnation", next.Incarnation)
@@ -279,24 +285,26 @@
 }
 
 // Drivers returns the live instances that take new work: the others of this data centre, then this instance, then those of other
-// data centres. It orders them by rendezvous hashing, so equal keys give the same order as long as the instances stay. While this
-// instance takes no new work, it is the last.
+// data centres, in each place the weak ones last. It orders them by rendezvous hashing, so equal keys give the same order as long
+// as the instances stay. While this instance takes no new work, it is the last.
 func (t *Table) Drivers(key string) []machine.Ref {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	type ranked struct {
 		ref  machine.Ref
 		near bool
+		weak bool
 		hash uint64
 	}
 	var others []ranked
+	most := t.mostProcessors()
 	for id, s := range t.byID {
 		if id != t.self.ID && t.acceptsWork(&s) {
 			ref := machine.Ref{ID: id, Incarnation: s.Incarnation}
-			others = append(others, ranked{ref, s.DataCentre == t.dataCentre, xxhash.Sum64String(key + "/" + id)})
+			others = append(others, ranked{ref, s.DataCentre == t.dataCentre, isWeak(s.Processors, most), xxhash.Sum64String(key + "/" + id)})
 		}
 	}
-	slices.SortFunc(others, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(others, func(a, b ranked) int { return cmp.Or(compareBool(a.weak, b.weak), cmp.Compare(a.hash, b.hash)) })
 	var near, remote []machine.Ref
 	for _, other := range others {
 		if other.near {
@@ -316,17 +324,17 @@
 func (t *Table) Owner(key, dataCentre string) machine.Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, bestHash, bestIsNear := t.instance, uint64(0), false
-	found := false
+	best, bestHash, bestIsNear, bestIsWeak := t.instance, uint64(0), false, false
+	found, most := false, t.mostProcessors()
 	for id, s := range t.byID {
 		if !t.acceptsWork(&s) {
 			continue
 		}
-		isNear, h := s.DataCentre == dataCentre, xxhash.Sum64String(key+"/"+id)
-		if found && (bestIsNear && !isNear || bestIsNear == isNear && h >= bestHash) {
+		isNear, weak, h := s.DataCentre == dataCentre, isWeak(s.Processors, most), xxhash.Sum64String(key+"/"+id)
+		if found && cmp.Or(compareBool(!isNear, !bestIsNear), compareBool(weak, bestIsWeak), cmp.Compare(h, bestHash)) >= 0 {
 			continue
 		}
-		found, bestHash, bestIsNear = true, h, isNear
+		found, bestHash, bestIsNear, bestIsWeak = true, h, isNear, weak
 		best = machine.Instance{
 			ID: id, Incarnation: s.Incarnation, PeerAddr: s.PeerAddr, Zone: zone.Zone{Region: s.Region, DataCentre: s.DataCentre},
 		}
@@ -380,17 +388,18 @@
 }
 
 // Rank returns this instance's position among the live ones, from 0, in an order that depends on key and is the
-// same at all instances.
+// same at all instances. Weak instances are the last.
 func (t *Table) Rank(key string) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := xxhash.Sum64String(key + "/" + t.self.ID)
+	own, most := xxhash.Sum64String(key+"/"+t.self.ID), t.mostProcessors()
+	ownIsWeak := isWeak(t.processors, most)
 	rank, readPause := 0, ReadPause(len(t.byID))
 	for id, s := range t.byID {
 		if id == t.self.ID || s.Left || s.silentFor(deadIntervals, readPause) {
 			continue
 		}
-		if cmp.Compare(xxhash.Sum64String(key+"/"+id), own) < 0 {
+		if cmp.Or(compareBool(isWeak(s.Processors, most), ownIsWeak), cmp.Compare(xxhash.Sum64String(key+"/"+id), own)) < 0 {
 			rank++
 		}
 	}
