--- a/cli/explain.go
+++ b/cli/explain.go
@@ -16,7 +16,7 @@
 const maxLogLine = 1 << 20
 
 // fieldPattern matches the fields of a log line that identify what it is about, and its time.
-var fieldPattern = regexp.MustCompile(`\b(time|instance|msg|request|job|item|backend|read|took)=("[^"]*"|[^ ]+)`)
+var fieldPattern = regexp.MustCompile(`\b(time|instance|msg|request|job|item|backend|read|took|reason)=("[^"]*"|[^ ]+)`)
 
 // logLine is a log line with the fields that fieldPattern matches.
 type logLine struct {
@@ -40,9 +40,10 @@
 	return line
 }
 
-// concerns reports whether the line is about the request, item or job with the given ID.
+// concerns reports whether the line is about the request, item or job with the given ID. Logs name the job of a client account
+// ACCOUNT:ID.
 func (l *logLine) concerns(id string) bool {
-	return l.fields["request"] == id || l.fields["item"] == id || l.fields["job"] == id
+	return l.fields["request"] == id || l.fields["item"] == id || l.fields["job"] == id || strings.HasSuffix(l.fields["job"], ":"+id)
 }
 
 func (a *app) explainCommand() *cobra.Command {
@@ -51,7 +52,8 @@
 		Short: "Show the history of a request, an item or a batch job from the logs of the instances",
 		Long: `Show the lines about a request, an item or a batch job in the log files of the instances, sorted
 by time. For an item, also show the lines about its job that concern no other item. For a refused read of a
-job, also show what its instance had lost before the read and what failed during it.`,
+job, also show what its instance had lost before the read and what failed during it. For a request that was
+refused for its key, also show the configuration that its instance had and what became of it.`,
 		Args: func(cmd *cobra.Command, args []string) error {
 			if err := cobra.MinimumNArgs(2)(cmd, args); err != nil {
 				return &UsageError{Err: err}
@@ -111,6 +113,9 @@
 		if selected[i] && l.fields["msg"] == "read of a job refused" {
 			selectDependencies(lines, i, selected)
 		}
+		if selected[i] && l.fields["msg"] == "request refused" && keyReasons[l.fields["reason"]] {
+			selectConfiguration(lines, i, selected)
+		}
 	}
 	var found []logLine
 	for i := range lines {
@@ -154,3 +159,27 @@
 		}
 	}
 }
+
+// keyReasons are the reasons of refusals that depend on the configuration of the instance.
+var keyReasons = map[string]bool{"unknown_key": true, "unconfirmed_key": true, "stale_configuration": true}
+
+// configurationLines are the messages about an instance's configuration, with what they tell the state of.
+var configurationLines = map[string]string{
+	"instance started":       "instance",
+	"configuration in force": "configuration", "configuration not readable": "configuration",
+	"configuration grows old": "age", "configuration is fresh again": "age",
+	"store lost": "store", "store regained": "store",
+}
+
+// selectConfiguration selects the lines that tell what configuration the instance had that refused the request in line n.
+func selectConfiguration(lines []logLine, n int, selected []bool) {
+	known := map[string]bool{}
+	for i := n - 1; i >= 0; i-- {
+		l := &lines[i]
+		subject, isState := configurationLines[l.fields["msg"]]
+		if !isState || l.source != lines[n].source || (subject == "store" && l.fields["read"] != "operators") || known[subject] {
+			continue
+		}
+		known[subject], selected[i] = true, true
+	}
+}
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -77,3 +77,41 @@
 	}
 	is.Equal(shown, []string{"n=1", "n=3", "n=4", "n=6", "n=10", "n=7"})
 }
+
+// Guards against a request refused for its key whose history does not show what configuration its instance had, or shows that of others.
+func TestExplainShowsWhyAKeyWasRefused(t *testing.T) {
+	for reason, want := range map[string]int{"unknown_key": 4, "stale_configuration": 4, "several_keys": 1} {
+		t.Run(reason, func(t *testing.T) {
+			is := is.New(t)
+			dir := t.TempDir()
+			refusing, other := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+			is.NoErr(os.WriteFile(refusing, []byte(`time=2026-01-01T00:00:01Z msg="configuration in force" instance=a version=6
+time=2026-01-01T00:00:02Z msg="configuration in force" instance=a version=7
+time=2026-01-01T00:00:03Z msg="store lost" instance=a read=entries
+time=2026-01-01T00:00:04Z msg="store lost" instance=a read=operators
+time=2026-01-01T00:00:05Z msg="configuration grows old" instance=a age=1.5s
+time=2026-01-01T00:00:08Z msg="request refused" instance=a request=r1 reason=`+reason+` status=503 config=7 config_age=5s
+`), 0o600))
+			is.NoErr(os.WriteFile(other, []byte(`time=2026-01-01T00:00:07Z msg="configuration in force" instance=b version=8
+`), 0o600))
+			var out, errOut bytes.Buffer
+			is.Equal(Main(context.Background(), []string{"explain", "r1", refusing, other}, &out, &errOut), ExitOK)
+			lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+			is.Equal(len(lines), want)
+			is.True(strings.Contains(lines[0], "version=7") || want == 1)
+		})
+	}
+}
+
+// Guards against the job of a client account that cannot be looked up by the ID that its client gave it.
+func TestExplainFindsJobsOfAccounts(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "a.log")
+	is.NoErr(os.WriteFile(path, []byte(`time=2026-01-01T00:00:01Z msg="job submitted" job=acme:j1
+time=2026-01-01T00:00:02Z msg="job submitted" job=acme:xj1
+time=2026-01-01T00:00:03Z msg="item attempt ended" job=acme:j1 item=i1
+`), 0o600))
+	var out, errOut bytes.Buffer
+	is.Equal(Main(context.Background(), []string{"explain", "j1", path}, &out, &errOut), ExitOK)
+	is.Equal(strings.Count(out.String(), "\n"), 2)
+}
--- a/instance/accounts.go
+++ b/instance/accounts.go
@@ -22,7 +22,7 @@
 	minRefreshPause = 100 * time.Millisecond
 	// refreshTimeout bounds such a read. A call to the store on a silent connection and its repeat fit.
 	refreshTimeout = 800 * time.Millisecond
-	// renewalInterval is the time between two further reads of a configuration that grows old, on each way.
+	// renewalInterval is the least time between two further reads of a configuration that grows old, on each way.
 	renewalInterval = 400 * time.Millisecond
 	// renewalPatience bounds such a read. With renewalInterval it also bounds how many run at the same time.
 	renewalPatience = 2500 * time.Millisecond
@@ -53,7 +53,10 @@
 // begins further ones that may take longer, directly and through other instances, those that may only seem to have ended included.
 func (i *Instance) renewProof(ctx context.Context) {
 	s, bound := i.settings, i.proofBound()
-	if bound == 0 {
+	if bound <= 0 {
+		if s.Accounts.StrictRevocation.Value {
+			i.log.Error("strict revocation is off: accounts.revocation_ms is missing or not positive")
+		}
 		return
 	}
 	direct := hosted.NewStore(hosted.StoreOptions{
@@ -62,7 +65,8 @@
 	throughPeers := relay.New(relay.Options{Direct: peersOnly{}, Caller: i.node, Logger: telemetry.Discard(), Peers: i.presence.PossiblyLive})
 	var reads conc.WaitGroup
 	defer reads.Wait()
-	for old := false; timing.Sleep(ctx, renewalInterval); {
+	pause := func() time.Duration { return presence.LongPollPause(renewalInterval, i.presence.Count()) }
+	for old := false; timing.Sleep(ctx, pause()); {
 		proof := account.Proof{Age: i.configAge(), Bound: bound}
 		if config := i.config.Load(); config == nil || config.Accounts == nil || !proof.NeedsRenewal() {
 			if old {
