changelog: only a read up to the end of the partition makes a copy fresh; timing: suspensions are rounded

Cause: Replica.apply took the start of each read as the age of the copy, also of a read that returned a part of the records. If the next read failed, a copy without a revocation or a planned stop passed for fresh. And the suspension of the machine was cut to milliseconds, so that two readings that differ by nanoseconds made it a millisecond shorter. Change: the age is set when no record up to the end of the partition is missing; suspensions are rounded.

--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -201,7 +201,7 @@
 			return synced, &RewoundError{Partition: r.partition, End: batch.End, Read: from}
 		}
 		wait = 0
-		next, complete := r.apply(batch.Records, start)
+		next, complete := r.apply(batch.Records, batch.End, start)
 		switch {
 		case !complete: // a load follows
 			if reloads++; reloads > maxReloads {
@@ -215,9 +215,10 @@
 	}
 }
 
-// apply applies those of the contiguous records that are new. It returns the offset of the next record, and false if the state
-// has to be loaded again.
-func (r *Replica) apply(records []Record, start timing.Instant) (next int64, complete bool) {
+// apply applies those of the contiguous records that are new, from a call that began at start and found the end of the partition
+// at end. It returns the offset of the next record, and false if the state has to be loaded again. The copy is as old as the call
+// only if no record is missing.
+func (r *Replica) apply(records []Record, end int64, start timing.Instant) (next int64, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	applied := false
@@ -229,7 +230,7 @@
 		r.next = record.Offset + 1
 		applied = true
 	}
-	if start.Time.After(r.readAt.Time) {
+	if r.next >= end && start.Time.After(r.readAt.Time) {
 		r.readAt = start
 	}
 	if applied {
@@ -333,7 +334,7 @@
 	for i := range records {
 		records[i].Offset = expectEnd + int64(i)
 	}
-	r.apply(records, start)
+	r.apply(records, end, start)
 	return end, nil
 }
 
--- a/changelog/through.go
+++ b/changelog/through.go
@@ -24,7 +24,7 @@
 		if batch.End < from {
 			return &RewoundError{Partition: r.partition, End: batch.End, Read: from}
 		}
-		switch next, complete := r.apply(batch.Records, start); {
+		switch next, complete := r.apply(batch.Records, batch.End, start); {
 		case !complete:
 			return errIncomplete
 		case next >= batch.End:
--- a/timing/instant.go
+++ b/timing/instant.go
@@ -46,5 +46,5 @@
 
 // Age returns the time since i.
 func (i Instant) Age() time.Duration {
-	return time.Since(i.Time) + max(0, Suspended()-i.Suspended).Truncate(time.Millisecond)
+	return time.Since(i.Time) + max(0, Suspended()-i.Suspended).Round(time.Millisecond)
 }
