--- a/instance/capacity_test.go
+++ b/instance/capacity_test.go
@@ -27,9 +27,9 @@
 		platform.Configure(e)
 		platform.Adopt(e)
 	}
-	c.configure = func(s *Settings) {
+	c.adjust = append(c.adjust, func(s *Settings) {
 		s.PlatformAPI = PlatformAPISettings{Addr: platform.Addr(), CallsPerS: Number{Value: 50, Set: true}, Duties: duties}
-	}
+	})
 	for i := range 2 {
 		c.startInstance(fmt.Sprintf("instance-%d", i))
 	}
