--- a/forward/forward.go
+++ b/forward/forward.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/quarantine"
 	"github.com/cicadasill/cicadasill/ratelimit"
 	"github.com/cicadasill/cicadasill/routes"
@@ -121,9 +122,9 @@
 	hedgeObjectiveFraction = 0.55
 	// refusalBackoff is how long a back end is avoided after it refused a request.
 	refusalBackoff = 100 * time.Millisecond
-	// retryAfter is the delay that refused callers are told to wait: by then the back ends' queues
-	// have emptied.
-	retryAfter = 250 * time.Millisecond
+	// queueDrainTime is about the time in which the back ends' queues empty. Refused callers are told to wait once to twice as
+	// long, each its own time, so that those who are refused together do not return together.
+	queueDrainTime = 170 * time.Millisecond
 	// roundDelay is the delay before a request that all back ends have refused is offered to all of
 	// them again.
 	roundDelay = 40 * time.Millisecond
@@ -298,7 +299,7 @@
 					continue
 				}
 				if e.attempts.possibleRuns == 0 {
-					refused := &RefusedError{RetryAfter: retryAfter, Err: notRun.Err}
+					refused := &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: notRun.Err}
 					if _, wait := e.f.firstPermitted(e.service); wait > 0 {
 						refused.RetryAfter = wait
 					}
@@ -399,14 +400,14 @@
 // It refuses the request at once if that would be too late.
 func (e *exchange) sendWhenPermitted(ctx context.Context) *RefusedError {
 	if !e.attempts.allowOneMore() {
-		return &RefusedError{RetryAfter: retryAfter, Err: errAttemptsUsedUp}
+		return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errAttemptsUsedUp}
 	}
 	if !e.f.mayRisk(e.service, e.verdict) {
-		return &RefusedError{RetryAfter: retryAfter, Err: errLastBackend}
+		return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errLastBackend}
 	}
 	b, wait := e.f.firstPermitted(e.service)
 	if b == nil {
-		return &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
+		return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errNoBackend}
 	}
 	remaining := time.Duration(0)
 	if !e.request.Deadline.IsZero() {
@@ -420,7 +421,7 @@
 		return refusalByRateLimit(err)
 	}
 	if b.Unavailable() { // since it was chosen
-		return &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
+		return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errNoBackend}
 	}
 	e.tried[b] = true
 	e.start(ctx, b)
@@ -429,7 +430,7 @@
 
 // refusalByRateLimit returns the refusal of a request that got no permission within its time.
 func refusalByRateLimit(err error) *RefusedError {
-	after := retryAfter
+	after := limit.RetryAfter(queueDrainTime)
 	var exceeded *ratelimit.ExceededError
 	if errors.As(err, &exceeded) {
 		after = exceeded.RetryAfter
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/ratelimit"
 	"github.com/cicadasill/cicadasill/routes"
 )
@@ -50,21 +51,21 @@
 	w = &timedWriter{ResponseWriter: w, timer: timer}
 	client, ok := f.opts.Client.(StreamClient)
 	if !ok {
-		return &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
+		return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errNoBackend}
 	}
 	verdict := f.check(r)
 	if verdict.BlockedFor > 0 {
 		return refusalByQuarantine(r, verdict)
 	}
 	if !f.mayRisk(route.ServiceFor(r.ID), verdict) {
-		return &RefusedError{RetryAfter: retryAfter, Err: errLastBackend}
+		return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errLastBackend}
 	}
 	tried := map[*backends.Backend]bool{}
 	service := route.ServiceFor(r.ID)
 	for {
 		b := f.choose(service, tried, sparesRateLimited(r.ID))
 		if b == nil {
-			refused := &RefusedError{RetryAfter: retryAfter, Err: errNoBackend}
+			refused := &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errNoBackend}
 			if limited, wait := f.firstPermitted(service); limited != nil {
 				refused = refusalByRateLimit(&ratelimit.ExceededError{Backend: limited.ID, RetryAfter: wait})
 			}
@@ -90,7 +91,7 @@
 		case errors.As(err, &notRun):
 			recordRefusal(b, notRun)
 			if notRun.Withheld {
-				return &RefusedError{RetryAfter: retryAfter, Err: notRun.Err}
+				return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: notRun.Err}
 			}
 			continue
 		}
