--- a/digest/digest_test.go
+++ b/digest/digest_test.go
@@ -142,3 +142,19 @@
 	ask(t, follower, r, "r")
 	is.Equal(len(directory.Candidates("s", "")), 1)
 }
+
+// Guards against the time of a notice that each instance counts anew, or takes for a time of its own clock.
+func TestNoticeIsPassedOnWithTheTimeLeft(t *testing.T) {
+	is := is.New(t)
+	r := reader(1)
+	e := entry("a", 1, 1)
+	e.Leaving, e.LeavesIn, e.Reclaimable = true, time.Minute, true
+	r.Put(e)
+	time.Sleep(20 * time.Millisecond)
+	directory := backends.New()
+	ask(t, NewFollower(directory, func() {}), r, "r")
+	b, ok := directory.Backend("a")
+	is.True(ok && b.Reclaimable)
+	left, leaving := b.LeavesIn()
+	is.True(leaving && left <= time.Minute-20*time.Millisecond && left > 0)
+}
--- a/digest/recorder.go
+++ b/digest/recorder.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/timing"
 )
 
 // Target takes the entries of back ends, like backends.Directory.
@@ -30,7 +31,17 @@
 type change struct {
 	number  uint64
 	entry   backends.Entry
-	removed time.Time // zero while the back end is there
+	at      time.Duration // since boot
+	removed time.Time     // zero while the back end is there
+}
+
+// current returns the entry with the time of its notice that is left now.
+func (c *change) current() backends.Entry {
+	e := c.entry
+	if e.LeavesIn > 0 {
+		e.LeavesIn = max(1, e.LeavesIn-(timing.SinceBoot()-c.at))
+	}
+	return e
 }
 
 // Recorder is a Target that numbers the changes that it passes on to another Target.
@@ -58,7 +69,7 @@
 	r.mu.Lock()
 	if old, ok := r.byID[e.ID]; !ok || !old.removed.IsZero() || !reflect.DeepEqual(old.entry, e) {
 		r.number++
-		r.byID[e.ID] = change{number: r.number, entry: e}
+		r.byID[e.ID] = change{number: r.number, entry: e, at: timing.SinceBoot()}
 	}
 	r.mu.Unlock()
 	return r.target.Put(e)
@@ -144,7 +155,7 @@
 		switch {
 		case !a.Whole && c.number <= asked.After:
 		case c.removed.IsZero():
-			a.Entries = append(a.Entries, c.entry)
+			a.Entries = append(a.Entries, c.current())
 		case !a.Whole:
 			a.Removed = append(a.Removed, id)
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/duty"
 	"github.com/cicadasill/cicadasill/forward"
+	"github.com/cicadasill/cicadasill/httpguard"
 	"github.com/cicadasill/cicadasill/job"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
@@ -121,6 +122,8 @@
 	rateLimits      *ratelimit.Replica
 	quarantine      *quarantine.Table
 	orders          *duty.Duty
+	platformAPI     *hosted.PlatformAPI // nil if the deployment has none
+	usage           *usageReports       // nil if the deployment reports no usage
 	jobs            *job.Registry
 	driver          *job.Driver
 	loadScheduler   *versions.LoadScheduler
@@ -131,6 +134,10 @@
 	server         *http.Server
 	clientConns    *connTracker
 	readyServer    *http.Server
+	connLimits     connLimits
+	guardMetrics   *httpguard.Metrics
+	clientGuard    *httpguard.Guard
+	readyGuard     *httpguard.Guard
 }
 
 // New returns an instance that has not been started. Call Listen and then Run to start it.
@@ -138,7 +145,7 @@
 	i := &Instance{
 		settings: s, log: logger, registry: registry, targets: map[string]int64{},
 		self:      machine.Ref{ID: s.Instance.ID, Incarnation: uint64(time.Now().UnixNano())},
-		directory: backends.New(),
+		directory: backends.New(), connLimits: limitConns(s.Limits, httpguard.DescriptorLimit()),
 	}
 	i.requests, i.endRequests = context.WithCancelCause(context.Background())
 	return i
@@ -156,7 +163,7 @@
 		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS,
 		Logger: logger, Registerer: i.registry,
 	})
-	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout})
+	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout, MaxConns: i.connLimits.peers})
 	i.store = relay.New(relay.Options{
 		Direct: i.directStore, Caller: i.node, Logger: logger, Registerer: i.registry,
 		Peers: func() []machine.Instance { return i.presence.Peers() },
@@ -188,7 +195,9 @@
 	backendClient := hosted.NewBackends(s.Instance.ID, i.rateLimits, i.log)
 	backendClient.RegisterMetrics(i.registry)
 	backendClient.ShareBuffers(i.directStore)
+	i.platformAPI = i.newPlatformAPI()
 	i.protectOrders(backendClient)
+	i.usage = i.buildUsage()
 	limiter := ratelimit.New(ratelimit.Options{
 		Self: i.self, Caller: i.node, Instances: i.presence, Logger: i.log, Registerer: i.registry,
 	})
@@ -203,7 +212,7 @@
 	i.node.Handle(job.ReadMethod, i.jobs.HandleRead)
 	forwarder := forward.New(forward.Options{
 		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Self: i.self.ID, DataCentre: s.Instance.DataCentre,
-		Logger: i.log, Registerer: i.registry,
+		RequestBegan: i.usage.observer(), Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
@@ -214,6 +223,7 @@
 		Backends: i.directory, Engine: backendClient, RateLimits: limiter, Duty: i.orders, Config: i.config.Load,
 		Targets: i.targetVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
+	i.guardMetrics = httpguard.NewMetrics(i.registry)
 	ingress := &hosted.Ingress{
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
@@ -228,9 +238,13 @@
 		BaseContext: func(net.Listener) context.Context { return i.requests }, ConnState: i.clientConns.observe,
 		ErrorLog: i.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
+	i.clientGuard = i.newGuard("clients", i.connLimits.clients, i.clientLimits)
+	i.clientGuard.Protect(i.server)
 	router := httprouter.New()
 	router.GET(hosted.ReadyPath, i.serveReady)
 	i.readyServer = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	i.readyGuard = i.newGuard("ready", i.connLimits.probes, nil)
+	i.readyGuard.Protect(i.readyServer)
 }
 
 // readCopy passes a read of a job to another instance, which answers it from its copy of the job's partition.
@@ -338,19 +352,24 @@
 // stop calls Stop before it ends ctx.
 func (i *Instance) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryFraction * i.settings.Limits.MemoryMB * (1 << 20)))
+	capacity := i.newCapacityScheduler()
 	i.log.Info("instance started", "incarnation", i.self.Incarnation, "clients", i.settings.Listen.Clients, "store", i.settings.Store.Addr)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.followOperators, i.renewProof, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.usage.run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
-	tasks.Go(func() { i.serve(i.server, i.clientListener) })
-	tasks.Go(func() { i.serve(i.readyServer, i.readyListener) })
+	if capacity != nil {
+		tasks.Go(func() { capacity(ctx) })
+	}
+	tasks.Go(func() { i.serve(i.server, i.clientGuard.Listener(i.clientListener)) })
+	tasks.Go(func() { i.serve(i.readyServer, i.readyGuard.Listener(i.readyListener)) })
 	tasks.Go(func() { i.serveMetrics(ctx) })
 	tasks.Go(func() {
 		if err := i.node.Serve(ctx, i.peerListener); err != nil {
@@ -367,7 +386,7 @@
 
 // followOperators reads the operators' records until ctx ends.
 func (i *Instance) followOperators(ctx context.Context) {
-	i.operators.Follow(ctx, changelog.ConstantWait(operatorReadWait), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
+	i.operators.Follow(ctx, changelog.ConstantWait(i.configReadWait()), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
 // serve runs an HTTP server until it or its listener is closed.
@@ -391,9 +410,11 @@
 	router := httprouter.New()
 	router.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	guard := i.newGuard("metrics", i.connLimits.probes, nil)
+	guard.Protect(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	i.serve(server, listener)
+	i.serve(server, guard.Listener(listener))
 }
 
 // Stop performs a planned stop and returns when Run may be ended: the instance takes no new work,
@@ -431,6 +452,7 @@
 	if err := i.server.Shutdown(ctx); err != nil {
 		i.log.Warn("planned stop interrupted requests", "err", err)
 	}
+	i.usage.flush(ctx)
 	i.log.Info("planned stop done", "took", time.Since(start))
 }
 
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -18,6 +18,7 @@
 
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/truetime"
 	"github.com/cicadasill/cicadasill/zone"
 )
 
@@ -80,8 +81,14 @@
 	// Region and PeerAddr are the location and the address for calls of other instances.
 	Region   string `cbor:"7,keyasint"`
 	PeerAddr string `cbor:"8,keyasint"`
+	// WallMs and BootMs are the time of day and the time since boot at which the record was written, in milliseconds; 0 if
+	// the deployment does not need them.
+	WallMs int64 `cbor:"9,keyasint,omitempty"`
+	BootMs int64 `cbor:"10,keyasint,omitempty"`
 	// Processors is the processor time that the instance may use, in cores; 0 if it is not known.
 	Processors float64 `cbor:"15,keyasint,omitempty"`
+	// Need holds, by service, the back end slots that the instance's part of the work needs.
+	Need map[string]int `cbor:"16,keyasint,omitempty"`
 }
 
 // observedRecord is the newest record of an instance with the time at which this instance read it.
@@ -107,8 +114,10 @@
 	store      changelog.Log
 	replica    *changelog.Replica
 	drivers    func() int
+	clock      *truetime.Clock // nil if the deployment does not need true time
 
-	mu           sync.Mutex // guards the fields below
+	mu           sync.Mutex            // guards the fields below
+	need         func() map[string]int // nil if this instance states none
 	byID         map[string]observedRecord
 	readFailedAt time.Time // last failed read, at first the creation of the table
 	hasLeft      bool
@@ -217,13 +226,16 @@
 		return
 	}
 	old, known := t.byID[r.Key]
-	if known && old.record == next {
-		return
+	if known && old.Incarnation == next.Incarnation && old.Sequence == next.Sequence {
+		return // each record of a run has a number of its own
 	}
 	if known && old.Incarnation != next.Incarnation {
 		t.log.Info("instance restarted", "peer", r.Key, "incarnation", next.Incarnation)
 	}
 	t.byID[r.Key] = observedRecord{record: next, receivedAt: time.Now(), hasChanged: known}
+	if known { // the age of the first record is unknown
+		t.observeClock(r.Key, next)
+	}
 }
 
 // Dead reports whether an instance has ended or does no more work. It returns false while the last successful
