provision: the burst of orders keeps the platform's limit of calls

The limiter allowed 16 calls at once whatever the limit was. The burst is now the share of one second.

TestFirstOrdersKeepTheLimitOfCalls failed before and passes; the package's tests of successors, refusals, late and unanswered orders pass.

--- a/provision/scheduler.go
+++ b/provision/scheduler.go
@@ -94,7 +94,8 @@
 func New(opts Options) *Scheduler {
 	s := &Scheduler{opts: opts, now: timing.SinceBoot, services: map[string]*serviceState{}, completions: make(chan func(), maxCallsInFlight)}
 	if opts.CallsPerS > 0 {
-		s.limiter = rate.NewLimiter(rate.Limit(callsFraction*opts.CallsPerS), maxCallsInFlight)
+		limit := callsFraction * opts.CallsPerS
+		s.limiter = rate.NewLimiter(rate.Limit(limit), max(1, min(int(limit), maxCallsInFlight)))
 	}
 	return s
 }
