--- a/forward/forward.go
+++ b/forward/forward.go
@@ -163,8 +163,6 @@
 	Client     Client
 	RateLimits RateLimits
 	Quarantine Quarantine
-	// Self is the id of this instance, by which it prefers one of equal back ends.
-	Self       string
 	DataCentre string
 	// RequestBegan is told of each request of a client account that began to run, with the moment by the clock since boot. nil
 	// if nobody counts them.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -211,7 +211,7 @@
 	})
 	i.node.Handle(job.ReadMethod, i.jobs.HandleRead)
 	forwarder := forward.New(forward.Options{
-		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Self: i.self.ID, DataCentre: s.Instance.DataCentre,
+		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, DataCentre: s.Instance.DataCentre,
 		RequestBegan: i.usage.observer(), Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
--- a/job/driver.go
+++ b/job/driver.go
@@ -146,7 +146,6 @@
 	d.indexState = func() (time.Duration, error) {
 		return opts.Registry.indexReplica.Age(), opts.Registry.indexReplica.LastReadError()
 	}
-	d.placer.self = opts.Self.ID
 	d.rewards = reward.NewGate(d.rewardLimit)
 	d.metrics = newDriverMetrics(opts.Registerer, d.rewards)
 	d.placer.register(opts.Registerer)
--- a/job/place.go
+++ b/job/place.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -81,8 +82,6 @@
 type placer struct {
 	dir  *backends.Directory
 	zone string
-	// self is the id of this instance, by which it prefers one of equal engines.
-	self string
 	// slotShare is the fraction of an engine's slots that this instance may use.
 	slotShare float64
 
@@ -170,8 +169,6 @@
 	unmet map[requirement]bool
 	// spells tells how long slow engines are expected to stay slow.
 	spells *slowSpells
-	// self is the id of this instance.
-	self string
 }
 
 func newPool(candidates []backends.Candidate) *pool {
@@ -196,7 +193,6 @@
 		engines := pools[k]
 		if engines == nil {
 			engines = newPool(p.dir.Candidates(req.service, req.model))
-			engines.self = p.self
 			engines.track(p.spellsOf(req.service))
 			pools[k] = engines
 		}
@@ -293,7 +289,7 @@
 		if c.Backend == groupEngine {
 			cost -= groupBonus
 		}
-		if best < 0 || cost < bestCost || (cost == bestCost && balance.Prefers(e.self, c.ID, candidates[best].ID)) {
+		if best < 0 || cost < bestCost || (cost == bestCost && cmp.Less(c.ID, candidates[best].ID)) {
 			best, bestCost = i, cost
 		}
 	}
