--- a/provision/scheduler_test.go
+++ b/provision/scheduler_test.go
@@ -87,6 +87,8 @@
 }
 
 func (s *scene) Fence() (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.notHeld {
 		return 0, errNotHeld
 	}
@@ -94,6 +96,8 @@
 }
 
 func (s *scene) Invalidate(fence int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if fence == s.fence {
 		s.fence++
 	}
