--- a/instance/capacity.go
+++ b/instance/capacity.go
@@ -11,7 +11,7 @@
 // the slots that the work of this instance needs.
 func (i *Instance) newCapacityScheduler() func(context.Context) {
 	s := i.settings
-	if s.PlatformAPI.Addr == "" || !hosted.ParseAPIDuties(s.PlatformAPI.Duties).Capacity {
+	if i.platformAPI == nil || !hosted.ParseAPIDuties(s.PlatformAPI.Duties).Capacity {
 		return nil
 	}
 	i.presence.StateNeed(i.slotsNeeded)
--- a/presence/heartbeat.go
+++ b/presence/heartbeat.go
@@ -50,8 +50,7 @@
 	r := record{
 		Incarnation: t.self.Incarnation, DataCentre: t.dataCentre, Left: t.hasLeft, Draining: t.draining,
 		Sequence: t.sequence, Interval: interval + t.appendDuration,
-		Region: t.instance.Zone.Region, PeerAddr: t.instance.PeerAddr, Need: need,
-		Processors: t.processors,
+		Region: t.instance.Zone.Region, PeerAddr: t.instance.PeerAddr, Processors: t.processors, Need: need,
 	}
 	t.mu.Unlock()
 	if t.clock != nil {
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -81,14 +81,14 @@
 	// Region and PeerAddr are the location and the address for calls of other instances.
 	Region   string `cbor:"7,keyasint"`
 	PeerAddr string `cbor:"8,keyasint"`
-	// Need holds, by service, the back end slots that the instance's part of the work needs.
-	Need map[string]int `cbor:"20,keyasint,omitempty"`
 	// WallMs and BootMs are the time of day and the time since boot at which the record was written, in milliseconds; 0 if
 	// the deployment does not need them.
 	WallMs int64 `cbor:"9,keyasint,omitempty"`
 	BootMs int64 `cbor:"10,keyasint,omitempty"`
 	// Processors is the processor time that the instance may use, in cores; 0 if it is not known.
 	Processors float64 `cbor:"15,keyasint,omitempty"`
+	// Need holds, by service, the back end slots that the instance's part of the work needs.
+	Need map[string]int `cbor:"16,keyasint,omitempty"`
 }
 
 // observedRecord is the newest record of an instance with the time at which this instance read it.
