--- a/instance/accounts_test.go
+++ b/instance/accounts_test.go
@@ -37,12 +37,11 @@
 // newAccountCluster starts instances of a deployment with accounts and strict revocation, and an engine.
 func newAccountCluster(t *testing.T, instances int) *cluster {
 	t.Helper()
-	c := newCluster(t, 0, 1)
-	c.logs = &lockedBuffer{}
-	c.adjust = func(s *Settings) {
+	c := newCluster(t, 0, 1, func(s *Settings) {
 		s.Accounts.StrictRevocation = Flag{Value: true, Set: true}
 		s.Accounts.RevocationMs = Number{Value: float64(revocationTime.Milliseconds()), Set: true}
-	}
+	})
+	c.logs = &lockedBuffer{}
 	c.store.PutConfig(accountConfig(2, firstKey, secondKey))
 	c.startInstances(instances)
 	for _, m := range c.members {
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -104,6 +104,13 @@
 	// MaxFDs is the number of file descriptors that the process may have; the limit of the operating system applies if it is
 	// missing.
 	MaxFDs Number `json:"max_fds"`
+	// CPUShare is the share of a core that the process may use, Cores how many times as fast as one that core is. Instances with much
+	// less than others get less of the work that any instance can do; without the values, all count as equal.
+	CPUShare Number `json:"cpu_share"`
+	Cores    Number `json:"cores"`
+	// MaxConnsPerAddr is the number of connections that one peer address may have at the listener for clients. The bound of all
+	// connections applies if it is missing: all clients may come through one load balancer.
+	MaxConnsPerAddr Number `json:"max_connections_per_address"`
 }
 
 // StopSettings configure the planned stop.
