--- a/instance/settings.go
+++ b/instance/settings.go
@@ -108,6 +108,9 @@
 	// less than others get less of the work that any instance can do; without the values, all count as equal.
 	CPUShare Number `json:"cpu_share"`
 	Cores    Number `json:"cores"`
+	// MaxConnsPerAddr is the number of connections that one peer address may have at the listener for clients. The bound of all
+	// connections applies if it is missing: all clients may come through one load balancer.
+	MaxConnsPerAddr Number `json:"max_connections_per_address"`
 }
 
 // StopSettings configure the planned stop.
