--- a/balance/prefer.go
+++ b/balance/prefer.go
@@ -22,8 +22,12 @@
 	return d.Sum64()
 }
 
-// Compare orders two back ends by a chooser's preference: it returns a negative number if a is preferred to b.
+// Compare orders two back ends by a chooser's preference: it returns a negative number if a is preferred to b. Without the name of
+// a chooser the order is that of the ids.
 func Compare(chooser, a, b string) int {
+	if chooser == "" {
+		return cmp.Compare(a, b)
+	}
 	return cmp.Or(cmp.Compare(Rank(chooser, a), Rank(chooser, b)), cmp.Compare(a, b))
 }
 
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/balance"
 )
 
 // choose returns the best back end of a service that has not been tried, or nil: one with few
@@ -55,7 +56,7 @@
 		compareBool(spareRateLimited && a.RateLimited, spareRateLimited && b.RateLimited),
 		compareBool(a.Zone != f.opts.DataCentre, b.Zone != f.opts.DataCentre),
 		cmp.Compare(a.InFlight, b.InFlight),
-		cmp.Compare(a.ID, b.ID),
+		balance.Compare(f.opts.Self, a.ID, b.ID),
 	)
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -163,6 +163,8 @@
 	Client     Client
 	RateLimits RateLimits
 	Quarantine Quarantine
+	// Self is the id of this instance, by which it prefers one of equal back ends; empty if it decides by their ids.
+	Self       string
 	DataCentre string
 	// RequestBegan is told of each request of a client account that began to run, with the moment by the clock since boot. nil
 	// if nobody counts them.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -210,13 +210,17 @@
 		Holders: &job.Holders{Possible: i.presence.PossiblyLive, Ask: i.readCopy}, Registerer: i.registry,
 	})
 	i.node.Handle(job.ReadMethod, i.jobs.HandleRead)
+	spreadBy := ""
+	if s.Jobs.SpreadEqual {
+		spreadBy = s.Instance.ID
+	}
 	forwarder := forward.New(forward.Options{
-		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, DataCentre: s.Instance.DataCentre,
+		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Self: spreadBy, DataCentre: s.Instance.DataCentre,
 		RequestBegan: i.usage.observer(), Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
-		Engine: backendClient, Requests: forwarder, RateLimits: limiter, Peers: i.presence, Config: i.config.Load, SlotShare: s.Jobs.SlotShare,
+		Engine: backendClient, Requests: forwarder, RateLimits: limiter, Peers: i.presence, Config: i.config.Load, SlotShare: s.Jobs.SlotShare, SpreadEqual: s.Jobs.SpreadEqual,
 		Logger: i.log, Registerer: i.registry,
 	})
 	i.loadScheduler = versions.New(versions.Options{
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -95,6 +95,9 @@
 	RetentionS float64 `json:"retention_s" validate:"gt=0"`
 	// SlotShare is the fraction of an engine's slots that one instance uses, 0 to 1.
 	SlotShare float64 `json:"slot_share" validate:"gt=0,lte=1"`
+	// SpreadEqual makes each instance prefer one of equal back ends by an order of its own, so that many that choose at the same
+	// moment choose different ones. It costs connections where few instances choose (docs/design/load.md).
+	SpreadEqual bool `json:"spread_equal"`
 }
 
 // LimitSettings holds the limits that the machine sets for the process.
--- a/job/driver.go
+++ b/job/driver.go
@@ -56,6 +56,8 @@
 	RateLimits forward.RateLimits
 	Peers      Peers
 	Config     func() *routes.Config
+	// SpreadEqual makes this instance prefer one of equal engines by an order of its own instead of by their ids.
+	SpreadEqual bool
 	// SlotShare is the fraction of an engine's slots that this instance may use, from 0 to 1.
 	SlotShare  float64
 	Logger     *log.Logger
@@ -146,6 +148,9 @@
 	d.indexState = func() (time.Duration, error) {
 		return opts.Registry.indexReplica.Age(), opts.Registry.indexReplica.LastReadError()
 	}
+	if opts.SpreadEqual {
+		d.placer.self = opts.Self.ID
+	}
 	d.rewards = reward.NewGate(d.rewardLimit)
 	d.metrics = newDriverMetrics(opts.Registerer, d.rewards)
 	d.placer.register(opts.Registerer)
--- a/job/place.go
+++ b/job/place.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -82,6 +81,8 @@
 type placer struct {
 	dir  *backends.Directory
 	zone string
+	// self is the id of this instance, by which it prefers one of equal engines; empty if it decides by their ids.
+	self string
 	// slotShare is the fraction of an engine's slots that this instance may use.
 	slotShare float64
 
@@ -169,6 +170,8 @@
 	unmet map[requirement]bool
 	// spells tells how long slow engines are expected to stay slow.
 	spells *slowSpells
+	// self is the id of this instance.
+	self string
 }
 
 func newPool(candidates []backends.Candidate) *pool {
@@ -193,6 +196,7 @@
 		engines := pools[k]
 		if engines == nil {
 			engines = newPool(p.dir.Candidates(req.service, req.model))
+			engines.self = p.self
 			engines.track(p.spellsOf(req.service))
 			pools[k] = engines
 		}
@@ -289,7 +293,7 @@
 		if c.Backend == groupEngine {
 			cost -= groupBonus
 		}
-		if best < 0 || cost < bestCost || (cost == bestCost && cmp.Less(c.ID, candidates[best].ID)) {
+		if best < 0 || cost < bestCost || (cost == bestCost && balance.Prefers(e.self, c.ID, candidates[best].ID)) {
 			best, bestCost = i, cost
 		}
 	}
--- a/provision/plan.go
+++ b/provision/plan.go
@@ -21,8 +21,8 @@
 	// or are chosen unevenly by instances that do not see each other's choices.
 	targetUtilization = 0.75
 	// shrinkMargin is the factor by which back ends must exceed the wanted number before any are ordered away: the hysteresis between
-	// growing and shrinking.
-	shrinkMargin = 1.25
+	// growing and shrinking. It leaves room for the loss of a data centre's back ends while a trainer catches up.
+	shrinkMargin = 1.5
 	// shrinkFraction is the largest fraction of a service's back ends that is ordered away at once.
 	shrinkFraction = 0.125
 )
