review: items that a cut link has held up run long after the end of their batch job (case 8)

Cause: connections to back ends are closed, not reset, when an attempt is given up, so that TCP still delivers held bytes when the link has healed. Nothing outside review/.

--- a/review/_standin-2/cutlink.go
+++ b/review/_standin-2/cutlink.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,7 @@
 type cutLink struct {
 	listener net.Listener
 	target   string
+	passed   atomic.Int64 // requests that were passed on
 
 	mu      sync.Mutex // guards the fields below
 	isCut   bool
@@ -97,6 +99,9 @@
 			}
 			<-healed
 		}
+		if toTarget {
+			l.passed.Add(int64(bytes.Count(data, []byte("X-Request-Id:"))))
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(data); writeErr != nil {
 				return
--- a/review/_standin-2/holder.go
+++ b/review/_standin-2/holder.go
@@ -94,34 +94,12 @@
 	r.unfenced = true
 	r.store.PutConfig([]byte(refusedConfig))
 	const instances = 4
-	var samplers []*orderedSampler
-	for n := range 5 {
-		e := hostedtest.NewEngine(fmt.Sprintf("i-tray-%d", n), "tray-llm", "brisbane-a", "tray-m")
-		e.FencingEnforced = false
-		s := &orderedSampler{}
-		s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, call *http.Request) { s.serve(w, call) }))
-		r.fronts = append(r.fronts, s.front)
-		for range instances {
-			link, err := newCutLink(s.front.Listener.Addr().String())
-			if err != nil {
-				return err
-			}
-			defer link.close()
-			s.links = append(s.links, link)
-		}
-		s.sampler = r.startSamplerAt(e, s.links[0].addr())
-		samplers = append(samplers, s)
+	samplers, err := r.startLinkedSamplers(5, instances)
+	if err != nil {
+		return err
 	}
-	// The store tells each instance the addresses of its own links.
-	r.rewrite = func(name string, data []byte) []byte {
-		n, err := strconv.Atoi(strings.TrimPrefix(name, "edge-"))
-		if err != nil {
-			return data
-		}
-		for _, s := range samplers {
-			data = bytes.ReplaceAll(data, []byte(s.links[0].addr()), []byte(s.links[n].addr()))
-		}
-		return data
+	for _, s := range samplers {
+		s.FencingEnforced = false
 	}
 	for n := range instances {
 		if _, err := r.startInstance(fmt.Sprintf("edge-%d", n)); err != nil {
@@ -204,3 +182,34 @@
 		}
 	}
 }
+
+// startOrderedSampler starts a sampler with a link for each instance. It registers the address of the first one.
+func (r *run) startOrderedSampler(e *hostedtest.Engine, instances int) (*orderedSampler, error) {
+	s := &orderedSampler{}
+	s.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, call *http.Request) { s.serve(w, call) }))
+	r.fronts = append(r.fronts, s.front)
+	for range instances {
+		link, err := newCutLink(s.front.Listener.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		r.links = append(r.links, link)
+		s.links = append(s.links, link)
+	}
+	s.sampler = r.startSamplerAt(e, s.links[0].addr())
+	return s, nil
+}
+
+// rewriteAddrs makes the store tell each instance the addresses of its own links.
+func (r *run) rewriteAddrs(samplers []*orderedSampler) {
+	r.rewrite = func(name string, data []byte) []byte {
+		n, err := strconv.Atoi(strings.TrimPrefix(name, "edge-"))
+		if err != nil {
+			return data
+		}
+		for _, s := range samplers {
+			data = bytes.ReplaceAll(data, []byte(s.links[0].addr()), []byte(s.links[n].addr()))
+		}
+		return data
+	}
+}
--- a/review/_standin-2/refused.go
+++ b/review/_standin-2/refused.go
@@ -57,7 +57,7 @@
 	roomy := r.instances[2]
 	for n, items := range openJobs {
 		id := fmt.Sprintf("open-%d", n)
-		a := roomy.send(http.MethodPost, "/tray/x", id, 12*time.Second, jobBody(id, "/tray/x", "tray-m", n, items))
+		a := roomy.send(http.MethodPost, "/tray/x", id, 12*time.Second, jobBody(id, "/tray/x", "tray-m", n, items, itemBytes))
 		r.notef("batch job %s of %d items of %d bytes to %s: %d", id, items, itemBytes, roomy.name, a.status)
 		if a.status != http.StatusAccepted {
 			return fmt.Errorf("job %s got status %d", id, a.status)
@@ -70,7 +70,7 @@
 	}
 	time.Sleep(submitDelay)
 	const id = "judged"
-	body := jobBody(id, "/heat/x", "heat-m", 0, judgedItems)
+	body := jobBody(id, "/heat/x", "heat-m", 0, judgedItems, itemBytes)
 	refusals, accepted := 0, false
 	for n := range clientAttempts {
 		to := r.instances[n]
@@ -106,8 +106,8 @@
 	return nil
 }
 
-// jobBody returns a batch job as a trainer submits it.
-func jobBody(id, path, model string, step, items int) []byte {
+// jobBody returns a batch job as a trainer submits it, with items of a size in bytes.
+func jobBody(id, path, model string, step, items, size int) []byte {
 	type item struct {
 		ID      string            `json:"id"`
 		Path    string            `json:"path"`
@@ -120,7 +120,7 @@
 	for n := range list {
 		list[n] = item{
 			ID: fmt.Sprintf("%s-%d", id, n), Path: path, Headers: map[string]string{"X-Model": model, "X-Token-Usage": "540,400"},
-			Body: make([]byte, itemBytes), Tokens: 940, Group: fmt.Sprintf("%s-g%d", id, n/4),
+			Body: make([]byte, size), Tokens: 940, Group: fmt.Sprintf("%s-g%d", id, n/4),
 		}
 	}
 	data, err := json.Marshal(map[string]any{"step": step, "model": model, "min_version": 1, "group_count": items / 4, "items": list})
--- a/review/_standin-2/run.go
+++ b/review/_standin-2/run.go
@@ -43,6 +43,7 @@
 	instances []*instance
 	engines   []*hostedtest.Engine
 	fronts    []*httptest.Server // of the store, one for each instance
+	links     []*cutLink
 	// unfenced states that samplers check no fencing tokens.
 	unfenced bool
 	// rewrite changes what the store tells an instance of the samplers; nil changes nothing.
@@ -94,6 +95,9 @@
 		e.CloseClientConnections()
 		e.Close()
 	}
+	for _, link := range r.links {
+		link.close()
+	}
 	for _, front := range append(r.fronts, r.store.Server) {
 		front.CloseClientConnections()
 		go front.Close() // waits for calls that are held back
