review: an entry that comes back after its sampler left is used (case 10)

Cause: Directory.Remove forgets the back end, so an older entry of the same process makes it a new one that is ready.

--- a/review/_standin-2/drain.go
+++ b/review/_standin-2/drain.go
@@ -26,13 +26,22 @@
 	drainAt = lossEnd + contact + 200*time.Millisecond
 	// serveOn is how long the sampler goes on after the store has accepted that: the drain time and a little longer.
 	serveOn = drainTime + 900*time.Millisecond
+	// serveOnRemoved is the same for a sampler whose entry was removed: the drain time and some seconds.
+	serveOnRemoved = drainTime + 3*time.Second
 	// requestInterval is the time between two requests, workTime how long each takes.
 	requestInterval = 25 * time.Millisecond
 	workTime        = 150 * time.Millisecond
 )
 
 // playDrain plays the case of a heartbeat that the store executes late, after the sampler's later ones.
-func playDrain(r *run) error {
+func playDrain(r *run) error { return r.playLateBeat(false) }
+
+// playGone plays the case of a heartbeat that the store executes late, after the sampler's entry was removed.
+func playGone(r *run) error { return r.playLateBeat(true) }
+
+// playLateBeat plays the cases of a heartbeat that is executed late. removes states that the sampler does not report that it drains:
+// its entry is removed.
+func (r *run) playLateBeat(removes bool) error {
 	r.store.PutConfig([]byte(drainConfig))
 	r.store.SetLateness(lateness)
 	r.store.SetFault(func(call *http.Request) hostedtest.Fault {
@@ -63,9 +72,18 @@
 	leaving := samplers[0]
 	leaving.beat(r.trouble)
 	at(drainAt)
-	acked := leaving.report("draining")
-	r.notef("the store has accepted that %s drains; no request may reach it later than %v after that", leaving.ID, drainTime)
-	time.Sleep(time.Until(acked.Add(serveOn)))
+	what, serves := "drains", serveOn
+	var acked time.Time
+	if removes {
+		what, serves = "is gone", serveOnRemoved
+		acked = leaving.remove()
+		// The store removes an entry after three heartbeat intervals of silence.
+		time.AfterFunc(lateness-(drainAt-staleBeatAt)+3*heartbeat, func() { leaving.write(nil, false) })
+	} else {
+		acked = leaving.report("draining")
+	}
+	r.notef("the store has accepted that %s %s; no request may reach it later than %v after that", leaving.ID, what, drainTime)
+	time.Sleep(time.Until(acked.Add(serves)))
 	leaving.exit()
 	time.Sleep(2 * time.Second)
 	statuses := traffic.stop()
@@ -78,7 +96,7 @@
 		}
 	}
 	if late > 0 {
-		r.breakRule("DRAIN: %d requests reached %s later than %v after the store had accepted that it drains", late, leaving.ID, drainTime)
+		r.breakRule("DRAIN: %d requests reached %s later than %v after the store had accepted that it %s", late, leaving.ID, drainTime, what)
 	}
 	if len(leaving.Runs()) == 0 {
 		return fmt.Errorf("no request reached %s before it drained", leaving.ID)
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -16,7 +16,7 @@
 )
 
 func main() {
-	cases := map[string]func(*run) error{"refused": playRefused, "drain": playDrain, "holder": playHolder, "unasked": playUnasked}
+	cases := map[string]func(*run) error{"refused": playRefused, "drain": playDrain, "holder": playHolder, "unasked": playUnasked, "gone": playGone}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER, from the repository's root; TROUBLE=0 leaves the disruption out")
 		os.Exit(codeNotRun)
--- a/review/_standin-2/sampler.go
+++ b/review/_standin-2/sampler.go
@@ -80,6 +80,15 @@
 	return time.Now()
 }
 
+// remove removes the sampler's entry without a report before. It returns the time at which the store had accepted that.
+func (s *sampler) remove() time.Time {
+	s.mu.Lock()
+	s.gone = true
+	s.mu.Unlock()
+	s.run.notef("the entry of %s is removed, accepted at once: %t", s.ID, s.write(nil, false))
+	return time.Now()
+}
+
 // exit removes the sampler's entry and ends it: all its connections break.
 func (s *sampler) exit() {
 	s.mu.Lock()
