--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -6,8 +6,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxTime bounds a play, below the 120 s that a case may last.
+const maxTime = 100 * time.Second
+
 // Exit codes.
 const (
 	codeHeld   = 0
@@ -31,6 +37,17 @@
 		fmt.Fprintln(os.Stderr, err)
 		return codeNotRun
 	}
+	go func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+		select {
+		case <-signals:
+		case <-time.After(maxTime):
+		}
+		fmt.Fprintln(os.Stderr, "not run: interrupted, or it took too long")
+		r.close()
+		os.Exit(codeNotRun)
+	}()
 	err = playCase(r)
 	broken := r.close()
 	switch {
--- a/review/_standin-2/run.go
+++ b/review/_standin-2/run.go
@@ -49,6 +49,8 @@
 	// rewrite changes what the store tells an instance of the samplers; nil changes nothing.
 	rewrite func(instance string, data []byte) []byte
 
+	closing sync.Mutex
+
 	mu     sync.Mutex // guards the fields below
 	record *os.File
 	broken bool
@@ -88,6 +90,7 @@
 
 // close ends all processes and servers and removes the temporary folder. It reports whether the rule was broken.
 func (r *run) close() bool {
+	r.closing.Lock() // never unlocked: whoever comes first ends the program
 	for _, i := range r.instances {
 		i.kill()
 	}
