--- a/soak/crowd/process_test.go
+++ b/soak/crowd/process_test.go
@@ -69,9 +69,14 @@
 	exited  chan struct{}
 }
 
-// startProcess starts the daemon with arguments and a settings file, and kills it at the end of the test. The operating system
-// allows it fds descriptors; 0 leaves the limit as it is.
-func startProcess(t *testing.T, settings string, fds int, args ...string) *process {
+// processOptions are what the operating system gives a process.
+type processOptions struct {
+	fds int      // the number of descriptors that it allows; 0 leaves the limit as it is
+	env []string // variables beside those of the test
+}
+
+// startProcess starts the daemon with arguments and a settings file, and kills it at the end of the test.
+func startProcess(t *testing.T, settings string, opts processOptions, args ...string) *process {
 	t.Helper()
 	dir := t.TempDir()
 	path := filepath.Join(dir, "settings.jsonc")
@@ -83,10 +88,11 @@
 		t.Fatal(err)
 	}
 	command := exec.Command(daemonPath, append(args, "--settings", path)...)
-	if fds > 0 {
-		shell := []string{"-c", `ulimit -n "$1" && shift && exec "$@"`, "sh", strconv.Itoa(fds)}
+	if opts.fds > 0 {
+		shell := []string{"-c", `ulimit -n "$1" && shift && exec "$@"`, "sh", strconv.Itoa(opts.fds)}
 		command = exec.Command("sh", append(shell, command.Args...)...)
 	}
+	command.Env = append(os.Environ(), opts.env...)
 	command.Stdout, command.Stderr = logFile, logFile
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
