--- /dev/null
+++ b/httpguard/body.go
@@ -0,0 +1,101 @@
+package httpguard
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadasill/cicadasill/flood"
+	"github.com/cicadasill/cicadasill/intake"
+)
+
+// unbounded is the memory of readers without a bound.
+var unbounded = intake.New(intake.Options{Limits: flood.MemoryLimits{Large: math.MaxInt64}})
+
+// ReadBody reads the body of a request into memory that release returns; release must be called when the body is not used any more.
+// It fails with *http.MaxBytesError beyond the limit, with intake.ErrFull if others need the memory more, and when the context of
+// the request ends. b.Length is set from the request. A nil memory sets no bound.
+func ReadBody(m *intake.Memory, w http.ResponseWriter, r *http.Request, b intake.Body) (data []byte, release func(), err error) {
+	if m == nil {
+		m = unbounded
+	}
+	b.Length = r.ContentLength
+	if b.Length == 0 {
+		return []byte{}, func() {}, nil
+	}
+	if b.Length > b.Limit {
+		return nil, func() {}, &http.MaxBytesError{Limit: b.Limit}
+	}
+	interrupt := func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) } // an error means that the connection is closed
+	if guarded, ok := r.Body.(*body); ok {
+		interrupt = guarded.interrupt
+	}
+	stop := context.AfterFunc(r.Context(), interrupt)
+	defer stop()
+	share := m.Open(b.Limit, interrupt)
+	data, err = share.ReadAll(http.MaxBytesReader(w, r.Body, b.Limit), b)
+	if errors.Is(err, intake.ErrTooLarge) {
+		err = &http.MaxBytesError{Limit: b.Limit}
+	}
+	return data, share.Release, err
+}
+
+// body is the body of a request. Its connection counts as waiting for its client while the body is incomplete.
+type body struct {
+	io.ReadCloser
+	ctx     context.Context
+	conn    *conn
+	timeout time.Duration
+	ended   bool
+	// interrupted states that no more bytes are awaited.
+	interrupted atomic.Bool
+}
+
+// Read implements io.Reader. It fails if no bytes arrive within the timeout.
+func (b *body) Read(data []byte) (int, error) {
+	if b.ended {
+		return b.ReadCloser.Read(data)
+	}
+	b.conn.waitForBody()
+	_ = b.conn.SetReadDeadline(time.Now().Add(b.timeout)) // an error means that the connection is closed, as the read will tell
+	if b.ctx.Err() != nil || b.interrupted.Load() {
+		_ = b.conn.SetReadDeadline(time.Now()) // the interruption may have come before the deadline was set
+	}
+	start := time.Now()
+	n, err := b.ReadCloser.Read(data)
+	if err != nil {
+		b.end(err, time.Since(start))
+	}
+	return n, err
+}
+
+// interrupt ends the read in progress, and all later ones. It may be called from any goroutine.
+func (b *body) interrupt() {
+	b.interrupted.Store(true)
+	_ = b.conn.SetReadDeadline(time.Now()) // an error means that the connection is closed
+}
+
+// end records that the body has been read as far as it will be. waited is how long its last read took.
+func (b *body) end(err error, waited time.Duration) {
+	b.ended = true
+	b.conn.setState(flood.Busy)
+	if errors.Is(err, io.EOF) {
+		_ = b.conn.SetReadDeadline(time.Time{}) // net/http waits for the client's close while the request is answered
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && waited >= b.timeout {
+		b.conn.guard.refused(reasonBodyStalled, b.conn.RemoteAddr())
+	}
+}
+
+// leave bounds the time in which net/http reads the rest of the body after the handler.
+func (b *body) leave() {
+	if !b.ended {
+		_ = b.conn.SetReadDeadline(time.Now().Add(refusedBodyTimeout))
+	}
+}
--- a/httpguard/guard.go
+++ b/httpguard/guard.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -250,50 +248,3 @@
 	}
 	return admitted
 }
-
-// body is the body of a request. Its connection counts as waiting for its client while the body is incomplete.
-type body struct {
-	io.ReadCloser
-	ctx     context.Context
-	conn    *conn
-	timeout time.Duration
-	ended   bool
-}
-
-// Read implements io.Reader. It fails if no bytes arrive within the timeout.
-func (b *body) Read(data []byte) (int, error) {
-	if b.ended {
-		return b.ReadCloser.Read(data)
-	}
-	b.conn.waitForBody()
-	_ = b.conn.SetReadDeadline(time.Now().Add(b.timeout)) // an error means that the connection is closed, as the read will tell
-	if b.ctx.Err() != nil {
-		_ = b.conn.SetReadDeadline(time.Now()) // whoever ended the request may have interrupted the read before
-	}
-	start := time.Now()
-	n, err := b.ReadCloser.Read(data)
-	if err != nil {
-		b.end(err, time.Since(start))
-	}
-	return n, err
-}
-
-// end records that the body has been read as far as it will be. waited is how long its last read took.
-func (b *body) end(err error, waited time.Duration) {
-	b.ended = true
-	b.conn.setState(flood.Busy)
-	if errors.Is(err, io.EOF) {
-		_ = b.conn.SetReadDeadline(time.Time{}) // net/http waits for the client's close while the request is answered
-	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() && waited >= b.timeout {
-		b.conn.guard.refused(reasonBodyStalled, b.conn.RemoteAddr())
-	}
-}
-
-// leave bounds the time in which net/http reads the rest of the body after the handler.
-func (b *body) leave() {
-	if !b.ended {
-		_ = b.conn.SetReadDeadline(time.Now().Add(refusedBodyTimeout))
-	}
-}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -25,6 +25,7 @@
 	"github.com/cicadasill/cicadasill/duty"
 	"github.com/cicadasill/cicadasill/forward"
 	"github.com/cicadasill/cicadasill/httpguard"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/job"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
@@ -60,8 +61,6 @@
 	storeFraction = 0.25
 	// memoryFraction is the fraction of the memory limit that is set as the Go runtime's soft limit.
 	memoryFraction = 0.6
-	// bodyFraction is the fraction of the memory limit that the bodies of requests may take.
-	bodyFraction = 0.25
 	// itemFraction is the fraction of the memory limit that the items of an instance's open jobs may take.
 	itemFraction = 0.2
 	// peerIdleTimeout is the time after which an unused connection to a peer is closed.
@@ -136,6 +135,7 @@
 	readyServer    *http.Server
 	connLimits     connLimits
 	guardMetrics   *httpguard.Metrics
+	intakeMetrics  *intake.Metrics
 	clientGuard    *httpguard.Guard
 	readyGuard     *httpguard.Guard
 }
@@ -227,13 +227,15 @@
 		Backends: i.directory, Engine: backendClient, RateLimits: limiter, Duty: i.orders, Config: i.config.Load,
 		Targets: i.targetVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
-	i.guardMetrics = httpguard.NewMetrics(i.registry)
+	i.guardMetrics, i.intakeMetrics = httpguard.NewMetrics(i.registry), intake.NewMetrics(i.registry)
 	ingress := &hosted.Ingress{
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
-		Access: i.newAccess(), Logger: i.log, Forwarder: forwarder, BodyBytes: int64(bodyFraction * s.Limits.MemoryMB * (1 << 20)),
-		ItemBytes: i.jobs.OpenItemBytes,
+		Access: i.newAccess(), Logger: i.log, Forwarder: forwarder,
+		Bodies: intake.New(intake.Options{
+			Name: "bodies", Limits: intake.Limits(s.Limits.MemoryMB * (1 << 20)), Elsewhere: i.jobs.OpenItemBytes, Metrics: i.intakeMetrics,
+		}),
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
 	i.clientConns = newConnTracker()
