--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -155,6 +155,7 @@
 	otel.SetTextMapPropagator(telemetry.Propagator())
 	config := entry.ConfigOf(s, logger)
 	config.Registry = newRegistry()
+	config.MemoryBytes = limitMemory(s.Limits.MemoryMB, logger)
 	inst, err := entry.New(config)
 	if err != nil {
 		return errBuilder.Wrapf(err, "create instance")
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -4,15 +4,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/pprof"
 	"sort"
+	"strconv"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/flood"
+	"github.com/cicadasill/cicadasill/httpguard"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/jsonc"
 	"github.com/cicadasill/cicadasill/operator"
 	"github.com/cicadasill/cicadasill/release"
@@ -22,6 +25,9 @@
 // maxNoteBytes bounds the body of a request that carries a release note.
 const maxNoteBytes = 4 << 20
 
+// noteFactor is the memory that a release note takes in relation to its body: its standard form and what is decoded from it.
+const noteFactor = 3
+
 // adminHandler returns the handler of the admin interface: health, readiness, metrics, status,
 // release notes and drain.
 func (i *Instance) adminHandler() http.Handler {
@@ -112,7 +118,8 @@
 }
 
 func (i *Instance) serveNoteCheck(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	note, ok := readNote(w, r)
+	note, done, ok := i.readNote(w, r)
+	defer done()
 	if !ok {
 		return
 	}
@@ -120,7 +127,8 @@
 }
 
 func (i *Instance) servePublish(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	note, ok := readNote(w, r)
+	note, done, ok := i.readNote(w, r)
+	defer done()
 	if !ok {
 		return
 	}
@@ -181,20 +189,31 @@
 }
 
 // readNote reads and validates the release note in the request body. If that fails, it writes the
-// error response and returns false.
-func readNote(w http.ResponseWriter, r *http.Request) (*release.Note, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxNoteBytes))
-	if err != nil {
+// error response and returns false. done, which must always be called, returns the memory of the body.
+func (i *Instance) readNote(w http.ResponseWriter, r *http.Request) (note *release.Note, done func(), ok bool) {
+	data, done, err := httpguard.ReadBody(i.bodies, w, r, intake.Body{Limit: maxNoteBytes, Factor: noteFactor})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, intake.ErrFull):
+		w.Header().Set("Retry-After", strconv.Itoa(int(flood.DefaultStallTime.Seconds())))
+		httpguard.RefuseBody(w, r, func() {
+			writeError(w, http.StatusServiceUnavailable, operator.ErrorDetail{Code: "busy", Message: err.Error()})
+		})
+		return nil, done, false
+	case errors.As(err, &tooLarge):
 		writeError(w, http.StatusRequestEntityTooLarge, operator.ErrorDetail{
 			Code: "body_too_large", Message: fmt.Sprintf("a note may have at most %d bytes", maxNoteBytes),
 		})
-		return nil, false
+		return nil, done, false
+	case err != nil:
+		writeError(w, http.StatusBadRequest, operator.ErrorDetail{Code: "body_incomplete", Message: err.Error()})
+		return nil, done, false
 	}
-	note, err := release.ParseNote("note", data)
+	note, err = release.ParseNote("note", data)
 	var mistakes *jsonc.Errors
 	switch {
 	case err == nil:
-		return note, true
+		return note, done, true
 	case errors.As(err, &mistakes):
 		writeError(w, http.StatusUnprocessableEntity, operator.ErrorDetail{
 			Code: "invalid_note", Message: err.Error(), Fields: mistakes.Mistakes,
@@ -202,7 +221,7 @@
 	default:
 		writeError(w, http.StatusUnprocessableEntity, operator.ErrorDetail{Code: "invalid_note", Message: err.Error()})
 	}
-	return nil, false
+	return nil, done, false
 }
 
 // serviceFromPath returns the service that the path names. If the catalog does not have it,
--- a/entry/build.go
+++ b/entry/build.go
@@ -13,6 +13,7 @@
 	"github.com/cicadasill/cicadasill/feed"
 	"github.com/cicadasill/cicadasill/gateway"
 	"github.com/cicadasill/cicadasill/health"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
@@ -153,6 +154,9 @@
 }
 
 func (i *Instance) buildGateway() {
+	i.bodies = intake.New(intake.Options{
+		Name: "bodies", Limits: intake.Limits(float64(i.config.MemoryBytes)), Metrics: intake.NewMetrics(i.config.Registry),
+	})
 	i.gateway = gateway.New(gateway.Options{
 		Self:    i.self,
 		Service: i.serviceForRequest,
@@ -161,8 +165,8 @@
 		Claims:  gateway.AdaptClaims(i.claims),
 		Owner:   i.claimOwner,
 		Forward: forwarder(i.node, link.CauseForward),
-		MaxBody: i.config.MaxBodyBytes,
-		Logger:  i.log, Registerer: i.config.Registry,
+		MaxBody: i.config.MaxBodyBytes, Bodies: i.bodies,
+		Logger: i.log, Registerer: i.config.Registry,
 	})
 }
 
@@ -190,7 +194,7 @@
 		Directory: dir, Picker: picker, Engine: i.clients.engine, View: i.members,
 		Owner: membership.Owner, Forward: forwarder(i.node, link.CauseRollout),
 		Scorer: &rollout.PlainScorer{Directory: dir, Picker: picker, Plain: i.clients.plain},
-		Load:   i.loadReport,
+		Load:   i.loadReport, Bodies: i.bodies,
 		Logger: i.log, Registerer: i.config.Registry,
 	})
 	i.weights = weights.New(weights.Options{
--- a/entry/config.go
+++ b/entry/config.go
@@ -42,7 +42,9 @@
 	// waiting time.
 	CrossRegionPerMB time.Duration
 	MaxBodyBytes     int64
-	HeaderTimeout    time.Duration
+	// MemoryBytes is the memory that the process may take. What clients send may take a part of it.
+	MemoryBytes   int64
+	HeaderTimeout time.Duration
 	// BalancerDelay is how long a stopping instance still accepts requests after it has reported that
 	// it is not ready.
 	BalancerDelay time.Duration
@@ -56,6 +58,9 @@
 // own region, which is the time that a megabyte takes on the link of 450 Mbit/s between regions.
 const DefaultCrossRegionPerMB = 20 * time.Millisecond
 
+// DefaultMemoryBytes is the memory of instances that share a process with others, as in demonstrations.
+const DefaultMemoryBytes = 1 << 30
+
 // ConfigOf returns the configuration that a settings file describes.
 func ConfigOf(s *settings.Settings, logger *log.Logger) Config {
 	return Config{
@@ -97,6 +102,9 @@
 	if c.MaxBodyBytes == 0 {
 		c.MaxBodyBytes = settings.DefaultMaxBodyBytes
 	}
+	if c.MemoryBytes == 0 {
+		c.MemoryBytes = DefaultMemoryBytes
+	}
 	if c.HeaderTimeout == 0 {
 		c.HeaderTimeout = settings.DefaultHeaderTimeout
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/cicadasill/cicadasill/gateway"
 	"github.com/cicadasill/cicadasill/health"
 	"github.com/cicadasill/cicadasill/httpguard"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/lease"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
@@ -40,6 +41,7 @@
 	httpListener, peerListener, adminListener net.Listener
 	httpServer, adminServer                   *http.Server
 	httpGuard, adminGuard                     *httpguard.Guard
+	bodies                                    *intake.Memory // of requests to all listeners
 
 	node     *link.Node
 	members  *membership.Members
--- a/entry/guards.go
+++ b/entry/guards.go
@@ -6,8 +6,8 @@
 	"github.com/cicadasill/cicadasill/link"
 )
 
-// Bounds of connections. The settings hold no limits of the machine, so that the descriptors which the operating system allows
-// the process and constants bound them.
+// Bounds of connections and heads. The memory of the machine and the descriptors that the operating system allows the process lower
+// them.
 const (
 	// maxHTTPConns and maxAdminConns bound the connections of callers and of operators: 48 MB and 1.5 MB of memory.
 	maxHTTPConns  = 2048
@@ -18,6 +18,10 @@
 	peerFDDivisor  = 4
 	// maxHeadCost bounds the memory of the large heads of a listener, in bytes.
 	maxHeadCost = 8 << 20
+	// connFraction and headFraction are the fractions of the memory that the connections of callers and the large heads of a
+	// listener may take.
+	connFraction = 0.15
+	headFraction = 0.1
 )
 
 // maxPeerConns returns the bound of the connections of peers.
@@ -26,16 +30,18 @@
 // buildGuards bounds the connections and the heads at the HTTP listeners.
 func (i *Instance) buildGuards() {
 	fds := httpguard.DescriptorLimit()
+	memory := float64(i.config.MemoryBytes)
+	headCost := min(maxHeadCost, int64(headFraction*memory))
 	metrics := httpguard.NewMetrics(i.config.Registry)
 	guard := func(listener string, conns int) *httpguard.Guard {
 		return httpguard.New(httpguard.Options{
-			Listener: listener, Flood: flood.Limits{Conns: conns, HeadCost: maxHeadCost}, Metrics: metrics, Logger: i.log,
+			Listener: listener, Flood: flood.Limits{Conns: conns, HeadCost: headCost}, Metrics: metrics, Logger: i.log,
 			Limits: func() httpguard.Limits {
 				return httpguard.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: i.config.HeaderTimeout}
 			},
 		})
 	}
-	i.httpGuard, i.adminGuard = guard("http", min(maxHTTPConns, fds/httpFDDivisor)), guard("admin", min(maxAdminConns, fds/adminFDDivisor))
+	i.httpGuard, i.adminGuard = guard("http", min(maxHTTPConns, fds/httpFDDivisor, int(connFraction*memory/flood.ConnCost))), guard("admin", min(maxAdminConns, fds/adminFDDivisor))
 	i.httpGuard.Protect(i.httpServer)
 	i.adminGuard.Protect(i.adminServer)
 }
--- a/gateway/callers_test.go
+++ b/gateway/callers_test.go
@@ -14,11 +14,36 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/flood"
 	"github.com/cicadasill/cicadasill/gateway"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/machine"
 )
 
+// Guards against a body that is refused for lack of memory without its code, its outcome or the time to return, and against bodies
+// that keep their memory when their requests have ended.
+func TestBodyWithoutMemoryIsRefused(t *testing.T) {
+	is := is.New(t)
+	bodies := intake.New(intake.Options{Limits: flood.MemoryLimits{Large: 4 << 20, StallTime: time.Hour}})
+	d := deploy(t, func(o *gateway.Options) { o.Bodies = bodies }, "a")
+	holder := bodies.Open(0, func() {})
+	is.NoErr(holder.Resize(4 << 20))
+	body := strings.Repeat("x", 1<<20)
+	for header, outcome := range map[string]gateway.Outcome{"1": gateway.NotRun, "2": gateway.Unknown} {
+		r := d.post(context.Background(), "a", "line-desk/calls/book", body, gateway.HeaderKey, "k", gateway.HeaderAttempt, header)
+		is.Equal(r.status, http.StatusServiceUnavailable)
+		is.Equal(r.header.Get("Retry-After"), "1")
+		is.Equal(r.header.Get(gateway.HeaderReason), string(gateway.BodiesFull))
+		is.Equal(r.header.Get(gateway.HeaderOutcome), string(outcome))
+	}
+	is.Equal(d.runsOf("k", body), 0)
+	holder.Release()
+	r := d.post(context.Background(), "a", "line-desk/calls/book", body, gateway.HeaderKey, "k", gateway.HeaderAttempt, "3")
+	is.Equal(r.status, http.StatusOK)
+	is.Equal(bodies.Used(), int64(0))
+}
+
 // Every refusal must carry its error code, and none may state not_run for a key that an
 // earlier attempt may have run.
 func TestTypedRefusals(t *testing.T) {
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -17,6 +17,7 @@
 	"github.com/cicadasill/cicadasill/claim"
 	"github.com/cicadasill/cicadasill/contract"
 	"github.com/cicadasill/cicadasill/health"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/limit"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/routing"
@@ -107,6 +108,9 @@
 	// proves that the peer did not handle the request.
 	Forward func(ctx context.Context, to machine.Instance, req *http.Request) (*http.Response, error)
 
+	// Bodies is the memory of the bodies of requests; nil sets no bound.
+	Bodies *intake.Memory
+
 	MaxBody, MaxAnswer                             int64
 	MaxTokens                                      int
 	MaxDeadline                                    time.Duration
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -27,7 +27,9 @@
 	InvalidBody    Code = "invalid_body"
 	BodyTooLarge   Code = "body_too_large"
 	BodyIncomplete Code = "body_incomplete"
-	KeyRequired    Code = "key_required"
+	// BodiesFull means that the bodies of other requests take the memory that this one needs.
+	BodiesFull  Code = "bodies_full"
+	KeyRequired Code = "key_required"
 	// NonIdempotentEngineCall means that the call is non-idempotent but its back ends are engines.
 	NonIdempotentEngineCall Code = "non_idempotent_engine_call"
 	Draining                Code = "draining"
@@ -45,6 +47,8 @@
 	Message    string
 	RetryAfter time.Duration
 	Err        error
+	// bodyUnread states that the client may still be sending the body.
+	bodyUnread bool
 }
 
 // Error implements error.
@@ -79,8 +83,14 @@
 	if e.RetryAfter > 0 {
 		h.Set(headerRetry, strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
+	data, err := json.Marshal(e.body())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	h.Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(e.Status)
-	_ = json.NewEncoder(w).Encode(e.body())
+	_, _ = w.Write(data) // the caller has gone if this fails
 }
 
 // refusalFor converts an error before the dispatch into a response. Its outcome is the one
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/httpguard"
 	"github.com/cicadasill/cicadasill/limit"
 )
 
@@ -174,6 +175,7 @@
 	ctx, span := g.tracer.Start(extractTraceContext(in), "accept")
 	defer span.End()
 	r, e := g.parse(w, in, p)
+	defer func() { r.releaseBody() }()
 	w.Header().Set(HeaderRequestID, r.id)
 	if !accepted {
 		w.Header().Set("Connection", "close")
@@ -186,7 +188,10 @@
 		defer cancel()
 		e = g.handle(ctx, w, r)
 	}
-	if e != nil {
+	switch {
+	case e != nil && e.bodyUnread:
+		httpguard.RefuseBody(w, in, func() { e.write(w) })
+	case e != nil:
 		e.write(w)
 	}
 	g.recordRequest(r, e, span, time.Since(start))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -14,9 +14,15 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/flood"
+	"github.com/cicadasill/cicadasill/httpguard"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/machine"
 )
 
+// bodyFactor is the memory that a request takes in relation to its body: what is decoded from it, and a copy that is sent on.
+const bodyFactor = 3
+
 // maxKeyBytes limits the length of the header Cicadasill-Key.
 const maxKeyBytes = 256
 
@@ -30,6 +36,7 @@
 	deadline    time.Time
 	contentType string
 	body        []byte
+	releaseBody func()        // returns the memory of the body
 	forwarded   bool          // by another instance
 	generate    *generateBody // nil unless the call goes to engines
 
@@ -75,7 +82,7 @@
 func (g *Gateway) parse(w http.ResponseWriter, in *http.Request, p httprouter.Params) (*request, *Error) {
 	r := &request{
 		id: g.nextRequestID(), key: in.Header.Get(HeaderKey),
-		contentType: in.Header.Get("Content-Type"), forwarded: in.Header.Get(HeaderForwarded) != "",
+		contentType: in.Header.Get("Content-Type"), forwarded: in.Header.Get(HeaderForwarded) != "", releaseBody: func() {},
 	}
 	if e := r.parseAttempt(in.Header.Get(HeaderAttempt)); e != nil {
 		return r, e
@@ -145,18 +152,16 @@
 }
 
 func (g *Gateway) readBody(r *request, w http.ResponseWriter, in *http.Request) *Error {
-	body := http.MaxBytesReader(w, in.Body, g.opts.MaxBody)
 	var err error
-	if n := in.ContentLength; n > 0 && n <= g.opts.MaxBody {
-		r.body = make([]byte, n)
-		_, err = io.ReadFull(body, r.body)
-	} else {
-		r.body, err = io.ReadAll(body)
-	}
+	r.body, r.releaseBody, err = httpguard.ReadBody(g.opts.Bodies, w, in, intake.Body{Limit: g.opts.MaxBody, Factor: bodyFactor})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return nil
+	case errors.Is(err, intake.ErrFull):
+		e := r.newRefusal(http.StatusServiceUnavailable, BodiesFull, "%v", err)
+		e.RetryAfter, e.bodyUnread = flood.DefaultStallTime, true
+		return e
 	case errors.As(err, &tooLarge):
 		return r.newRefusal(http.StatusRequestEntityTooLarge, BodyTooLarge, "the body exceeds %d bytes", g.opts.MaxBody)
 	default:
--- a/httpguard/body.go
+++ b/httpguard/body.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -15,7 +14,7 @@
 )
 
 // unbounded is the memory of readers without a bound.
-var unbounded = intake.New(intake.Options{Limits: flood.MemoryLimits{Large: math.MaxInt64}})
+var unbounded = intake.Unbounded()
 
 // ReadBody reads the body of a request into memory that release returns; release must be called when the body is not used any more.
 // It fails with *http.MaxBytesError beyond the limit, with intake.ErrFull if others need the memory more, and when the context of
@@ -45,6 +44,19 @@
 	return data, share.Release, err
 }
 
+// RefuseBody refuses a request at once, with the answer that write writes, and discards the rest of its body. A client that is still
+// sending when its connection closes might not get the answer, which needs a stated length: it ends before the body does.
+func RefuseBody(w http.ResponseWriter, r *http.Request, write func()) {
+	controller := http.NewResponseController(w)
+	duplexErr := controller.EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	write()
+	if duplexErr != nil || controller.Flush() != nil || controller.SetReadDeadline(time.Now().Add(refusedBodyTimeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // the client has gone or is slow if this fails
+}
+
 // body is the body of a request. Its connection counts as waiting for its client while the body is incomplete.
 type body struct {
 	io.ReadCloser
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +81,9 @@
 	return m
 }
 
+// Unbounded returns a memory that refuses nothing.
+func Unbounded() *Memory { return New(Options{Limits: flood.MemoryLimits{Large: math.MaxInt64}}) }
+
 // Used returns the bytes in use.
 func (m *Memory) Used() int64 {
 	m.mu.Lock()
--- a/rollout/errors.go
+++ b/rollout/errors.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 )
 
 // Code is the reason why a trainer's request was refused.
@@ -103,6 +104,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
 	// A failed write means that the trainer disconnected; it repeats the request with its bitmap.
 	_, _ = w.Write(data)
--- a/rollout/forward.go
+++ b/rollout/forward.go
@@ -10,6 +10,8 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/cicadasill/cicadasill/intake"
 )
 
 // forwardToOwner sends the request to the step's owner and reports whether the request needs no further
@@ -58,7 +60,9 @@
 // relayResponse copies the owner's response after reading it completely, so that a truncated response
 // is never relayed as a complete one.
 func (s *Server) relayResponse(w http.ResponseWriter, resp *http.Response) {
-	data, err := io.ReadAll(resp.Body)
+	share := s.opts.Bodies.Open(0, func() { _ = resp.Body.Close() })
+	defer share.Release()
+	data, err := share.ReadAll(resp.Body, intake.Body{Length: -1, Limit: maxRelayedBytes})
 	if err != nil {
 		writeError(w, &Error{Code: CodeForwardFailed, Message: "the owner's response was cut short", Err: err})
 		return
--- a/rollout/handlers.go
+++ b/rollout/handlers.go
@@ -4,14 +4,14 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/httpguard"
+	"github.com/cicadasill/cicadasill/intake"
 )
 
 func (s *Server) handleOpen(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
@@ -23,12 +23,7 @@
 		if err := validateOpen(&req); err != nil {
 			return nil, err
 		}
-		// The hash covers the decoded body, so that formatting does not matter.
-		canonical, err := json.Marshal(req)
-		if err != nil {
-			return nil, errorf(CodeBadRequest, "%v", err)
-		}
-		st, refusal := s.openStep(key, &req, xxhash.Sum64(canonical))
+		st, refusal := s.openStep(key, &req, req.hash())
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -71,7 +66,12 @@
 		writeError(w, refusal)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, release, err := httpguard.ReadBody(s.opts.Bodies, w, r, intake.Body{Limit: maxBodyBytes, Factor: bodyFactor})
+	defer release()
+	if errors.Is(err, intake.ErrFull) {
+		httpguard.RefuseBody(w, r, func() { writeError(w, errorf(CodeBusy, "%v", err)) })
+		return
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		writeError(w, errorf(CodeStepTooLarge, "body exceeds %d bytes", tooLarge.Limit))
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadasill/cicadasill/contract"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/standalone/platform"
 	"github.com/cicadasill/cicadasill/timing"
@@ -134,7 +135,9 @@
 	MaxRetryBackoff     time.Duration
 	NewVersionWait      time.Duration
 	MaxReservedTokens   int64
-	HedgeBudget         float64
+	// Bodies is the memory of the bodies of requests; nil sets no bound.
+	Bodies      *intake.Memory
+	HedgeBudget float64
 	// RolloutPriority is the engine priority of samples; staff calls use higher ones.
 	RolloutPriority int
 
@@ -162,6 +165,9 @@
 	timing.SetDefault(&o.MinRetryBackoff, DefaultMinRetryBackoff)
 	timing.SetDefault(&o.MaxRetryBackoff, DefaultMaxRetryBackoff)
 	timing.SetDefault(&o.NewVersionWait, DefaultNewVersionWait)
+	if o.Bodies == nil {
+		o.Bodies = intake.Unbounded()
+	}
 	if o.MaxReservedTokens == 0 {
 		o.MaxReservedTokens = DefaultMaxReservedTokens
 	}
--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/base64"
+	"encoding/binary"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // HTTP headers of trainers' requests.
@@ -17,7 +20,12 @@
 const (
 	// maxBodyBytes is below the size limit of messages between instances, so that every body can be
 	// forwarded.
-	maxBodyBytes      = 15 << 20
+	maxBodyBytes = 15 << 20
+	// bodyFactor is the memory that a request takes in relation to its body: the buffer of the decoder, the decoded prompts, and a
+	// copy that is sent on.
+	bodyFactor = 4
+	// maxRelayedBytes bounds an owner's response, which is held until it is whole.
+	maxRelayedBytes   = 256 << 20
 	maxSamplesPerStep = 1 << 16
 	maxTokensPerTake  = 1 << 20
 	maxTakeWait       = 60 * time.Second
@@ -30,6 +38,26 @@
 	Groups  []Group `json:"groups"`
 }
 
+// hash covers what the request asks for, so that the formatting of its body does not matter.
+func (r *OpenRequest) hash() uint64 {
+	digest := xxhash.New()
+	number := func(n int64) { _, _ = digest.Write(binary.AppendVarint(nil, n)) } // a Digest takes every write
+	text := func(s string) {
+		number(int64(len(s)))
+		_, _ = digest.WriteString(s)
+	}
+	number(r.Version)
+	for _, g := range r.Groups {
+		text(g.ID)
+		text(g.Prompt)
+		text(g.PrefixID)
+		number(int64(g.Samples))
+		number(int64(g.MaxTokens))
+		number(g.Seed)
+	}
+	return digest.Sum64()
+}
+
 // Group is a prompt that is sampled several times. Sample i uses the seed Seed + i.
 type Group struct {
 	ID        string `json:"id"`
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -73,6 +73,9 @@
 	// HeaderTimeoutMs is the time in milliseconds within which a client must send the request
 	// headers.
 	HeaderTimeoutMs int `json:"header_timeout_ms" validate:"gte=0,lte=600000"`
+	// MemoryMB is the memory in megabytes that the process may take. If it is missing, the smallest of the variable GOMEMLIMIT,
+	// the limit of the control group and the memory of the machine applies.
+	MemoryMB float64 `json:"memory_mb" validate:"omitempty,gte=64"`
 }
 
 // Routing configures how the instance chooses a back end for a request.
