--- a/entry/build.go
+++ b/entry/build.go
@@ -194,7 +194,7 @@
 		Directory: dir, Picker: picker, Engine: i.clients.engine, View: i.members,
 		Owner: membership.Owner, Forward: forwarder(i.node, link.CauseRollout),
 		Scorer: &rollout.PlainScorer{Directory: dir, Picker: picker, Plain: i.clients.plain},
-		Load:   i.loadReport, Bodies: i.bodies,
+		Load:   i.loadReport, Bodies: i.bodies, MaxPromptBytes: int64(promptFraction * float64(i.config.MemoryBytes)),
 		Logger: i.log, Registerer: i.config.Registry,
 	})
 	i.weights = weights.New(weights.Options{
--- a/entry/guards.go
+++ b/entry/guards.go
@@ -22,6 +22,8 @@
 	// listener may take.
 	connFraction = 0.15
 	headFraction = 0.1
+	// promptFraction is the fraction of the memory that the prompts of open steps may take.
+	promptFraction = 0.2
 )
 
 // maxPeerConns returns the bound of the connections of peers.
--- a/rollout/exactlyonce_test.go
+++ b/rollout/exactlyonce_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -34,6 +35,26 @@
 	is.Equal(errorCode(err), rollout.CodeStepNotOpen)
 }
 
+// Guards against prompts of open steps that take ever more memory, against a step that is refused although it is alone, and against
+// prompts that are counted after their step has ended.
+func TestPromptsOfOpenStepsAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := newTestbed(t, testService(), func(o *rollout.Options) { o.MaxPromptBytes = 1000 })
+	withPrompt := func(bytes int) rollout.OpenRequest {
+		r := openRequest(1, 1, 10)
+		r.Groups[0].Prompt = strings.Repeat("p", bytes)
+		return r
+	}
+	is.NoErr(b.trainer.Open(b.ctx, 1, withPrompt(2000)))
+	is.Equal(errorCode(b.trainer.Open(b.ctx, 2, withPrompt(10))), rollout.CodeBusy)
+	b.trainer.SetStep(1, withPrompt(2000))
+	b.completeStep(is, 1)
+	is.NoErr(b.trainer.Ack(b.ctx))
+	b.waitFor(is, func() bool { return b.trainer.Open(b.ctx, 2, withPrompt(600)) == nil })
+	is.NoErr(b.trainer.Open(b.ctx, 3, withPrompt(400)))
+	is.Equal(errorCode(b.trainer.Open(b.ctx, 4, withPrompt(1))), rollout.CodeBusy)
+}
+
 // Guards against samples that are lost with the response of a take.
 func TestLostTakeAnswers(t *testing.T) {
 	is := is.New(t)
--- a/rollout/options.go
+++ b/rollout/options.go
@@ -135,6 +135,8 @@
 	MaxRetryBackoff     time.Duration
 	NewVersionWait      time.Duration
 	MaxReservedTokens   int64
+	// MaxPromptBytes bounds the prompts of the open steps, except that a single step always fits; 0 sets no bound.
+	MaxPromptBytes int64
 	// Bodies is the memory of the bodies of requests; nil sets no bound.
 	Bodies      *intake.Memory
 	HedgeBudget float64
--- a/rollout/server.go
+++ b/rollout/server.go
@@ -35,6 +35,7 @@
 	steps          map[stepKey]*step
 	acked          map[stepKey]time.Time
 	reservedTokens int64
+	promptBytes    int64
 	stopped        bool
 }
 
@@ -192,6 +193,9 @@
 	if needed > s.opts.MaxReservedTokens {
 		return nil, errorf(CodeStepTooLarge, "the step needs up to %d tokens, limit %d", needed, s.opts.MaxReservedTokens)
 	}
+	if bytes := req.promptBytes(); s.opts.MaxPromptBytes > 0 && s.promptBytes > 0 && s.promptBytes+bytes > s.opts.MaxPromptBytes {
+		return nil, errorf(CodeBusy, "the prompts of open steps take %d of %d bytes", s.promptBytes, s.opts.MaxPromptBytes)
+	}
 	if s.reservedTokens+needed > s.opts.MaxReservedTokens {
 		return nil, errorf(CodeBusy, "open steps reserve %d of %d tokens", s.reservedTokens, s.opts.MaxReservedTokens)
 	}
@@ -207,6 +211,7 @@
 	st.cancel, st.lazy = cancel, lazy
 	s.steps[st.key] = st
 	s.reservedTokens += st.reservedTokens
+	s.promptBytes += st.promptBytes
 	s.metrics.openSteps.Set(float64(len(s.steps)))
 	s.metrics.reservedTokens.Set(float64(s.reservedTokens))
 	s.wg.Go(func() {
@@ -215,6 +220,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.reservedTokens -= st.reservedTokens
+		s.promptBytes -= st.promptBytes
 		s.metrics.reservedTokens.Set(float64(s.reservedTokens))
 	})
 	return st
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -25,6 +25,7 @@
 	key            stepKey
 	bodyHash       uint64
 	reservedTokens int64
+	promptBytes    int64
 
 	cancel    context.CancelFunc
 	done      chan struct{}
@@ -57,7 +58,7 @@
 
 func newStep(srv *Server, key stepKey, req *OpenRequest, hash uint64, reserved int64) *step {
 	st := &step{
-		srv: srv, key: key, bodyHash: hash, reservedTokens: reserved,
+		srv: srv, key: key, bodyHash: hash, reservedTokens: reserved, promptBytes: req.promptBytes(),
 		done: make(chan struct{}), wake: make(chan struct{}, 1), firstTake: make(chan struct{}),
 		trainerVersion: req.Version, versionChangedAt: srv.now(), lastRequest: srv.now(), changed: make(chan struct{}),
 		openedAt: srv.now(), groupPending: map[*Group]int{},
--- a/rollout/wire.go
+++ b/rollout/wire.go
@@ -38,6 +38,15 @@
 	Groups  []Group `json:"groups"`
 }
 
+// promptBytes returns the size of the prompts.
+func (r *OpenRequest) promptBytes() int64 {
+	total := int64(0)
+	for i := range r.Groups {
+		total += int64(len(r.Groups[i].Prompt))
+	}
+	return total
+}
+
 // hash covers what the request asks for, so that the formatting of its body does not matter.
 func (r *OpenRequest) hash() uint64 {
 	digest := xxhash.New()
