--- a/entry/build.go
+++ b/entry/build.go
@@ -154,9 +154,9 @@
 }
 
 func (i *Instance) buildGateway() {
-	i.bodies = intake.New(intake.Options{
-		Name: "bodies", Limits: intake.Limits(float64(i.config.MemoryBytes)), Metrics: intake.NewMetrics(i.config.Registry),
-	})
+	memory, metrics := float64(i.config.MemoryBytes), intake.NewMetrics(i.config.Registry)
+	i.bodies = intake.New(intake.Options{Name: "bodies", Limits: intake.Limits(memory), Metrics: metrics})
+	i.answers = intake.New(intake.Options{Name: "answers", Limits: intake.AnswerLimits(memory), Metrics: metrics})
 	i.gateway = gateway.New(gateway.Options{
 		Self:    i.self,
 		Service: i.serviceForRequest,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,7 @@
 	httpServer, adminServer                   *http.Server
 	httpGuard, adminGuard                     *httpguard.Guard
 	bodies                                    *intake.Memory // of requests to all listeners
+	answers                                   *intake.Memory // that clients do not read at once
 
 	node     *link.Node
 	members  *membership.Members
--- a/httpguard/body.go
+++ b/httpguard/body.go
@@ -37,6 +37,9 @@
 	stop := context.AfterFunc(r.Context(), interrupt)
 	defer stop()
 	share := m.Open(b.Limit, interrupt)
+	if wrapped, ok := w.(*answerWriter); ok {
+		w = wrapped.ResponseWriter // MaxBytesReader tells only the writer of net/http that the connection has to close
+	}
 	data, err = share.ReadAll(http.MaxBytesReader(w, r.Body, b.Limit), b)
 	if errors.Is(err, intake.ErrTooLarge) {
 		err = &http.MaxBytesError{Limit: b.Limit}
--- a/httpguard/guard.go
+++ b/httpguard/guard.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cicadasill/cicadasill/flood"
+	"github.com/cicadasill/cicadasill/intake"
 )
 
 // Defaults of Limits.
@@ -71,6 +72,8 @@
 	Flood    flood.Limits
 	// Limits returns the limits in force; nil means the defaults.
 	Limits func() Limits
+	// Answers is the memory of the answers that clients do not read at once; nil sets no bound.
+	Answers *intake.Memory
 	// Refuse answers a request that finds the memory for heads taken, with a status that states that it has not run. nil means
 	// 503 without a body.
 	Refuse  http.HandlerFunc
@@ -197,6 +200,7 @@
 		_ = c.SetReadDeadline(time.Now().Add(refusedBodyTimeout)) // an error means that the connection is closed
 		return
 	}
+	w = &answerWriter{ResponseWriter: w, conn: c}
 	if r.ContentLength == 0 {
 		handler.ServeHTTP(w, r)
 		return
--- a/httpguard/metrics.go
+++ b/httpguard/metrics.go
@@ -11,6 +11,7 @@
 	reasonHeadTooSlow  = "head_too_slow"
 	reasonBodyStalled  = "body_stalled"
 	reasonAmbiguous    = "ambiguous_length"
+	reasonUnread       = "answer_unread"
 )
 
 // Metrics are the metrics of all guards of a process.
--- a/instance/guards.go
+++ b/instance/guards.go
@@ -57,6 +57,6 @@
 // newGuard returns the guard of one of the instance's servers.
 func (i *Instance) newGuard(listener string, limits flood.Limits, clientLimits func() httpguard.Limits) *httpguard.Guard {
 	return httpguard.New(httpguard.Options{
-		Listener: listener, Flood: limits, Limits: clientLimits, Refuse: hosted.RefuseHead, Metrics: i.guardMetrics, Logger: i.log,
+		Listener: listener, Flood: limits, Limits: clientLimits, Refuse: hosted.RefuseHead, Answers: i.answers, Metrics: i.guardMetrics, Logger: i.log,
 	})
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -136,6 +136,7 @@
 	connLimits     connLimits
 	guardMetrics   *httpguard.Metrics
 	intakeMetrics  *intake.Metrics
+	answers        *intake.Memory // that clients do not read at once
 	clientGuard    *httpguard.Guard
 	readyGuard     *httpguard.Guard
 }
@@ -228,13 +229,15 @@
 		Targets: i.targetVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
 	i.guardMetrics, i.intakeMetrics = httpguard.NewMetrics(i.registry), intake.NewMetrics(i.registry)
+	memory := s.Limits.MemoryMB * (1 << 20)
+	i.answers = intake.New(intake.Options{Name: "answers", Limits: intake.AnswerLimits(memory), Metrics: i.intakeMetrics})
 	ingress := &hosted.Ingress{
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
 		Access: i.newAccess(), Logger: i.log, Forwarder: forwarder,
 		Bodies: intake.New(intake.Options{
-			Name: "bodies", Limits: intake.Limits(s.Limits.MemoryMB * (1 << 20)), Elsewhere: i.jobs.OpenItemBytes, Metrics: i.intakeMetrics,
+			Name: "bodies", Limits: intake.Limits(memory), Elsewhere: i.jobs.OpenItemBytes, Metrics: i.intakeMetrics,
 		}),
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -27,8 +27,15 @@
 	largeFraction    = 0.25
 	ordinaryFraction = 0.05
 	smallFraction    = 0.05
+	// answerFraction is the part that AnswerLimits sets. Clients that read their answers meet it only beyond twice as much.
+	answerFraction = 0.15
 )
 
+// AnswerLimits returns the limits of the answers that clients do not read at once, on a machine with memory bytes.
+func AnswerLimits(memory float64) flood.MemoryLimits {
+	return flood.MemoryLimits{Large: int64(answerFraction * memory), StallTime: flood.DefaultStallTime}
+}
+
 // Limits returns the limits of a machine with memory bytes.
 func Limits(memory float64) flood.MemoryLimits {
 	return flood.MemoryLimits{
