--- a/entry/build.go
+++ b/entry/build.go
@@ -62,6 +62,7 @@
 // build creates the components and connects them. It registers the handlers on the link node, which
 // must happen before the node serves.
 func (i *Instance) build() {
+	i.buildIntake()
 	i.buildClients()
 	i.buildControlPlane()
 	i.buildRouting()
@@ -70,6 +71,14 @@
 	i.buildServers()
 }
 
+// buildIntake divides the memory that callers, trainers, operators and peers may make the instance hold.
+func (i *Instance) buildIntake() {
+	memory, metrics := float64(i.config.MemoryBytes), intake.NewMetrics(i.config.Registry)
+	i.bodies = intake.New(intake.Options{Name: "bodies", Limits: intake.Limits(memory), Metrics: metrics})
+	i.answers = intake.New(intake.Options{Name: "answers", Limits: intake.AnswerLimits(memory), Metrics: metrics})
+	i.peerRequests = intake.New(intake.Options{Name: "peers", Limits: intake.PeerLimits(memory), Metrics: metrics})
+}
+
 func (i *Instance) buildClients() {
 	opts := httpplatform.Options{DialContext: i.config.DialContext, Logger: i.log}
 	i.clients = clients{
@@ -85,7 +94,7 @@
 func (i *Instance) buildControlPlane() {
 	i.node = link.NewNode(i.self, link.Options{
 		Deployment: i.config.Deployment,
-		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext, MaxConns: maxPeerConns(),
+		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext, MaxConns: maxPeerConns(), Requests: i.peerRequests,
 	})
 	i.instanceList = &cachedInstanceList{list: i.clients.list}
 	i.members = membership.New(i.self, i.node, i.instanceList, membership.Options{
@@ -154,9 +163,6 @@
 }
 
 func (i *Instance) buildGateway() {
-	memory, metrics := float64(i.config.MemoryBytes), intake.NewMetrics(i.config.Registry)
-	i.bodies = intake.New(intake.Options{Name: "bodies", Limits: intake.Limits(memory), Metrics: metrics})
-	i.answers = intake.New(intake.Options{Name: "answers", Limits: intake.AnswerLimits(memory), Metrics: metrics})
 	i.gateway = gateway.New(gateway.Options{
 		Self:    i.self,
 		Service: i.serviceForRequest,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,7 @@
 	httpGuard, adminGuard                     *httpguard.Guard
 	bodies                                    *intake.Memory // of requests to all listeners
 	answers                                   *intake.Memory // that clients do not read at once
+	peerRequests                              *intake.Memory // messages of other instances
 
 	node     *link.Node
 	members  *membership.Members
--- a/instance/guards.go
+++ b/instance/guards.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cicadasill/cicadasill/flood"
 	"github.com/cicadasill/cicadasill/httpguard"
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/platform/hosted"
 )
 
@@ -44,6 +45,17 @@
 	}
 }
 
+// buildIntake divides the memory that clients and other instances may make the instance hold.
+func (i *Instance) buildIntake() {
+	memory, metrics := i.settings.Limits.MemoryMB*(1<<20), intake.NewMetrics(i.registry)
+	i.bodies = intake.New(intake.Options{
+		Name: "bodies", Limits: intake.Limits(memory), Metrics: metrics,
+		Elsewhere: func() int64 { return i.jobs.OpenItemBytes() },
+	})
+	i.answers = intake.New(intake.Options{Name: "answers", Limits: intake.AnswerLimits(memory), Metrics: metrics})
+	i.peerRequests = intake.New(intake.Options{Name: "peers", Limits: intake.PeerLimits(memory), Metrics: metrics})
+}
+
 // clientLimits returns what the configuration in force allows a client.
 func (i *Instance) clientLimits() httpguard.Limits {
 	config := i.config.Load()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -135,8 +135,9 @@
 	readyServer    *http.Server
 	connLimits     connLimits
 	guardMetrics   *httpguard.Metrics
-	intakeMetrics  *intake.Metrics
+	bodies         *intake.Memory // of clients' requests
 	answers        *intake.Memory // that clients do not read at once
+	peerRequests   *intake.Memory // messages of other instances
 	clientGuard    *httpguard.Guard
 	readyGuard     *httpguard.Guard
 }
@@ -164,7 +165,11 @@
 		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS,
 		Logger: logger, Registerer: i.registry,
 	})
-	i.node = link.NewNode(self, link.Options{Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout, MaxConns: i.connLimits.peers})
+	i.buildIntake()
+	i.node = link.NewNode(self, link.Options{
+		Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout,
+		MaxConns: i.connLimits.peers, Requests: i.peerRequests,
+	})
 	i.store = relay.New(relay.Options{
 		Direct: i.directStore, Caller: i.node, Logger: logger, Registerer: i.registry,
 		Peers: func() []machine.Instance { return i.presence.Peers() },
@@ -228,17 +233,13 @@
 		Backends: i.directory, Engine: backendClient, RateLimits: limiter, Duty: i.orders, Config: i.config.Load,
 		Targets: i.targetVersions, StepSize: i.jobs.StepSize, Logger: i.log,
 	})
-	i.guardMetrics, i.intakeMetrics = httpguard.NewMetrics(i.registry), intake.NewMetrics(i.registry)
-	memory := s.Limits.MemoryMB * (1 << 20)
-	i.answers = intake.New(intake.Options{Name: "answers", Limits: intake.AnswerLimits(memory), Metrics: i.intakeMetrics})
+	i.guardMetrics = httpguard.NewMetrics(i.registry)
 	ingress := &hosted.Ingress{
 		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
 		Access: i.newAccess(), Logger: i.log, Forwarder: forwarder,
-		Bodies: intake.New(intake.Options{
-			Name: "bodies", Limits: intake.Limits(memory), Elsewhere: i.jobs.OpenItemBytes, Metrics: i.intakeMetrics,
-		}),
+		Bodies: i.bodies,
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
 	i.clientConns = newConnTracker()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -27,10 +27,19 @@
 	largeFraction    = 0.25
 	ordinaryFraction = 0.05
 	smallFraction    = 0.05
+	// peerFraction is the part that PeerLimits sets for large messages.
+	peerFraction = 0.15
 	// answerFraction is the part that AnswerLimits sets. Clients that read their answers meet it only beyond twice as much.
 	answerFraction = 0.15
 )
 
+// PeerLimits returns the limits of the messages of other instances, on a machine with memory bytes.
+func PeerLimits(memory float64) flood.MemoryLimits {
+	limits := Limits(memory)
+	limits.Large = int64(peerFraction * memory)
+	return limits
+}
+
 // AnswerLimits returns the limits of the answers that clients do not read at once, on a machine with memory bytes.
 func AnswerLimits(memory float64) flood.MemoryLimits {
 	return flood.MemoryLimits{Large: int64(answerFraction * memory), StallTime: flood.DefaultStallTime}
--- a/link/options.go
+++ b/link/options.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
@@ -72,6 +73,8 @@
 	// MaxConns bounds the accepted connections. A newcomer replaces the one whose handshake has been incomplete longest.
 	MaxConns   int
 	MaxMessage int64
+	// Requests is the memory of the messages of requests, except that the largest one always fits alone; nil sets no bound.
+	Requests *intake.Memory
 }
 
 func (o Options) withDefaults() Options {
@@ -100,5 +103,8 @@
 	if o.MaxMessage == 0 {
 		o.MaxMessage = DefaultMaxMessage
 	}
+	if o.Requests == nil {
+		o.Requests = intake.Unbounded()
+	}
 	return o
 }
--- a/link/serve.go
+++ b/link/serve.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"encoding/binary"
 	"errors"
+	"math"
 	"net"
 	"time"
 
@@ -11,9 +13,9 @@
 	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
-	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cicadasill/cicadasill/intake"
 	"github.com/cicadasill/cicadasill/link/wire"
 )
 
@@ -131,7 +133,10 @@
 	_ = st.SetReadDeadline(time.Now().Add(n.opts.ExchangeTimeout))
 	r := bufio.NewReader(st)
 	var req wire.Request
-	if err := (protodelim.UnmarshalOptions{MaxSize: n.opts.MaxMessage}).UnmarshalFrom(r, &req); err != nil {
+	release, err := n.readRequest(st, r, &req)
+	defer release()
+	if err != nil {
+		n.log.Debug("request not read", "peer", s.peer.Ref(), "err", err)
 		return
 	}
 	_ = st.SetReadDeadline(time.Time{})
@@ -155,6 +160,25 @@
 	wg.Wait()
 }
 
+// messageFactor is the memory that a message takes in relation to its bytes: decoding copies them.
+const messageFactor = 2
+
+// readRequest reads a request into memory that release returns. It fails with intake.ErrFull if others need the memory more. Without
+// an answer the caller does not know whether the request ran, as after a broken connection.
+func (n *Node) readRequest(st *stream, r *bufio.Reader, req *wire.Request) (release func(), err error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return func() {}, err
+	}
+	share := n.opts.Requests.Open(n.opts.MaxMessage, func() { _ = st.SetReadDeadline(expiredDeadline) }) // an error means that it has ended
+	length := int64(min(size, math.MaxInt64))
+	data, err := share.ReadAll(r, intake.Body{Length: length, Limit: n.opts.MaxMessage, Factor: messageFactor})
+	if err != nil {
+		return share.Release, err
+	}
+	return share.Release, proto.Unmarshal(data, req)
+}
+
 // watchCaller cancels the request's context and unblocks writes when the caller closes its end of
 // the stream or the connection fails.
 func watchCaller(st *stream, r *bufio.Reader, cancel context.CancelFunc) {
