--- a/entry/admin.go
+++ b/entry/admin.go
@@ -191,7 +191,7 @@
 // readNote reads and validates the release note in the request body. If that fails, it writes the
 // error response and returns false. done, which must always be called, returns the memory of the body.
 func (i *Instance) readNote(w http.ResponseWriter, r *http.Request) (note *release.Note, done func(), ok bool) {
-	data, done, err := httpguard.ReadBody(i.bodies, w, r, intake.Body{Limit: maxNoteBytes, Factor: noteFactor})
+	data, done, err := httpguard.ReadBody(i.clientMemory, w, r, intake.Body{Limit: maxNoteBytes, Factor: noteFactor})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, intake.ErrFull):
--- a/entry/build.go
+++ b/entry/build.go
@@ -74,9 +74,11 @@
 // buildIntake divides the memory that callers, trainers, operators and peers may make the instance hold.
 func (i *Instance) buildIntake() {
 	memory, metrics := float64(i.config.MemoryBytes), intake.NewMetrics(i.config.Registry)
-	i.bodies = intake.New(intake.Options{Name: "bodies", Limits: intake.Limits(memory), Metrics: metrics})
-	i.answers = intake.New(intake.Options{Name: "answers", Limits: intake.AnswerLimits(memory), Metrics: metrics})
-	i.peerRequests = intake.New(intake.Options{Name: "peers", Limits: intake.PeerLimits(memory), Metrics: metrics})
+	i.clientMemory = intake.New(intake.Options{
+		Name: "clients", Limits: intake.Limits(memory), Metrics: metrics,
+		Elsewhere: func() int64 { return i.httpGuard.HeadBytes() + i.adminGuard.HeadBytes() },
+	})
+	i.peerMemory = intake.New(intake.Options{Name: "peers", Limits: intake.PeerLimits(memory), Metrics: metrics})
 }
 
 func (i *Instance) buildClients() {
@@ -94,7 +96,7 @@
 func (i *Instance) buildControlPlane() {
 	i.node = link.NewNode(i.self, link.Options{
 		Deployment: i.config.Deployment,
-		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext, MaxConns: maxPeerConns(), Requests: i.peerRequests,
+		Registerer: i.config.Registry, Logger: i.log, DialContext: i.config.DialContext, MaxConns: maxPeerConns(), Requests: i.peerMemory,
 	})
 	i.instanceList = &cachedInstanceList{list: i.clients.list}
 	i.members = membership.New(i.self, i.node, i.instanceList, membership.Options{
@@ -171,7 +173,7 @@
 		Claims:  gateway.AdaptClaims(i.claims),
 		Owner:   i.claimOwner,
 		Forward: forwarder(i.node, link.CauseForward),
-		MaxBody: i.config.MaxBodyBytes, Bodies: i.bodies,
+		MaxBody: i.config.MaxBodyBytes, Bodies: i.clientMemory,
 		Logger: i.log, Registerer: i.config.Registry,
 	})
 }
@@ -200,7 +202,7 @@
 		Directory: dir, Picker: picker, Engine: i.clients.engine, View: i.members,
 		Owner: membership.Owner, Forward: forwarder(i.node, link.CauseRollout),
 		Scorer: &rollout.PlainScorer{Directory: dir, Picker: picker, Plain: i.clients.plain},
-		Load:   i.loadReport, Bodies: i.bodies, MaxPromptBytes: int64(promptFraction * float64(i.config.MemoryBytes)),
+		Load:   i.loadReport, Bodies: i.clientMemory, MaxPromptBytes: int64(promptFraction * float64(i.config.MemoryBytes)),
 		Logger: i.log, Registerer: i.config.Registry,
 	})
 	i.weights = weights.New(weights.Options{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,9 +41,8 @@
 	httpListener, peerListener, adminListener net.Listener
 	httpServer, adminServer                   *http.Server
 	httpGuard, adminGuard                     *httpguard.Guard
-	bodies                                    *intake.Memory // of requests to all listeners
-	answers                                   *intake.Memory // that clients do not read at once
-	peerRequests                              *intake.Memory // messages of other instances
+	clientMemory                              *intake.Memory // bodies of requests, and answers that clients do not read at once
+	peerMemory                                *intake.Memory // messages of other instances
 
 	node     *link.Node
 	members  *membership.Members
--- a/entry/guards.go
+++ b/entry/guards.go
@@ -37,7 +37,7 @@
 	metrics := httpguard.NewMetrics(i.config.Registry)
 	guard := func(listener string, conns int) *httpguard.Guard {
 		return httpguard.New(httpguard.Options{
-			Listener: listener, Flood: flood.Limits{Conns: conns, HeadCost: headCost}, Answers: i.answers, Metrics: metrics, Logger: i.log,
+			Listener: listener, Flood: flood.Limits{Conns: conns, HeadCost: headCost}, Answers: i.clientMemory, Metrics: metrics, Logger: i.log,
 			Limits: func() httpguard.Limits {
 				return httpguard.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: i.config.HeaderTimeout}
 			},
--- a/flood/memory.go
+++ b/flood/memory.go
@@ -86,8 +86,8 @@
 // but only as many as are needed, and none if that is not enough. Resize then returns false, and the share is empty: shares that
 // grow at the same time would otherwise refuse one another.
 func (m *Memory) Resize(s *Share, size, elsewhere int64, now time.Time) (victims []*Share, ok bool) {
-	limit := max(m.limits.Large, s.allowed)
-	size = min(size, limit)
+	size = min(size, max(m.limits.Large, s.allowed))
+	limit := max(m.limits.Large, size)
 	m.set(s, size)
 	m.Progress(s, now)
 	fits := func() bool { return m.fits(classOf(size), limit, elsewhere) }
@@ -125,19 +125,19 @@
 	return needed
 }
 
-// hardFactor is the multiple of MemoryLimits.Large beyond which Hold ends shares that have made progress.
-const hardFactor = 2
+// burstDivisor gives the part of MemoryLimits.Large by which held shares may exceed it before Hold ends some that have made progress.
+const burstDivisor = 4
 
 // Hold sets the size of a share whose bytes are held already. Where the shares exceed the limit, the others that have stalled give
-// way, the ones without progress for longest first; beyond hardFactor times the limit also those that have not.
+// way, the ones without progress for longest first; if they exceed it by more than a part of it, also those that have not.
 func (m *Memory) Hold(s *Share, size int64, now time.Time) (victims []*Share) {
 	m.set(s, size)
 	m.Progress(s, now)
-	limit := max(m.limits.Large, s.allowed)
+	limit := m.limits.Large
 	for e := m.waiting.Front(); e != nil && !m.fits(classOf(size), limit, 0); {
 		victim := e.Value.(*Share)
 		e = e.Next()
-		if now.Sub(victim.since) < m.limits.StallTime && m.Used() <= hardFactor*limit {
+		if now.Sub(victim.since) < m.limits.StallTime && m.fits(classOf(size), limit+limit/burstDivisor, 0) {
 			break
 		}
 		if victim != s && victim.size > 0 {
--- a/flood/memory_test.go
+++ b/flood/memory_test.go
@@ -105,14 +105,14 @@
 	is := is.New(t)
 	m := NewMemory(MemoryLimits{Large: 4 * mb, StallTime: stall})
 	var open []*Share
-	for n := range 8 {
+	for n := range 5 {
 		s := m.Open(0, at(0))
-		is.Equal(len(m.Hold(s, mb, at(time.Duration(n)))), 0) // up to twice the limit nobody gives way who has made progress
+		is.Equal(len(m.Hold(s, mb, at(time.Duration(n)))), 0) // a quarter beyond the limit nobody gives way who has made progress
 		open = append(open, s)
 	}
 	is.Equal(m.Hold(m.Open(0, at(9)), mb, at(9)), open[:1])
 	victims := m.Hold(m.Open(0, at(stall+9)), mb, at(stall+9))
-	is.Equal(victims, open[1:6]) // all have stalled, and as many give way as exceed the limit
+	is.Equal(victims, open[1:3]) // all have stalled, and as many give way as exceed the limit
 	is.Equal(m.Used(), int64(4*mb))
 }
 
--- a/httpguard/answer_test.go
+++ b/httpguard/answer_test.go
@@ -93,9 +93,10 @@
 	is := is.New(t)
 	memory := intake.New(intake.Options{Limits: flood.MemoryLimits{Large: int64(len(largeAnswer)), StallTime: time.Hour}})
 	addr, _, written := startAnswering(t, memory, time.Minute)
-	for range 3 { // beyond twice the limit the longest unread one ends
+	for range 3 { // the one that has been unread for longest ends
 		ask(t, addr)
 	}
 	is.True(<-written != nil)
-	eventually(t, "two answers are held", func() bool { return memory.Used() == 2*int64(len(largeAnswer)) })
+	is.True(<-written != nil)
+	eventually(t, "one answer is held", func() bool { return memory.Used() == int64(len(largeAnswer)) })
 }
--- a/httpguard/guard.go
+++ b/httpguard/guard.go
@@ -116,6 +116,12 @@
 	return g.table.Usage()
 }
 
+// HeadBytes returns the estimated memory of the large heads.
+func (g *Guard) HeadBytes() int64 {
+	_, cost := g.usage()
+	return cost
+}
+
 // refused counts and logs a refusal.
 func (g *Guard) refused(reason string, addr net.Addr) {
 	g.opts.Metrics.refusals.WithLabelValues(g.opts.Listener, reason).Inc()
--- a/instance/guards.go
+++ b/instance/guards.go
@@ -48,12 +48,11 @@
 // buildIntake divides the memory that clients and other instances may make the instance hold.
 func (i *Instance) buildIntake() {
 	memory, metrics := i.settings.Limits.MemoryMB*(1<<20), intake.NewMetrics(i.registry)
-	i.bodies = intake.New(intake.Options{
-		Name: "bodies", Limits: intake.Limits(memory), Metrics: metrics,
-		Elsewhere: func() int64 { return i.jobs.OpenItemBytes() },
+	i.clientMemory = intake.New(intake.Options{
+		Name: "clients", Limits: intake.Limits(memory), Metrics: metrics,
+		Elsewhere: func() int64 { return i.jobs.OpenItemBytes() + i.clientGuard.HeadBytes() },
 	})
-	i.answers = intake.New(intake.Options{Name: "answers", Limits: intake.AnswerLimits(memory), Metrics: metrics})
-	i.peerRequests = intake.New(intake.Options{Name: "peers", Limits: intake.PeerLimits(memory), Metrics: metrics})
+	i.peerMemory = intake.New(intake.Options{Name: "peers", Limits: intake.PeerLimits(memory), Metrics: metrics})
 }
 
 // clientLimits returns what the configuration in force allows a client.
@@ -69,6 +68,6 @@
 // newGuard returns the guard of one of the instance's servers.
 func (i *Instance) newGuard(listener string, limits flood.Limits, clientLimits func() httpguard.Limits) *httpguard.Guard {
 	return httpguard.New(httpguard.Options{
-		Listener: listener, Flood: limits, Limits: clientLimits, Refuse: hosted.RefuseHead, Answers: i.answers, Metrics: i.guardMetrics, Logger: i.log,
+		Listener: listener, Flood: limits, Limits: clientLimits, Refuse: hosted.RefuseHead, Answers: i.clientMemory, Metrics: i.guardMetrics, Logger: i.log,
 	})
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -135,9 +135,8 @@
 	readyServer    *http.Server
 	connLimits     connLimits
 	guardMetrics   *httpguard.Metrics
-	bodies         *intake.Memory // of clients' requests
-	answers        *intake.Memory // that clients do not read at once
-	peerRequests   *intake.Memory // messages of other instances
+	clientMemory   *intake.Memory // bodies of requests, and answers that clients do not read at once
+	peerMemory     *intake.Memory // messages of other instances
 	clientGuard    *httpguard.Guard
 	readyGuard     *httpguard.Guard
 }
@@ -168,7 +167,7 @@
 	i.buildIntake()
 	i.node = link.NewNode(self, link.Options{
 		Registerer: i.registry, Logger: logger, IdleTimeout: peerIdleTimeout, DrainTimeout: peerDrainTimeout,
-		MaxConns: i.connLimits.peers, Requests: i.peerRequests,
+		MaxConns: i.connLimits.peers, Requests: i.peerMemory,
 	})
 	i.store = relay.New(relay.Options{
 		Direct: i.directStore, Caller: i.node, Logger: logger, Registerer: i.registry,
@@ -200,7 +199,7 @@
 	s := i.settings
 	backendClient := hosted.NewBackends(s.Instance.ID, i.rateLimits, i.log)
 	backendClient.RegisterMetrics(i.registry)
-	backendClient.ShareBuffers(i.directStore)
+	backendClient.ShareBuffers(i.directStore, i.clientMemory)
 	i.platformAPI = i.newPlatformAPI()
 	i.protectOrders(backendClient)
 	i.usage = i.buildUsage()
@@ -239,7 +238,7 @@
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
 		Access: i.newAccess(), Logger: i.log, Forwarder: forwarder,
-		Bodies: i.bodies,
+		Bodies: i.clientMemory,
 	}
 	i.registry.MustRegister(ingress.StopRefusals)
 	i.clientConns = newConnTracker()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -24,13 +24,11 @@
 
 // Fractions of a machine's memory that Limits sets for the classes of flood.MemoryLimits.
 const (
-	largeFraction    = 0.25
-	ordinaryFraction = 0.05
-	smallFraction    = 0.05
+	largeFraction    = 0.2
+	ordinaryFraction = 0.04
+	smallFraction    = 0.04
 	// peerFraction is the part that PeerLimits sets for large messages.
 	peerFraction = 0.15
-	// answerFraction is the part that AnswerLimits sets. Clients that read their answers meet it only beyond twice as much.
-	answerFraction = 0.15
 )
 
 // PeerLimits returns the limits of the messages of other instances, on a machine with memory bytes.
@@ -40,11 +38,6 @@
 	return limits
 }
 
-// AnswerLimits returns the limits of the answers that clients do not read at once, on a machine with memory bytes.
-func AnswerLimits(memory float64) flood.MemoryLimits {
-	return flood.MemoryLimits{Large: int64(answerFraction * memory), StallTime: flood.DefaultStallTime}
-}
-
 // Limits returns the limits of a machine with memory bytes.
 func Limits(memory float64) flood.MemoryLimits {
 	return flood.MemoryLimits{
@@ -187,6 +180,13 @@
 	s.memory.table.Progress(s.entry, time.Now())
 }
 
+// Settle records that the share does not wait for its client. It gives way no more.
+func (s *Share) Settle() {
+	s.memory.mu.Lock()
+	defer s.memory.mu.Unlock()
+	s.memory.table.Settle(s.entry)
+}
+
 // settle records that the client has sent everything. It fails with ErrFull if the share gave way before.
 func (s *Share) settle() error {
 	s.memory.mu.Lock()
