--- a/instance/instance.go
+++ b/instance/instance.go
@@ -63,6 +63,8 @@
 	memoryFraction = 0.6
 	// itemFraction is the fraction of the memory limit that the items of an instance's open jobs may take.
 	itemFraction = 0.2
+	// startedFraction is the fraction of the memory limit that started items may take besides their texts.
+	startedFraction = 0.12
 	// peerIdleTimeout is the time after which an unused connection to a peer is closed.
 	peerIdleTimeout = 10 * time.Second
 	// ordersDuty is the duty whose holder alone sends orders to engines.
@@ -226,7 +228,7 @@
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
 		Engine: backendClient, Requests: forwarder, RateLimits: limiter, Peers: i.presence, Config: i.config.Load, SlotShare: s.Jobs.SlotShare, SpreadEqual: s.Jobs.SpreadEqual,
-		Logger: i.log, Registerer: i.registry,
+		StartedBytes: int64(startedFraction * s.Limits.MemoryMB * (1 << 20)), Logger: i.log, Registerer: i.registry,
 	})
 	i.loadScheduler = versions.New(versions.Options{
 		Backends: i.directory, Engine: backendClient, RateLimits: limiter, Duty: i.orders, Config: i.config.Load,
--- a/job/driver.go
+++ b/job/driver.go
@@ -59,9 +59,11 @@
 	// SpreadEqual makes this instance prefer one of equal engines by an order of its own instead of by their ids.
 	SpreadEqual bool
 	// SlotShare is the fraction of an engine's slots that this instance may use, from 0 to 1.
-	SlotShare  float64
-	Logger     *log.Logger
-	Registerer prometheus.Registerer
+	SlotShare float64
+	// StartedBytes is the memory in bytes that started items may take besides their texts; 0 sets no bound.
+	StartedBytes int64
+	Logger       *log.Logger
+	Registerer   prometheus.Registerer
 }
 
 // Driver runs the items of the jobs that are assigned to this instance, and takes over the jobs of
@@ -151,6 +153,7 @@
 	if opts.SpreadEqual {
 		d.placer.self = opts.Self.ID
 	}
+	d.started.limit = startedLimit(opts.StartedBytes)
 	d.rewards = reward.NewGate(d.rewardLimit)
 	d.metrics = newDriverMetrics(opts.Registerer, d.rewards)
 	d.placer.register(opts.Registerer)
--- a/job/window.go
+++ b/job/window.go
@@ -16,11 +16,14 @@
 // Window over the items of large jobs.
 //
 // A started item takes a goroutine, timers and a place in the queue for an engine. A driver starts the items of a job at once
-// as long as it has no more than maxStartedItems started. The items of a larger job start in queue order as others end.
+// as long as it has no more than maxStartedItems started, fewer on small machines. The items of a larger job start in queue order as
+// others end.
 
 const (
 	// maxStartedItems bounds the started items of a driver, except that each kind of items may have minStartedPerKind.
 	maxStartedItems = 4096
+	// startedItemBytes is about the memory of a started item besides its text: the stack of its goroutine, and timers.
+	startedItemBytes = 10 << 10
 	// minStartedPerKind is the number of items of a kind that may be started whatever other kinds have started. Otherwise
 	// items that wait for an engine of one model would keep those of another from running.
 	minStartedPerKind = 256
@@ -46,15 +49,25 @@
 
 // startedItems counts the items that a driver has started, over all its jobs.
 type startedItems struct {
+	// limit bounds the items; 0 means maxStartedItems.
+	limit int
 	mu    sync.Mutex
 	total int
 }
 
-// add adds n items if there are no more than maxStartedItems with them, or if exempt is true. It reports whether it has.
+// startedLimit returns the bound of the started items that fit into memory bytes; 0 sets no bound of the memory.
+func startedLimit(memory int64) int {
+	if memory == 0 {
+		return maxStartedItems
+	}
+	return int(min(maxStartedItems, max(minStartedPerKind, memory/startedItemBytes)))
+}
+
+// add adds n items if there are no more than the limit with them, or if exempt is true. It reports whether it has.
 func (s *startedItems) add(n int, exempt bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.total+n > maxStartedItems && !exempt {
+	if s.total+n > cmp.Or(s.limit, maxStartedItems) && !exempt {
 		return false
 	}
 	s.total += n
--- a/job/window_test.go
+++ b/job/window_test.go
@@ -184,3 +184,15 @@
 	}
 	return list
 }
+
+// Guards against more started items than a small machine has memory for, and against a small machine that starts none.
+func TestStartedItemsFitIntoTheMemory(t *testing.T) {
+	is := is.New(t)
+	is.Equal(startedLimit(0), maxStartedItems)
+	is.Equal(startedLimit(1<<40), maxStartedItems)
+	is.Equal(startedLimit(1<<10), minStartedPerKind)
+	s := startedItems{limit: startedLimit(1000 * startedItemBytes)}
+	is.True(s.add(1000, false))
+	is.True(!s.add(1, false))
+	is.True(s.add(1, true))
+}
