--- a/soak/crowd/bodies_test.go
+++ b/soak/crowd/bodies_test.go
@@ -216,6 +216,17 @@
 	}
 }
 
+// ownCallHead, ownStepHead and ownNoteHead return the heads of requests to the system's own interface.
+func ownCallHead(n int) string {
+	return fmt.Sprintf("POST /v1/services/orders/calls/book HTTP/1.1\r\nHost: own\r\nCicadasill-Key: crowd-%d\r\n", n)
+}
+
+func ownStepHead(n int) string {
+	return fmt.Sprintf("PUT %s HTTP/1.1\r\nHost: own\r\n", stepPath(int64(n)))
+}
+
+func ownNoteHead(int) string { return "POST /v1/note-checks HTTP/1.1\r\nHost: own\r\n" }
+
 // filler returns a body without a meaning.
 func filler(size int) []byte { return bytes.Repeat([]byte("b"), size) }
 
@@ -321,16 +332,12 @@
 
 // Guards against the same of callers of the system's own interface.
 func TestBodiesAtTheOwnCallersPort(t *testing.T) {
-	head := func(n int) string {
-		return fmt.Sprintf("POST /v1/services/orders/calls/book HTTP/1.1\r\nHost: own\r\nCicadasill-Key: crowd-%d\r\n", n)
-	}
-	checkBodies(t, startOwnSmall, "http", bodies{conns: manyBodies, head: head, body: filler, largest: smallLimit, sizes: 1}, ownCall)
+	checkBodies(t, startOwnSmall, "http", bodies{conns: manyBodies, head: ownCallHead, body: filler, largest: smallLimit, sizes: 1}, ownCall)
 }
 
 // Guards against the same of trainers, some of whose steps are opened.
 func TestStepBodiesAtTheOwnCallersPort(t *testing.T) {
-	head := func(n int) string { return fmt.Sprintf("PUT %s HTTP/1.1\r\nHost: own\r\n", stepPath(int64(n))) }
-	checkBodies(t, startOwnSmall, "http", bodies{conns: fewBodies, head: head, body: openStep, largest: stepBytes, sizes: 1}, ownCall, ownStep)
+	checkBodies(t, startOwnSmall, "http", bodies{conns: fewBodies, head: ownStepHead, body: openStep, largest: stepBytes, sizes: 1}, ownCall, ownStep)
 }
 
 // Guards against the same of announcements of weights.
@@ -341,8 +348,7 @@
 
 // Guards against the same at the operators' port.
 func TestBodiesAtTheOwnOperatorsPort(t *testing.T) {
-	head := func(int) string { return "POST /v1/note-checks HTTP/1.1\r\nHost: own\r\n" }
-	checkBodies(t, startOwnSmall, "admin", bodies{conns: fewBodies, head: head, body: releaseNote, largest: noteBytes, sizes: 1}, ownCall)
+	checkBodies(t, startOwnSmall, "admin", bodies{conns: fewBodies, head: ownNoteHead, body: releaseNote, largest: noteBytes, sizes: 1}, ownCall)
 }
 
 // Guards against the same at the peers' port.
--- a/soak/dayend.go
+++ b/soak/dayend.go
@@ -54,7 +54,7 @@
 // RunDayEnd runs a fleet whose connections go silent and whose store loses calls, kills all instances as the last job is
 // accepted, and reads every accepted job at every restarted instance while the store loses calls for a while longer.
 func RunDayEnd(opts Options) (*Report, error) {
-	f, err := newFleet(opts.Dir, opts.Binary, opts.Instances, opts.Engines)
+	f, err := newFleet(opts.Dir, opts.Binary, opts.Instances, opts.Engines, memoryMB)
 	defer f.close()
 	if err != nil {
 		return nil, err
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -41,21 +41,6 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":10000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 )
 
-// residentPeakKB returns the peak of a process's resident memory in kilobytes.
-func residentPeakKB(pid int) (int, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, err
-	}
-	var kb int
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			_, err = fmt.Sscan(value, &kb)
-		}
-	}
-	return kb, err
-}
-
 // buildDaemon returns the path of the built daemon.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -30,13 +30,13 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":10000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 // settingsTemplate is the settings file of an instance, with verbs for its id and its addresses and for
-// the addresses of the store and of the platform's API. Nobody checks fencing tokens.
+// the addresses of the store and of the platform's API, with the memory of the machine between them. Nobody checks fencing tokens.
 const settingsTemplate = `{
   "instance": {"id": %q, "region": "r", "data_centre": "a"},
   "listen": {"clients": %q, "ready": %q, "peers": %q},
   "store": {"addr": %q, "partitions": 4, "writes_per_s": 4000, "reads_per_s": 8000},
   "jobs": {"retention_s": 300, "slot_share": 1},
-  "limits": {"memory_mb": 300},
+  "limits": {"memory_mb": %d},
   "stop": {"grace_s": 6},
   "duties": {"lease_ms": 3000, "fences_enforced": false},
   "platform_api": {"addr": %q, "calls_per_s": 50, "duties": "metering"},
@@ -130,6 +130,7 @@
 // fleet is a deployment on this machine: instances as processes, a fake store and fake back ends.
 type fleet struct {
 	dir            string
+	memoryMB       int // of each instance's machine
 	store          *hostedtest.Store
 	api            *hostedtest.PlatformAPI
 	engines        []*hostedtest.Engine
@@ -171,8 +172,8 @@
 }
 
 // newFleet starts a deployment. The caller must close the fleet also after an error.
-func newFleet(dir, program string, instances, engines int) (*fleet, error) {
-	f := &fleet{dir: dir, store: hostedtest.NewStore(), api: hostedtest.NewPlatformAPI()}
+func newFleet(dir, program string, instances, engines, memoryMB int) (*fleet, error) {
+	f := &fleet{dir: dir, memoryMB: memoryMB, store: hostedtest.NewStore(), api: hostedtest.NewPlatformAPI()}
 	f.changeConfig()
 	for i := range engines {
 		e := hostedtest.NewEngine(fmt.Sprintf("engine-%d", i), "llm", "a", "m")
@@ -244,7 +245,7 @@
 	}
 	storeProxy.replaced, storeProxy.replacement = []byte(peers), []byte(peerProxy.addr())
 	path := filepath.Join(f.dir, id+".jsonc")
-	text := fmt.Sprintf(settingsTemplate, id, addr, ready, peers, storeProxy.addr(), f.api.Addr())
+	text := fmt.Sprintf(settingsTemplate, id, addr, ready, peers, storeProxy.addr(), f.memoryMB, f.api.Addr())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,6 +28,9 @@
 	startTimeout = 10 * time.Second
 )
 
+// memoryMB is the memory of the instances' machines.
+const memoryMB = 300
+
 // Options configures a run.
 type Options struct {
 	Seed uint64
@@ -42,6 +45,8 @@
 	// OnlySilence limits the faults to silent connections with planned works after them. Each request must then be
 	// answered.
 	OnlySilence bool
+	// BadClients adds clients that do not behave, on machines with little memory.
+	BadClients bool
 }
 
 // Report is the outcome of a run.
@@ -58,7 +63,11 @@
 // Run runs a fleet under faults and checks the guarantees. The seed determines only the sequences of
 // faults and requests; how they interleave depends on the timing of the machine.
 func Run(opts Options) (*Report, error) {
-	f, err := newFleet(opts.Dir, opts.Binary, opts.Instances, opts.Engines)
+	memory := memoryMB
+	if opts.BadClients {
+		memory = badMemoryMB
+	}
+	f, err := newFleet(opts.Dir, opts.Binary, opts.Instances, opts.Engines, memory)
 	defer f.close()
 	if err != nil {
 		return nil, err
@@ -88,6 +97,9 @@
 		})
 	})
 	work.Go(func() { injectAPIFaults(f, opts.Seed, faultsOver) })
+	if opts.BadClients {
+		work.Go(func() { runBadClients(f, obs, opts.Seed, faultsOver) })
+	}
 	injectFaults(f, obs, opts)
 	close(faultsOver)
 	err = f.clearFaults()
@@ -97,6 +109,9 @@
 	close(stop)
 	background.Wait()
 	obs.checkRun(f)
+	if opts.BadClients {
+		obs.checkMachines(f)
+	}
 	return &Report{Violations: obs.violations, Counts: obs.counts, Jobs: len(obs.jobs)}, err
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,9 @@
 // dayEndSeeds are the same for TestSoakDayEnd. None has failed yet.
 var dayEndSeeds = []uint64{1, 2}
 
+// badClientSeeds are the same for TestSoakBadClients. None has failed yet.
+var badClientSeeds = []uint64{1, 2}
+
 // Environment variables that replace seeds by a range: the first seed and the number of seeds.
 const (
 	firstSeedEnv = "CICADASILL_SOAK_SEED"
@@ -53,6 +56,10 @@
 // loses calls.
 func TestSoakDayEnd(t *testing.T) { runSeeds(t, dayEndSeeds, Options{}, RunDayEnd) }
 
+// Guards against the same violations, and against an instance that ends or exceeds its machine, while clients send heads and bodies
+// without end.
+func TestSoakBadClients(t *testing.T) { runSeeds(t, badClientSeeds, Options{BadClients: true}, Run) }
+
 // runSeeds runs the selected seeds with opts.
 func runSeeds(t *testing.T, byDefault []uint64, opts Options, run func(Options) (*Report, error)) {
 	binary := buildDaemon(t)
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -90,7 +90,7 @@
 	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/cicadasilld").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	f, err := newFleet(dir, binary, 2, 1)
+	f, err := newFleet(dir, binary, 2, 1, memoryMB)
 	defer f.close()
 	is.NoErr(err)
 	f.store.PutConfig([]byte(stopConfig))
