--- a/flood/flood.go
+++ b/flood/flood.go
@@ -18,7 +18,7 @@
 
 // States of a connection.
 const (
-	// Unread connections wait for bytes of their client: the first ones, the rest of a head, or those of a body.
+	// Unread connections wait for their client: for its first bytes, the rest of a head or of a body, or until it reads an answer.
 	Unread State = iota
 	// Busy connections have a request that is being answered. They are never chosen as victims.
 	Busy
--- a/httpguard/answer_test.go
+++ b/httpguard/answer_test.go
@@ -22,11 +22,11 @@
 
 // startAnswering starts a server that answers each request with largeAnswer. It returns its address, its guard, and the errors of
 // the writes.
-func startAnswering(t *testing.T, memory *intake.Memory, idle time.Duration) (addr string, guard *Guard, written <-chan error) {
+func startAnswering(t *testing.T, bounds flood.Limits, memory *intake.Memory, idle time.Duration) (addr string, guard *Guard, written <-chan error) {
 	t.Helper()
 	errs := make(chan error, 10)
 	guard = New(Options{
-		Listener: "test", Answers: memory, Limits: func() Limits { return Limits{IdleTimeout: idle} },
+		Listener: "test", Flood: bounds, Answers: memory, Limits: func() Limits { return Limits{IdleTimeout: idle} },
 		Metrics: NewMetrics(prometheus.NewRegistry()), Logger: log.New(io.Discard),
 	})
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -64,7 +64,7 @@
 func TestLargeAnswerArrivesWhole(t *testing.T) {
 	is := is.New(t)
 	memory := intake.New(intake.Options{Limits: flood.MemoryLimits{Large: 1 << 20, StallTime: time.Hour}}) // less than the answer
-	addr, _, written := startAnswering(t, memory, time.Minute)
+	addr, _, written := startAnswering(t, flood.Limits{}, memory, time.Minute)
 	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	for range 2 {
@@ -82,7 +82,7 @@
 // Guards against answers that are never read and hold their memory and their connection for good.
 func TestUnreadAnswerEnds(t *testing.T) {
 	is := is.New(t)
-	addr, guard, written := startAnswering(t, intake.Unbounded(), 200*time.Millisecond)
+	addr, guard, written := startAnswering(t, flood.Limits{}, intake.Unbounded(), 200*time.Millisecond)
 	ask(t, addr)
 	is.True(<-written != nil)
 	eventually(t, "the connection has ended", func() bool { open, _ := guard.usage(); return open == 0 })
@@ -92,7 +92,7 @@
 func TestUnreadAnswerGivesWay(t *testing.T) {
 	is := is.New(t)
 	memory := intake.New(intake.Options{Limits: flood.MemoryLimits{Large: int64(len(largeAnswer)), StallTime: time.Hour}})
-	addr, _, written := startAnswering(t, memory, time.Minute)
+	addr, _, written := startAnswering(t, flood.Limits{}, memory, time.Minute)
 	for range 3 { // the one that has been unread for longest ends
 		ask(t, addr)
 	}
@@ -100,3 +100,21 @@
 	is.True(<-written != nil)
 	eventually(t, "one answer is held", func() bool { return memory.Used() == int64(len(largeAnswer)) })
 }
+
+// Guards against clients that read nothing and keep others from being served.
+func TestUnreadAnswerMakesRoomForANewcomer(t *testing.T) {
+	is := is.New(t)
+	addr, _, written := startAnswering(t, flood.Limits{Conns: 1}, nil, time.Minute)
+	ask(t, addr)
+	eventually(t, "a newcomer is served", func() bool { // once the connection counts as waiting for its client
+		response, err := http.Get("http://" + addr)
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		size, err := io.Copy(io.Discard, response.Body)
+		return err == nil && size == int64(len(largeAnswer))
+	})
+	is.True(<-written != nil)
+	is.NoErr(<-written)
+}
--- a/httpguard/body.go
+++ b/httpguard/body.go
@@ -76,7 +76,7 @@
 	if b.ended {
 		return b.ReadCloser.Read(data)
 	}
-	b.conn.waitForBody()
+	b.conn.waitForClient(true)
 	_ = b.conn.SetReadDeadline(time.Now().Add(b.timeout)) // an error means that the connection is closed, as the read will tell
 	if b.ctx.Err() != nil || b.interrupted.Load() {
 		_ = b.conn.SetReadDeadline(time.Now()) // the interruption may have come before the deadline was set
--- a/httpguard/conn.go
+++ b/httpguard/conn.go
@@ -54,6 +54,8 @@
 	mu sync.Mutex // guards the fields below
 	// deadline is the one that net/http has set, headDeadline that of the head; zero while there is none.
 	deadline, headDeadline time.Time
+	// writeDeadline is the one that a handler has set; zero while there is none.
+	writeDeadline time.Time
 }
 
 // Read implements net.Conn. It counts the bytes of heads.
@@ -78,6 +80,63 @@
 	return n, err
 }
 
+// Write implements net.Conn. It fails if the client reads nothing for the idle timeout. While the client has read nothing for
+// a while, the connection counts as waiting for it, and may make room for another one.
+func (c *conn) Write(data []byte) (written int, err error) {
+	progress := time.Now()
+	for stalled := false; ; stalled = true {
+		if err := c.limitWrite(time.Now().Add(flood.DefaultStallTime)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(data[written:])
+		written += n
+		if err == nil && stalled {
+			c.setState(flood.Busy)
+		}
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || c.writeExpired() {
+			return written, err
+		}
+		if n > 0 {
+			progress = time.Now()
+		}
+		if time.Since(progress) >= c.guard.limits().IdleTimeout {
+			c.guard.refused(reasonUnread, c.RemoteAddr())
+			return written, err
+		}
+		c.waitForClient(n > 0)
+	}
+}
+
+// limitWrite sets the deadline of a write, or leaves that of the handler if it is earlier.
+func (c *conn) limitWrite(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(t) {
+		t = c.writeDeadline
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// writeExpired reports whether the handler's deadline of a write has passed.
+func (c *conn) writeExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.writeDeadline.IsZero() && !time.Now().Before(c.writeDeadline)
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
 // scan counts the bytes and the lines of a head. It reports whether the head ends in data. Empty lines before the request line
 // are not its end.
 func (c *conn) scan(data []byte) bool {
@@ -159,12 +218,14 @@
 	c.guard.table.SetState(c.entry, state)
 }
 
-// waitForBody records that the connection waits for bytes of a body, or that some have arrived.
-func (c *conn) waitForBody() {
+// waitForClient records that the connection waits for its client, which has sent or read something meanwhile if progress is true.
+func (c *conn) waitForClient(progress bool) {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.guard.table.SetState(c.entry, flood.Unread)
-	c.guard.table.Progress(c.entry)
+	if progress {
+		c.guard.table.Progress(c.entry)
+	}
 }
 
 // SetReadDeadline implements net.Conn. While a head arrives, its own deadline is in force.
--- a/rollout/forward.go
+++ b/rollout/forward.go
@@ -48,7 +48,7 @@
 		// forward. Relaying the refusal would make the trainer reopen the step again and again.
 		return false
 	}
-	s.relayResponse(w, resp)
+	s.relayResponse(w, resp, cancel)
 	return true
 }
 
@@ -58,9 +58,9 @@
 }
 
 // relayResponse copies the owner's response after reading it completely, so that a truncated response
-// is never relayed as a complete one.
-func (s *Server) relayResponse(w http.ResponseWriter, resp *http.Response) {
-	share := s.opts.Bodies.Open(0, func() { _ = resp.Body.Close() })
+// is never relayed as a complete one. cancel ends the reading.
+func (s *Server) relayResponse(w http.ResponseWriter, resp *http.Response, cancel func()) {
+	share := s.opts.Bodies.Open(maxRelayedBytes, cancel)
 	defer share.Release()
 	data, err := share.ReadAll(resp.Body, intake.Body{Length: -1, Limit: maxRelayedBytes})
 	if err != nil {
--- a/soak/crowd/answers_test.go
+++ b/soak/crowd/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -52,3 +53,36 @@
 	}
 	tg.checkLimits(t, *most, bodyFDs)
 }
+
+// A crowd that reads no answers of requests that it sends one behind the other.
+const (
+	// pipelinedConns is above the connections that an instance with maxFDs keeps.
+	pipelinedConns = 300
+	// pipelinedRequests are more than the operating system holds for a connection, as are their answers: the crowd ends when its writes
+	// time out.
+	pipelinedRequests    = 100_000
+	pipelinedAnswerBytes = 30_000
+)
+
+// Guards against small answers that clients do not read and that keep the places of ordinary callers.
+func TestPipelinedAnswersAtTheClientsPort(t *testing.T) {
+	tg := startHostedWith(t, hostedOptions{maxFDs: maxFDs, maxBodyBytes: smallLimit, idleTimeoutMs: stallTimeoutMs, answerBytes: pipelinedAnswerBytes})
+	stopWatch, most := watchDescriptors(tg.process)
+	head := hostedHead("/plain/x")
+	var text strings.Builder
+	for n := range pipelinedRequests {
+		text.WriteString(head(n) + "\r\n")
+	}
+	conns := sendAll(tg.ports["clients"], pipelinedConns, func(n int) (string, []byte) { return head(n), []byte(text.String()) })
+	defer func() {
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}()
+	await(t, tg.process, "an ordinary request is answered while the crowd stays", func() bool { return tg.ordinary() == nil })
+	stopWatch()
+	if !tg.lives() {
+		t.Fatalf("the process has ended\n%s", tg.tail())
+	}
+	tg.checkLimits(t, *most, maxFDs)
+}
