--- a/soak/crowd/answers_test.go
+++ b/soak/crowd/answers_test.go
@@ -33,11 +33,7 @@
 		_, _ = fmt.Fprintf(conn, "%s\r\n", head(n)) // refused if this fails
 		time.Sleep(answerPause)
 	}
-	return func() {
-		for _, conn := range conns {
-			_ = conn.Close()
-		}
-	}
+	return closeAll(conns)
 }
 
 // Guards against answers that clients do not read and that together take the memory.
@@ -74,11 +70,7 @@
 		text.WriteString(head(n) + "\r\n")
 	}
 	conns := sendAll(tg.ports["clients"], pipelinedConns, func(n int) (string, []byte) { return head(n), []byte(text.String()) })
-	defer func() {
-		for _, conn := range conns {
-			_ = conn.Close()
-		}
-	}()
+	defer closeAll(conns)()
 	await(t, tg.process, "an ordinary request is answered while the crowd stays", func() bool { return tg.ordinary() == nil })
 	stopWatch()
 	if !tg.lives() {
--- a/soak/crowd/bodies_test.go
+++ b/soak/crowd/bodies_test.go
@@ -112,6 +112,11 @@
 	for _, body := range encoded {
 		wave((b.conns-b.conns/completeDivisor)/b.sizes, body, body.short)
 	}
+	return closeAll(conns)
+}
+
+// closeAll returns a function that closes connections.
+func closeAll(conns []net.Conn) func() {
 	return func() {
 		for _, conn := range conns {
 			_ = conn.Close()
@@ -119,9 +124,8 @@
 	}
 }
 
-// sendAll opens count connections and sends a head and a text on each, until all have sent everything or were refused. It
-// returns the connections.
-func sendAll(addr string, count int, request func(n int) (head string, text []byte)) []net.Conn {
+// openAll opens count connections at once and calls use with each that is accepted. It returns them when all calls have returned.
+func openAll(addr string, count int, use func(n int, conn net.Conn)) []net.Conn {
 	var (
 		mu    sync.Mutex
 		conns []net.Conn
@@ -136,22 +140,30 @@
 			mu.Lock()
 			conns = append(conns, conn)
 			mu.Unlock()
-			head, rest := request(n)
-			part := []byte(head + "\r\n")
-			for {
-				_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-				if _, err := conn.Write(part); err != nil || len(rest) == 0 {
-					return
-				}
-				size := min(chunkBytes, len(rest))
-				part, rest = rest[:size], rest[size:]
-			}
+			use(n, conn)
 		})
 	}
 	wg.Wait()
 	return conns
 }
 
+// sendAll opens count connections and sends a head and a text on each, until all have sent everything or were refused. It
+// returns the connections.
+func sendAll(addr string, count int, request func(n int) (head string, text []byte)) []net.Conn {
+	return openAll(addr, count, func(n int, conn net.Conn) {
+		head, rest := request(n)
+		part := []byte(head + "\r\n")
+		for {
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := conn.Write(part); err != nil || len(rest) == 0 {
+				return
+			}
+			size := min(chunkBytes, len(rest))
+			part, rest = rest[:size], rest[size:]
+		}
+	})
+}
+
 // checkBodies sends the crowd with each framing to a port of a fresh process. While the crowd stays, the ordinary requests must
 // be answered.
 func checkBodies(t *testing.T, start func(*testing.T) *target, port string, b bodies, ordinary ...func(*target) error) {
--- a/soak/crowd/crowd_test.go
+++ b/soak/crowd/crowd_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 )
@@ -77,38 +76,18 @@
 // run opens the connections and sends on all of them until each has sent everything or was refused. It returns a function
 // that closes them.
 func (c crowd) run(addr string) func() {
-	var (
-		mu    sync.Mutex
-		conns []net.Conn
-		wg    sync.WaitGroup
-	)
-	for range c.conns {
-		wg.Go(func() {
-			conn, err := net.DialTimeout("tcp", addr, writeTimeout)
-			if err != nil {
-				return // refused
+	return closeAll(openAll(addr, c.conns, func(_ int, conn net.Conn) {
+		text := c.first
+		for n := 0; ; n++ {
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := conn.Write([]byte(text)); err != nil {
+				return
 			}
-			mu.Lock()
-			conns = append(conns, conn)
-			mu.Unlock()
-			text := c.first
-			for n := 0; ; n++ {
-				_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-				if _, err := conn.Write([]byte(text)); err != nil {
-					return
-				}
-				if text = c.more(n); text == "" {
-					return
-				}
+			if text = c.more(n); text == "" {
+				return
 			}
-		})
-	}
-	wg.Wait()
-	return func() {
-		for _, conn := range conns {
-			_ = conn.Close()
 		}
-	}
+	}))
 }
 
 // check runs each crowd against a port of a fresh process.
--- a/soak/crowd/peers_test.go
+++ b/soak/crowd/peers_test.go
@@ -31,44 +31,24 @@
 		panic(err)
 	}
 	text := frame.Bytes()[:frame.Len()-1]
-	var (
-		mu    sync.Mutex
-		conns []net.Conn
-		wg    sync.WaitGroup
-	)
-	for n := range peerConns {
-		wg.Go(func() {
-			conn, err := net.DialTimeout("tcp", addr, writeTimeout)
-			if err != nil {
-				return // refused
-			}
-			mu.Lock()
-			conns = append(conns, conn)
-			mu.Unlock()
-			session := greet(conn, fmt.Sprint("crowd-", n), deployment)
-			if session == nil {
-				return // refused
-			}
-			var streams sync.WaitGroup
-			for range peerStreams {
-				streams.Go(func() {
-					stream, err := session.OpenStream()
-					if err != nil {
-						return // refused
-					}
-					_ = stream.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
-					_, _ = stream.Write(text) // refused if this fails
-				})
-			}
-			streams.Wait()
-		})
-	}
-	wg.Wait()
-	return func() {
-		for _, conn := range conns {
-			_ = conn.Close()
+	return closeAll(openAll(addr, peerConns, func(n int, conn net.Conn) {
+		session := greet(conn, fmt.Sprint("crowd-", n), deployment)
+		if session == nil {
+			return // refused
 		}
-	}
+		var streams sync.WaitGroup
+		for range peerStreams {
+			streams.Go(func() {
+				stream, err := session.OpenStream()
+				if err != nil {
+					return // refused
+				}
+				_ = stream.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
+				_, _ = stream.Write(text) // refused if this fails
+			})
+		}
+		streams.Wait()
+	}))
 }
 
 // greet exchanges the first messages of a connection. It returns nil if the process refuses them.
