--- a/flood/flood.go
+++ b/flood/flood.go
@@ -1,6 +1,7 @@
 // Package flood decides which client connections a process keeps when clients open more of them, or send larger heads of
-// requests, than the machine has room for. It has no input, output or clock: its caller reports what the connections do, in
-// order, and closes those that a call returns. A Table is not safe for concurrent use.
+// requests, than the machine has room for (Table), and whose bodies and answers keep their memory (Memory). It has no input,
+// output or clock: its caller reports what the connections do, in order, and closes those that a call returns. Neither type is
+// safe for concurrent use.
 package flood
 
 import "container/list"
--- a/httpguard/guard.go
+++ b/httpguard/guard.go
@@ -1,6 +1,7 @@
-// Package httpguard bounds what clients may send to an HTTP server of net/http: the size and the time of a head, the memory of all
-// heads together, the time without progress of a body, and the connections. Package flood decides which connections have to make
-// room. A guard only counts lines and bytes; where a head ends is decided by net/http alone.
+// Package httpguard bounds what clients may send to an HTTP server of net/http, and leave unread of its answers: the size and the
+// time of a head, the memory of all heads together, the time without progress of a body or of an answer, and the connections.
+// Package flood decides which connections have to make room; package intake counts the memory of bodies and answers. A guard only
+// counts lines and bytes; where a head ends is decided by net/http alone.
 package httpguard
 
 import (
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -10,8 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/cicadasill/cicadasill/flood"
 )
 
@@ -22,12 +20,13 @@
 // ErrTooLarge reports a body that exceeds its limit.
 var ErrTooLarge = errors.New("the body is too large")
 
-// Fractions of a machine's memory that Limits sets for the classes of flood.MemoryLimits.
+// Fractions of a machine's memory that Limits and PeerLimits set for the classes of flood.MemoryLimits. docs/design/client-floods.md
+// has the sum of all bounds.
 const (
 	largeFraction    = 0.2
 	ordinaryFraction = 0.04
 	smallFraction    = 0.04
-	// peerFraction is the part that PeerLimits sets for large messages.
+	// peerFraction is the fraction that PeerLimits sets for large messages.
 	peerFraction = 0.15
 )
 
@@ -55,12 +54,6 @@
 	elsewhereDivisor = 4
 )
 
-// Values of the label reason of cicadasill_intake_refusals_total.
-const (
-	reasonFull    = "full"
-	reasonGaveWay = "gave_way"
-)
-
 // Options configure a Memory.
 type Options struct {
 	// Name is the label of the memory in metrics.
@@ -180,15 +173,15 @@
 	s.memory.table.Progress(s.entry, time.Now())
 }
 
-// Settle records that the share does not wait for its client. It gives way no more.
+// Settle records that the share does not wait for a client, such as one for an answer of a back end. It gives way no more.
 func (s *Share) Settle() {
 	s.memory.mu.Lock()
 	defer s.memory.mu.Unlock()
 	s.memory.table.Settle(s.entry)
 }
 
-// settle records that the client has sent everything. It fails with ErrFull if the share gave way before.
-func (s *Share) settle() error {
+// complete records that the client has sent everything. It fails with ErrFull if the share gave way before.
+func (s *Share) complete() error {
 	s.memory.mu.Lock()
 	defer s.memory.mu.Unlock()
 	if s.gaveWay.Load() {
@@ -241,7 +234,7 @@
 		case errors.Is(err, io.EOF) && int64(len(body)) < b.Length:
 			return nil, io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
-			return body, s.settle()
+			return body, s.complete()
 		case err != nil && s.GaveWay():
 			return nil, ErrFull
 		case err != nil:
@@ -252,33 +245,5 @@
 			s.Progress()
 		}
 	}
-	return body, s.settle()
-}
-
-// Metrics are the metrics of all memories of a process.
-type Metrics struct {
-	registerer prometheus.Registerer
-	refusals   *prometheus.CounterVec
-}
-
-// NewMetrics registers the metrics.
-func NewMetrics(registerer prometheus.Registerer) *Metrics {
-	m := &Metrics{registerer: registerer, refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "cicadasill_intake_refusals_total", Help: "Bodies, messages and answers of clients that ended for lack of memory.",
-	}, []string{"memory", "reason"})}
-	registerer.MustRegister(m.refusals)
-	return m
-}
-
-// observe registers the gauge of one memory.
-func (m *Metrics) observe(memory *Memory) {
-	m.registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "cicadasill_intake_bytes", Help: "Memory that clients make the process hold.", ConstLabels: prometheus.Labels{"memory": memory.opts.Name},
-	}, func() float64 { return float64(memory.Used()) }))
-}
-
-func (m *Metrics) refused(memory, reason string) {
-	if m != nil {
-		m.refusals.WithLabelValues(memory, reason).Inc()
-	}
+	return body, s.complete()
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -72,7 +72,7 @@
 	is.True(errors.Is(<-ended, ErrFull))
 	is.Equal(metrics.count(reasonGaveWay), 1.0)
 	stalled.Release()
-	is.NoErr(share.settle())
+	is.NoErr(share.complete())
 	is.True(errors.Is(m.Open(0, func() {}).Resize(1<<20), ErrFull))
 	is.Equal(metrics.count(reasonFull), 1.0)
 	share.Release()
