backends: a late heartbeat does not bring a removed back end back

Cause: entries bear a number that grows with each heartbeat of a process, and the decoder dropped it. The directory forgot a back end with its entry, so that a heartbeat which the store executed after the removal looked like a new back end.

Change: the directory remembers the newest entry of each process, for a minute after its removal and for 10,000 back ends at most. Entries that are not newer have no effect; a higher number or a later start counts at once. Readers pass no outdated entries on to other instances, and state the last number with each removal. What is missing in an answer that is older than what the instance holds is no removal.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -20,6 +20,8 @@
 	Leaving bool
 	// StartedUnixMs is the start time of the back end's process in Unix milliseconds.
 	StartedUnixMs int64
+	// Seq numbers the entries of a process in the order in which it wrote them.
+	Seq int64
 	// Versions maps each model to the version of its weights; it is never nil.
 	Versions map[string]int64
 	// Reclaimable back ends can be taken away by the platform, all of a data centre at once.
@@ -88,13 +90,16 @@
 	// leavingRuns holds, by back end, the start of the process that has stated that it leaves. It outlives the entry, which
 	// may be gone for a while and return.
 	leavingRuns map[string]int64
-	outageAt    time.Time
-	changed     chan struct{}
+	// runs holds the newest run of each back end, also for removedMemory after its entry was removed.
+	runs            map[string]knownRun
+	runsForgottenAt time.Time // when the runs that are too old were last forgotten
+	outageAt        time.Time
+	changed         chan struct{}
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{byID: map[string]*Backend{}, limits: map[string]rateLimit{}, leavingRuns: map[string]int64{}, changed: make(chan struct{})}
+	return &Directory{byID: map[string]*Backend{}, limits: map[string]rateLimit{}, leavingRuns: map[string]int64{}, runs: map[string]knownRun{}, changed: make(chan struct{})}
 }
 
 // Changed returns a channel that is closed at the next change after which a back end may be able to
@@ -118,14 +123,27 @@
 	d.outageAt = time.Now()
 }
 
-// Put adds or updates a back end from its entry. It reports whether the entry created a new Backend.
-func (d *Directory) Put(e Entry) bool {
+// Change is the effect of an entry on a Directory.
+type Change int
+
+const (
+	// Outdated entries were written before one that is known, or before the removal of the entry. They have no effect.
+	Outdated Change = iota
+	// Updated states that the entry belongs to a known Backend.
+	Updated
+	// Added states that the entry created a new Backend.
+	Added
+)
+
+// Put adds or updates a back end from its entry.
+func (d *Directory) Put(e Entry) Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	b := d.byID[e.ID]
-	if b != nil && e.StartedUnixMs < b.StartedUnixMs {
-		return false // an outdated entry of an earlier process
+	if known, ok := d.runs[e.ID]; ok && known.supersedes(&e) {
+		return Outdated
 	}
+	d.recordRun(&e)
+	b := d.byID[e.ID]
 	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service {
 		d.byID[e.ID] = &Backend{
 			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs, Reclaimable: e.Reclaimable,
@@ -137,7 +155,7 @@
 			delete(d.leavingRuns, e.ID)
 		}
 		d.notify()
-		return true
+		return Added
 	}
 	versions := maps.Clone(b.versions)
 	for model, version := range e.Versions {
@@ -152,7 +170,7 @@
 	if changed {
 		d.notify()
 	}
-	return false
+	return Updated
 }
 
 // RecordLeaving records that b has stated in an answer that it leaves. Its process gets no new work any more, whatever its
@@ -182,6 +200,7 @@
 	if b == nil {
 		return
 	}
+	d.recordRemoval(id)
 	if time.Since(d.outageAt) < outageWindow {
 		if b.removedAt.IsZero() {
 			b.removedAt = time.Now()
--- /dev/null
+++ b/backends/runs.go
@@ -0,0 +1,105 @@
+package backends
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// removedMemory is how long the directory remembers the run of a back end after its entry was removed. The platform's store
+	// may execute a write without an answer up to six seconds after it was sent; the margin covers reads that fail for a while.
+	removedMemory = time.Minute
+	// maxRemovedRuns bounds how many runs without an entry are remembered; the oldest are forgotten first. It is three times
+	// the number of back ends of the largest deployment planned for.
+	maxRemovedRuns = 10_000
+)
+
+// Run identifies a process of a back end, by its start, and the newest entry of it that is known.
+type Run struct {
+	StartedUnixMs int64
+	// Seq is the sequence number of the newest entry.
+	Seq int64
+}
+
+// knownRun is the newest run of a back end.
+type knownRun struct {
+	Run
+	// removedAt is when the entry was removed; zero while it exists.
+	removedAt time.Time
+}
+
+// supersedes reports whether e was written before the newest entry of the run or, if that was removed, before the removal. The
+// store may execute a write late, so that an older entry arrives after a newer one.
+func (k *knownRun) supersedes(e *Entry) bool {
+	switch {
+	case !k.removedAt.IsZero() && time.Since(k.removedAt) > removedMemory:
+		return false
+	case e.StartedUnixMs != k.StartedUnixMs:
+		return e.StartedUnixMs < k.StartedUnixMs
+	case e.StartedUnixMs == 0: // without a start, the numbers of different processes can't be compared
+		return false
+	}
+	if k.removedAt.IsZero() {
+		return false
+	}
+	return e.Seq <= k.Seq
+}
+
+// recordRun records the entry of a run that is now the newest. The caller holds d.mu.
+func (d *Directory) recordRun(e *Entry) {
+	d.runs[e.ID] = knownRun{Run: Run{StartedUnixMs: e.StartedUnixMs, Seq: e.Seq}}
+}
+
+// RecordLast records that the given run is the newest one of a back end whose entry is about to be removed.
+func (d *Directory) RecordLast(id string, last Run) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.runs[id]
+	switch {
+	case ok && known.StartedUnixMs > last.StartedUnixMs:
+		return
+	case !ok || known.StartedUnixMs < last.StartedUnixMs:
+		known = knownRun{Run: last}
+	default:
+		known.Seq = max(known.Seq, last.Seq)
+	}
+	if _, present := d.byID[id]; !present && known.removedAt.IsZero() {
+		known.removedAt = time.Now()
+	}
+	d.runs[id] = known
+}
+
+// recordRemoval records that the entry of a run was removed. The caller holds d.mu.
+func (d *Directory) recordRemoval(id string) {
+	now := time.Now()
+	if known, ok := d.runs[id]; ok && known.removedAt.IsZero() {
+		known.removedAt = now
+		d.runs[id] = known
+	}
+	if now.Sub(d.runsForgottenAt) > removedMemory/10 || len(d.runs) > len(d.byID)+maxRemovedRuns {
+		d.runsForgottenAt = now
+		d.forgetRuns(now)
+	}
+}
+
+// forgetRuns forgets the removed runs that are too old and, if there are too many, the older half of the others. The caller
+// holds d.mu.
+func (d *Directory) forgetRuns(now time.Time) {
+	var removed []string
+	for id, known := range d.runs {
+		switch {
+		case known.removedAt.IsZero():
+		case now.Sub(known.removedAt) > removedMemory:
+			delete(d.runs, id)
+		default:
+			removed = append(removed, id)
+		}
+	}
+	if len(removed) <= maxRemovedRuns {
+		return
+	}
+	slices.SortFunc(removed, func(a, b string) int { return d.runs[a].removedAt.Compare(d.runs[b].removedAt) })
+	for _, id := range removed[:len(removed)-maxRemovedRuns/2] {
+		delete(d.runs, id)
+	}
+}
--- a/digest/digest_test.go
+++ b/digest/digest_test.go
@@ -61,6 +61,7 @@
 			case 0, 1:
 				versions[id]++
 				e := entry(id, rapid.IntRange(1, 3).Draw(t, "slots"), versions[id])
+				e.StartedUnixMs, e.Seq = 1, versions[id]
 				both(func(r *Recorder) { r.Put(e) })
 			case 2:
 				both(func(r *Recorder) { r.Remove(id) })
--- a/digest/follower.go
+++ b/digest/follower.go
@@ -27,8 +27,7 @@
 	return fmt.Sprintf("the reader's entries are %v older than those of this instance", e.By)
 }
 
-// olderTolerance is by how much an answer may be older. Readers read some hundred milliseconds apart, and what an older answer takes
-// back returns with the next one.
+// olderTolerance is by how much an answer may be older. Readers read some hundred milliseconds apart.
 const olderTolerance = time.Second
 
 // NewFollower returns a Follower that knows no entries.
@@ -61,7 +60,8 @@
 	if by := f.currentAt - currentAt; by > olderTolerance {
 		return 0, &OlderError{By: by}
 	}
-	f.currentAt = currentAt
+	older := currentAt < f.currentAt
+	f.currentAt = max(f.currentAt, currentAt)
 	if a.Outage {
 		f.recordOutage()
 	}
@@ -73,9 +73,16 @@
 		present[e.ID] = true
 		f.target.Put(e)
 	}
+	for id, last := range a.Last {
+		f.target.RecordLast(id, last)
+	}
 	for _, id := range a.Removed {
 		f.target.Remove(id)
 	}
+	if a.Whole && older { // it may lack back ends that are new, so that the next request asks for all entries again
+		f.position = request{}
+		return a.Age, nil
+	}
 	if a.Whole {
 		f.target.RemoveAllBut(present)
 	}
--- /dev/null
+++ b/digest/late_test.go
@@ -0,0 +1,97 @@
+package digest
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/backends"
+)
+
+// numbered returns an entry of a process with a start, so that its number counts.
+func numbered(id string, seq int64) backends.Entry {
+	e := entry(id, 1, 1)
+	e.StartedUnixMs, e.Seq = 1, seq
+	return e
+}
+
+// Guards against requests to a back end that has left (DRAIN): an instance that has its entries from others takes a heartbeat from
+// before the removal, from a reader that did not see the removal. The asker has seen only the first of ten heartbeats, because the
+// others changed nothing.
+func TestRemovalIsPassedOnWithTheNewestNumber(t *testing.T) {
+	for name, ask := range map[string]func(t interface{ Fatal(...any) }, f *Follower, r *Recorder){
+		"changes": func(t interface{ Fatal(...any) }, f *Follower, r *Recorder) { ask(t, f, r, "old") },
+		"whole":   func(t interface{ Fatal(...any) }, f *Follower, r *Recorder) { f.Forget(); ask(t, f, r, "old") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			directory := backends.New()
+			follower := NewFollower(directory, func() {})
+			old, started := reader(1), reader(2)
+			old.Put(numbered("a", 1))
+			ask(t, follower, old)
+			for seq := range int64(10) {
+				old.Put(numbered("a", seq+1))
+			}
+			old.Remove("a")
+			ask(t, follower, old)
+			is.Equal(len(contents(directory)), 0)
+			started.Put(numbered("a", 7)) // it began after the removal
+			payload, err := follower.Request("started")
+			is.NoErr(err)
+			reply, err := started.Handle(payload)
+			is.NoErr(err)
+			_, err = follower.Apply(reply)
+			is.NoErr(err)
+			is.Equal(len(contents(directory)), 0)
+		})
+	}
+}
+
+// Guards against a reader that passes an outdated entry on to others.
+func TestOutdatedEntriesAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	r, directory := reader(1), backends.New()
+	follower := NewFollower(directory, func() {})
+	r.Put(numbered("a", 10))
+	r.Remove("a")
+	is.Equal(r.Put(numbered("a", 9)), backends.Outdated)
+	ask(t, follower, r, "r")
+	is.Equal(len(contents(directory)), 0)
+}
+
+// Guards against a new back end that an instance takes for removed, and then ignores, because another reader does not know it yet.
+func TestAbsenceFromAnOlderAnswerIsNoRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := backends.New()
+		follower := NewFollower(directory, func() {})
+		current, behind := reader(1), reader(2)
+		age := olderTolerance / 2
+		behind.source = func() (time.Duration, bool) { return age, true }
+		for _, r := range []*Recorder{current, behind} {
+			r.Put(numbered("a", 1))
+			r.Put(numbered("gone", 1))
+		}
+		current.Put(numbered("b", 1))
+		current.Remove("gone")
+		ask(t, follower, current, "current")
+		ask(t, follower, behind, "behind")
+		is.Equal(len(contents(directory)), 2) // a and b
+
+		age = 0
+		behind.Put(numbered("b", 1))
+		behind.Remove("a")
+		behind.Remove("gone")
+		time.Sleep(digestPause)
+		ask(t, follower, behind, "behind")
+		is.Equal(len(contents(directory)), 1)
+		_, known := directory.Backend("b")
+		is.True(known)
+	})
+}
+
+// digestPause is a time between two requests.
+const digestPause = 400 * time.Millisecond
--- a/digest/recorder.go
+++ b/digest/recorder.go
@@ -19,7 +19,9 @@
 
 // Target takes the entries of back ends, like backends.Directory.
 type Target interface {
-	Put(e backends.Entry) bool
+	Put(e backends.Entry) backends.Change
+	// RecordLast states the newest run of a back end that is about to be removed.
+	RecordLast(id string, last backends.Run)
 	Remove(id string)
 	RemoveAllBut(ids map[string]bool)
 }
@@ -64,17 +66,34 @@
 	return &Recorder{target: target, epoch: epoch, source: source, outage: outage, byID: map[string]change{}}
 }
 
-// Put implements Target.
-func (r *Recorder) Put(e backends.Entry) bool {
+// Put implements Target. Outdated entries are not passed on to others either.
+func (r *Recorder) Put(e backends.Entry) backends.Change {
+	effect := r.target.Put(e)
+	if effect == backends.Outdated {
+		return effect
+	}
 	r.mu.Lock()
-	if old, ok := r.byID[e.ID]; !ok || !old.removed.IsZero() || !reflect.DeepEqual(old.entry, e) {
+	defer r.mu.Unlock()
+	old, ok := r.byID[e.ID]
+	if !ok || !old.removed.IsZero() || !sameContent(old.entry, e) {
 		r.number++
 		r.byID[e.ID] = change{number: r.number, entry: e, at: timing.SinceBoot()}
+		return effect
 	}
-	r.mu.Unlock()
-	return r.target.Put(e)
+	old.entry.Seq = e.Seq
+	r.byID[e.ID] = old
+	return effect
 }
 
+// sameContent reports whether two entries differ at most in their sequence numbers.
+func sameContent(a, b backends.Entry) bool {
+	a.Seq = b.Seq
+	return reflect.DeepEqual(a, b)
+}
+
+// RecordLast implements Target.
+func (r *Recorder) RecordLast(id string, last backends.Run) { r.target.RecordLast(id, last) }
+
 // Remove implements Target.
 func (r *Recorder) Remove(id string) {
 	r.mu.Lock()
@@ -90,7 +109,8 @@
 		return
 	}
 	r.number++
-	r.byID[id] = change{number: r.number, entry: backends.Entry{ID: id}, removed: time.Now()}
+	old.number, old.removed = r.number, time.Now()
+	r.byID[id] = old
 	for other, c := range r.byID {
 		if !c.removed.IsZero() && time.Since(c.removed) > goneMemory {
 			r.forgotten = max(r.forgotten, c.number)
@@ -128,6 +148,8 @@
 	Age time.Duration `cbor:"6,keyasint"`
 	// Outage states that the store has failed to answer recently, so that removed entries may return.
 	Outage bool `cbor:"7,keyasint"`
+	// Last holds the newest runs of removed back ends.
+	Last map[string]backends.Run `cbor:"8,keyasint,omitempty"`
 }
 
 // NotReaderError reports a request to an instance that does not read the entries from the store.
@@ -151,13 +173,17 @@
 	defer r.mu.Unlock()
 	a := answer{Epoch: r.epoch, Number: r.number, Age: age, Outage: r.outage()}
 	a.Whole = asked.Epoch != r.epoch || asked.After > r.number || asked.After < r.forgotten
+	a.Last = map[string]backends.Run{}
 	for id, c := range r.byID {
 		switch {
 		case !a.Whole && c.number <= asked.After:
 		case c.removed.IsZero():
 			a.Entries = append(a.Entries, c.current())
-		case !a.Whole:
-			a.Removed = append(a.Removed, id)
+		default:
+			a.Last[id] = backends.Run{StartedUnixMs: c.entry.StartedUnixMs, Seq: c.entry.Seq}
+			if !a.Whole {
+				a.Removed = append(a.Removed, id)
+			}
 		}
 	}
 	return cbor.Marshal(&a)
