changelog: "nothing written" is final, also after an attempt without an answer

Cause: Commit calls its caller's function again after each failed attempt. When that found nothing to write, such as a job for which there is no room any more, Commit returned "nothing written" although the store could still execute an earlier attempt: its condition holds until the partition grows.

Change: Commit remembers the end that an attempt of unknown outcome expected. While the partition has not grown beyond, it appends a record without a value under the same condition before it reports that nothing was written; of the two only one can take effect. Without that record the outcome is unknown, and the client gets 504. Errors of an append that do not say that it was not done count as unknown.

--- a/changelog/load.go
+++ b/changelog/load.go
@@ -120,7 +120,9 @@
 func (r *Replica) install(l *load) {
 	r.state.Reset()
 	for _, record := range l.records() {
-		r.state.Apply(record)
+		if record.Key != fenceKey {
+			r.state.Apply(record)
+		}
 	}
 	if observer, ok := r.state.(LoadObserver); ok {
 		observer.Loaded()
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -250,7 +250,9 @@
 		if record.Offset < r.next {
 			continue
 		}
-		r.state.Apply(record)
+		if record.Key != fenceKey {
+			r.state.Apply(record)
+		}
 		r.next = record.Offset + 1
 		applied = true
 	}
@@ -275,7 +277,8 @@
 // Commit appends the records that build returns, under the condition that the partition has not grown since
 // build read the state. It calls build again after each failed attempt, so build must derive its records from
 // the state alone and return none if nothing is left to do. Commit returns the offset after its records, or 0
-// if build returned none. After an error other than *NotDoneError the records may still be appended later.
+// if build returned none; no earlier attempt can take effect then. After an error other than *NotDoneError the records
+// may still be appended later.
 func (r *Replica) Commit(ctx context.Context, build func() []Record) (int64, error) {
 	select {
 	case r.commitTurn <- struct{}{}:
@@ -283,22 +286,22 @@
 	case <-ctx.Done():
 		return 0, &NotDoneError{Call: "commit to " + r.partition.String(), Err: ctx.Err()}
 	}
-	outcomeUnknown := false
+	outcomeUnknown, openUntil := false, int64(-1)
 	for failedAt := int64(-1); ; {
-		end, err := r.tryCommit(ctx, build)
+		end, expected, err := r.tryCommit(ctx, build, openUntil)
 		if err == nil {
 			return end, nil
 		}
 		var (
 			conflict *ConflictError
-			unknown  *UnknownError
+			notDone  *NotDoneError
 		)
 		delay := retryDelay
 		switch {
 		case errors.As(err, &conflict):
 			delay = conflictRetryDelay
-		case errors.As(err, &unknown):
-			outcomeUnknown = true
+		case !errors.As(err, &notDone):
+			outcomeUnknown, openUntil = true, max(openUntil, expected)
 			delay = 0
 		}
 		if at := r.end(); at == failedAt { // the attempt before failed on the same state
@@ -334,32 +337,45 @@
 	}
 }
 
-// tryCommit makes one attempt of Commit and applies the appended records to the state.
-func (r *Replica) tryCommit(ctx context.Context, build func() []Record) (int64, error) {
+// fenceKey is the key of the records that keep an append of unknown outcome from taking effect. They have no value, and replicas
+// do not pass them to their states.
+const fenceKey = "commit-fence"
+
+// tryCommit makes one attempt of Commit and applies the appended records to the state. It returns the end of the partition that it
+// expected. openUntil is the highest such end of an earlier attempt whose outcome is unknown, or -1: that attempt can take effect
+// as long as the partition has not grown beyond. If nothing is left to do, tryCommit therefore makes the partition grow.
+func (r *Replica) tryCommit(ctx context.Context, build func() []Record, openUntil int64) (end, expected int64, err error) {
 	if err := r.ensureLoaded(ctx); err != nil {
-		return 0, &NotDoneError{Call: "load of " + r.partition.String(), Err: err}
+		return 0, 0, &NotDoneError{Call: "load of " + r.partition.String(), Err: err}
 	}
 	r.mu.Lock()
 	if r.loading != nil { // the state is to be replaced
 		r.mu.Unlock()
-		return 0, &NotDoneError{Call: "append to " + r.partition.String(), Err: errLoading}
+		return 0, 0, &NotDoneError{Call: "append to " + r.partition.String(), Err: errLoading}
 	}
-	expectEnd := r.next
+	expected = r.next
 	records := build()
 	r.mu.Unlock()
-	if len(records) == 0 {
-		return 0, nil
+	nothingToDo := len(records) == 0
+	if nothingToDo {
+		if openUntil < expected {
+			return 0, expected, nil
+		}
+		records = []Record{{Key: fenceKey}}
 	}
 	start := timing.NowInstant()
-	end, err := r.log.Append(ctx, r.partition, records, expectEnd)
+	end, err = r.log.Append(ctx, r.partition, records, expected)
 	if err != nil {
-		return 0, err
+		return 0, expected, err
 	}
 	for i := range records {
-		records[i].Offset = expectEnd + int64(i)
+		records[i].Offset = expected + int64(i)
 	}
 	r.apply(records, end, start)
-	return end, nil
+	if nothingToDo {
+		return 0, expected, nil
+	}
+	return end, expected, nil
 }
 
 // errLoading reports a commit during a load.
