backends: entries of a process count in the order of their numbers

Cause: the order of the store was taken for the order in which a sampler wrote. The store may execute a heartbeat without an answer up to six seconds late, and the directory took that one's "ready" for the newest state.

Change: an entry with a lower number than the newest of the same process has no effect. Processes that state no start are not ordered, because a restart could not be told from a late entry.

--- a/backends/runs.go
+++ b/backends/runs.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	if k.removedAt.IsZero() {
-		return false
+		return e.Seq < k.Seq
 	}
 	return e.Seq <= k.Seq
 }
