presence: a late heartbeat of an instance takes nothing back

A heartbeat that the store executes late made an instance that drains or has left count as available for new jobs, and one of its earlier run made a restarted instance count as ended until its next heartbeat, so that others could take over its jobs.

Cause: records with another number were taken for newer ones.

Change: within a run the number orders the records. Records of the run that the present one has replaced are ignored; other incarnations are taken, because they follow a clock that may be set back.

--- a/presence/presence.go
+++ b/presence/presence.go
@@ -98,6 +98,16 @@
 	// hasChanged states that the record has changed since this table first read it. The store keeps the
 	// records of instances that ended long ago, and a table that has just started cannot tell their age.
 	hasChanged bool
+	// replaced is the incarnation that this one has replaced; 0 if none is known.
+	replaced uint64
+}
+
+// isOlderThan reports whether next was written after s: the store may execute a write without an answer seconds late. Incarnations have no order, because they follow a clock that may be set back.
+func (s *observedRecord) isOlderThan(next *record) bool {
+	if next.Incarnation != s.Incarnation {
+		return next.Incarnation != s.replaced
+	}
+	return next.Sequence > s.Sequence // each record of a run has a number of its own
 }
 
 // silentFor reports whether no new record has been read for a number of intervals although the records are read with readPause.
@@ -226,13 +236,15 @@
 		return
 	}
 	old, known := t.byID[r.Key]
-	if known && old.Incarnation == next.Incarnation && old.Sequence == next.Sequence {
-		return // each record of a run has a number of its own
+	if known && !old.isOlderThan(&next) {
+		return
 	}
+	replaced := old.replaced
 	if known && old.Incarnation != next.Incarnation {
 		t.log.Info("instance restarted", "peer", r.Key, "incarnation", next.Incarnation)
+		replaced = old.Incarnation
 	}
-	t.byID[r.Key] = observedRecord{record: next, receivedAt: time.Now(), hasChanged: known}
+	t.byID[r.Key] = observedRecord{record: next, receivedAt: time.Now(), hasChanged: known, replaced: replaced}
 	if known { // the age of the first record is unknown
 		t.observeClock(r.Key, next)
 	}
