instance: a test of late heartbeats through the whole instance

Four clustered instances in one process, with reads of their own and with entries from others whose readers end after the removal: the store executes an earlier heartbeat of a back end that drains or has left, then the entry of another one. Who knows the latter has read the former, and must send nothing to the back end that leaves.

--- /dev/null
+++ b/instance/lateentry_test.go
@@ -0,0 +1,105 @@
+package instance
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/platform/hosted/hostedtest"
+)
+
+// Guards against requests to a back end that drains or has left (DRAIN), because the store executes one of its earlier heartbeats late, at
+// instances that read the entries themselves, and at those that begin to read them because the readers end.
+func TestLateHeartbeatBringsNoRequests(t *testing.T) {
+	leave := map[string]func(c *cluster, e *hostedtest.Engine){
+		"drains":  func(c *cluster, e *hostedtest.Engine) { c.store.PutEntry(e.ID, e.Entry("draining")) },
+		"removed": func(c *cluster, e *hostedtest.Engine) { c.store.PutEntry(e.ID, nil) },
+	}
+	for name, leave := range leave {
+		for _, reading := range []string{"direct", "from others that end"} {
+			t.Run(name+", "+reading, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				c := newCluster(t, 4, 1)
+				alive := c.members
+				if reading != "direct" {
+					for _, m := range c.members {
+						m.entries.maxDirectReads.Store(0)
+					}
+					c.waitUntil("a few instances read for all", func() bool { return len(readers(c.members)) <= minReaders })
+				}
+				knowAll := func(id string, known bool) func() bool {
+					return func() bool {
+						for _, m := range alive {
+							if hasCandidate(m, "desk", id) != known {
+								return false
+							}
+						}
+						return true
+					}
+				}
+				leaving := c.startBackEnd("desk-leaving")
+				late := leaving.Entry("ready")
+				for range 3 {
+					c.register(leaving)
+				}
+				c.waitUntil("the back end is known", knowAll(leaving.ID, true))
+				leave(c, leaving)
+				c.waitUntil("the back end gets no work", knowAll(leaving.ID, false))
+				if reading == "from others that end" {
+					alive = nil
+					for _, m := range c.members {
+						if readsStore(m) {
+							m.kill()
+						} else {
+							alive = append(alive, m)
+						}
+					}
+					is.True(len(alive) > 0)
+				}
+				before := len(leaving.Runs())
+				c.store.PutEntry(leaving.ID, late)
+				next := c.startBackEnd("desk-next") // whoever knows it has read the late entry
+				c.waitUntil("the entries after the late one are known", knowAll(next.ID, true))
+				for n, m := range alive {
+					is.True(!hasCandidate(m, "desk", leaving.ID))
+					for k := range 5 {
+						id := fmt.Sprintf("r-%d-%d", n, k)
+						is.Equal(c.call(m, http.MethodPost, "/plain/"+id, id, http.Header{"X-Deadline-Ms": {"2000"}}, "x").status, http.StatusOK)
+					}
+				}
+				is.Equal(len(leaving.Runs()), before)
+			})
+		}
+	}
+}
+
+// startBackEnd starts and registers a back end of the plain service.
+func (c *cluster) startBackEnd(id string) *hostedtest.Engine {
+	e := hostedtest.NewEngine(id, "desk", "a", "")
+	c.t.Cleanup(e.Close)
+	c.register(e)
+	return e
+}
+
+// readers returns the instances that read the entries from the store.
+func readers(members []*member) (list []*member) {
+	for _, m := range members {
+		if readsStore(m) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// hasCandidate reports whether an instance may send requests of a service to a back end.
+func hasCandidate(m *member, service, id string) bool {
+	for _, candidate := range m.directory.Candidates(service, "") {
+		if candidate.ID == id {
+			return true
+		}
+	}
+	return false
+}
