instance: a driver of many items takes jobs for others to drive

Change: the first 0.05 of items and large heads leave the bodies their memory, so that the bound of both together is 0.25 again. Bodies alone keep 0.2.

--- a/instance/guards.go
+++ b/instance/guards.go
@@ -13,6 +13,9 @@
 	connFraction = 0.15
 	// headFraction is the fraction of the memory limit that larger heads may take.
 	headFraction = 0.1
+	// spareFraction is the fraction of the memory limit by which items and heads may exceed the memory of clients' bodies before they
+	// leave less to large ones. An instance that drives as many items as it may then still takes jobs for others to drive.
+	spareFraction = 0.05
 	// fileFDs are the descriptors that the platform keeps for files.
 	fileFDs = 200
 	// clientFDFraction and peerFDFraction are the fractions of the other descriptors for clients and for peers. The rest is for
@@ -48,13 +51,18 @@
 // buildIntake divides the memory that clients and other instances may make the instance hold.
 func (i *Instance) buildIntake() {
 	memory, metrics := i.settings.Limits.MemoryMB*(1<<20), intake.NewMetrics(i.registry)
-	i.clientMemory = intake.New(intake.Options{
-		Name: "clients", Limits: intake.Limits(memory), Metrics: metrics,
-		Elsewhere: func() int64 { return i.jobs.OpenItemBytes() + i.clientGuard.HeadBytes() },
-	})
+	i.clientMemory = newClientMemory(memory, metrics, func() int64 { return i.jobs.OpenItemBytes() + i.clientGuard.HeadBytes() })
 	i.peerMemory = intake.New(intake.Options{Name: "peers", Limits: intake.PeerLimits(memory), Metrics: metrics})
 }
 
+// newClientMemory returns the memory of clients on a machine with memory bytes. elsewhere returns the bytes of the items of open jobs and
+// of large heads, which leave less to large bodies.
+func newClientMemory(memory float64, metrics *intake.Metrics, elsewhere func() int64) *intake.Memory {
+	return intake.New(intake.Options{
+		Name: "clients", Limits: intake.Limits(memory), Metrics: metrics, Elsewhere: elsewhere, Spare: int64(spareFraction * memory),
+	})
+}
+
 // clientLimits returns what the configuration in force allows a client.
 func (i *Instance) clientLimits() httpguard.Limits {
 	config := i.config.Load()
--- a/instance/guards_test.go
+++ b/instance/guards_test.go
@@ -1,11 +1,14 @@
 package instance
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cicadasill/cicadasill/flood"
+	"github.com/cicadasill/cicadasill/intake"
 )
 
 // Guards against bounds that leave a small machine without memory or descriptors for its other work, or that clients inside the
@@ -38,3 +41,21 @@
 	settings := LimitSettings{MemoryMB: 136, MaxConnsPerAddr: Number{Value: 50, Set: true}}
 	is.Equal(limitConns(settings, 20000).clients.ConnsPerAddr, 50)
 }
+
+// Guards against a batch job that is refused although another instance has room for it, because the one that the client asks drives
+// nearly as many items as it may.
+func TestDriverOfManyItemsTakesAJobForOthers(t *testing.T) {
+	is := is.New(t)
+	const (
+		memory = 154 << 20
+		// items are within 2 MB of itemFraction.
+		items = 30_600_000
+		// body is that of a job of 2.2 MB, with what is decoded from it.
+		body = 3 * 2_930_000
+	)
+	clients := newClientMemory(memory, intake.NewMetrics(prometheus.NewRegistry()), func() int64 { return items })
+	share := clients.Open(body, func() {})
+	defer share.Release()
+	is.NoErr(share.Resize(body))
+	is.True(errors.Is(share.Resize(2*body), intake.ErrFull)) // the items still count
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -61,6 +61,8 @@
 	Limits flood.MemoryLimits
 	// Elsewhere returns memory in bytes that is held beside the shares and leaves less to large ones; nil means none.
 	Elsewhere func() int64
+	// Spare is how much of Elsewhere does not count.
+	Spare int64
 	// Metrics may be nil.
 	Metrics *Metrics
 }
@@ -128,8 +130,8 @@
 	m := s.memory
 	elsewhere := int64(0)
 	if m.opts.Elsewhere != nil && size > flood.OrdinarySize {
-		if elsewhere = m.opts.Elsewhere(); elsewhere < m.opts.Limits.Large/elsewhereDivisor {
-			elsewhere = 0
+		if held := m.opts.Elsewhere(); held >= m.opts.Limits.Large/elsewhereDivisor {
+			elsewhere = max(0, held-m.opts.Spare)
 		}
 	}
 	m.mu.Lock()
