spec: the model of conditional appends has writers whose reason to write ends

joblog.pml let an instance refuse only when its patience ended. It may now find that there is nothing left to write after an attempt without an answer, as Commit does when there is no room for a job any more, and appends a fence first where an earlier attempt could still take effect.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -37,6 +37,7 @@
 joblog
 joblog UNCONDITIONAL
 joblog REFUSE_UNKNOWN
+joblog NO_FENCE
 spread
 spread ADOPT_OLDER
 spread BOOT_EMPTY
--- a/spec/joblog.pml
+++ b/spec/joblog.pml
@@ -6,15 +6,16 @@
  * late (executed at any later moment if its condition then holds).
  *
  * Properties: the record stands in the log at most once, and an instance that has said "refused"
- * never finds it there because of its own append.
+ * never finds it there because of its own append. What makes an instance add the record may end
+ * between two attempts; it then says "refused" once none of its earlier attempts can take effect.
  *
  * Mutations: UNCONDITIONAL appends without the condition; REFUSE_UNKNOWN answers "refused" after
- * an append with an unknown outcome.
+ * an append with an unknown outcome; NO_FENCE does so when there is nothing left to do.
  */
-#define SIZE 5          /* capacity of the log */
+#define SIZE 7          /* capacity of the log */
 #define NONE 0
 #define FILLER 3        /* a record of somebody else */
-#define TRIES 2
+#define TRIES 3
 
 byte log[SIZE];
 byte end = 0;
@@ -37,8 +38,18 @@
   fi
 }
 
+/* Appends a record without a value, which keeps appends that expect the same end from taking effect. */
+inline fence(asof) {
+  ok = (end == asof && end < SIZE);
+  if
+  :: ok -> log[end] = FILLER; end++
+  :: else
+  fi
+}
+
 proctype instance(byte i) {
-  byte asof = 0; byte n = 0; bool ok; bool known; bool unknown = false; byte k;
+  byte asof = 0; byte n = 0; bool ok; bool known; bool unknown = false;
+  byte open = 0;        /* the highest end that an append of unknown outcome expected */
   do
   :: n < TRIES ->
      n++;
@@ -46,15 +57,34 @@
      atomic { asof = end; known = (copies > 0) }
      if
      :: known -> break                       /* accepted: by itself or by the other one */
-     :: else
+     :: !known                                /* there is room */
+     :: !known ->                             /* there is none any more */
+#ifdef NO_FENCE
+        atomic { assert(!appended[i]); refused[i] = true }; break
+#else
+        if
+        :: !unknown || open < asof -> atomic { assert(!appended[i]); refused[i] = true }; break
+        :: else ->
+           if
+           :: atomic { fence(asof) };                   /* answered */
+              if
+              :: ok -> atomic { assert(!appended[i]); refused[i] = true }; break
+              :: else -> goto next                      /* a conflict: read again */
+              fi
+           :: atomic { fence(asof) }; goto next           /* answer lost */
+           :: true -> goto next                           /* not done, or late for good */
+           fi
+        fi
+#endif
      fi;
      if
      :: atomic { execute(i, asof) };                      /* answered */
         if :: ok -> break :: else fi                    /* a conflict: read again */
-     :: atomic { execute(i, asof); unknown = true }       /* answer lost */
-     :: atomic { !late[i] -> late[i] = true; late_asof[i] = asof; unknown = true }
+     :: atomic { execute(i, asof); unknown = true; open = asof }   /* answer lost */
+     :: atomic { !late[i] -> late[i] = true; late_asof[i] = asof; unknown = true; open = asof }
      :: true                                            /* not done */
-     fi
+     fi;
+next: skip
   :: n >= TRIES ->
      /* the caller's patience ends */
 #ifdef REFUSE_UNKNOWN
