instance: a starting instance learns which back ends were removed before

An instance that starts between the removal of an entry and a heartbeat that the store executes late has nothing to remember, and sends requests to the back end that has left until its entry is removed again.

Change: it asks two other instances for the removals of the last minute, with the numbers of the last entries, and drops an entry that it has read meanwhile unless that is newer. What it has learned it passes on. The directory's RecordRemoval replaces RecordLast, so that a removal that others have seen never removes a newer entry.

Evidence: TestStartingInstanceKnowsWhatWasRemoved fails without the question (both cases) and passes with it; TestRemovalsAreLearnedFromOthers, TestRemovalsAreLearnedFromAnyInstance and TestRemovalSeenByOthersRemovesNothingNewer are new with the functions that they test.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -196,20 +196,26 @@
 func (d *Directory) Remove(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.removeLocked(id)
+}
+
+// removeLocked implements Remove. It returns false if the back end is not known. The caller holds d.mu.
+func (d *Directory) removeLocked(id string) bool {
 	b := d.byID[id]
 	if b == nil {
-		return
+		return false
 	}
 	d.recordRemoval(id)
 	if time.Since(d.outageAt) < outageWindow {
 		if b.removedAt.IsZero() {
 			b.removedAt = time.Now()
 		}
-		return
+		return true
 	}
 	delete(d.byID, id)
 	delete(d.limits, id)
 	b.leaving = true
+	return true
 }
 
 // RemoveAllBut calls Remove for every back end whose id is not in ids.
--- a/backends/runs.go
+++ b/backends/runs.go
@@ -50,23 +50,27 @@
 	d.runs[e.ID] = knownRun{Run: Run{StartedUnixMs: e.StartedUnixMs, Seq: e.Seq}}
 }
 
-// RecordLast records that the given run is the newest one of a back end whose entry is about to be removed.
-func (d *Directory) RecordLast(id string, last Run) {
+// IsNewerThan reports whether the run began after the other one or, if it is the same, whether its newest entry did.
+func (r Run) IsNewerThan(other Run) bool {
+	if r.StartedUnixMs != other.StartedUnixMs {
+		return r.StartedUnixMs > other.StartedUnixMs
+	}
+	return r.Seq > other.Seq
+}
+
+// RecordRemoval records that the entry of a back end was removed after the given one, as another instance has seen. It removes the
+// back end unless a newer entry is known.
+func (d *Directory) RecordRemoval(id string, last Run) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known, ok := d.runs[id]
-	switch {
-	case ok && known.StartedUnixMs > last.StartedUnixMs:
+	if (ok && known.IsNewerThan(last)) || last.StartedUnixMs == 0 {
 		return
-	case !ok || known.StartedUnixMs < last.StartedUnixMs:
-		known = knownRun{Run: last}
-	default:
-		known.Seq = max(known.Seq, last.Seq)
 	}
-	if _, present := d.byID[id]; !present && known.removedAt.IsZero() {
-		known.removedAt = time.Now()
+	d.runs[id] = knownRun{Run: last, removedAt: known.removedAt}
+	if !d.removeLocked(id) {
+		d.recordRemoval(id)
 	}
-	d.runs[id] = known
 }
 
 // recordRemoval records that the entry of a run was removed. The caller holds d.mu.
--- a/backends/runs_test.go
+++ b/backends/runs_test.go
@@ -13,13 +13,10 @@
 // entry.
 func TestLateHeartbeatOfARemovedBackendIsIgnored(t *testing.T) {
 	remove := map[string]func(d *Directory){
-		"removed":          func(d *Directory) { d.Remove("a") },
-		"absent in a load": func(d *Directory) { d.RemoveAllBut(map[string]bool{}) },
-		"removed twice":    func(d *Directory) { d.Remove("a"); d.Remove("a") },
-		"known from others": func(d *Directory) {
-			d.RecordLast("a", Run{StartedUnixMs: 1, Seq: 10})
-			d.Remove("a")
-		},
+		"removed":           func(d *Directory) { d.Remove("a") },
+		"absent in a load":  func(d *Directory) { d.RemoveAllBut(map[string]bool{}) },
+		"removed twice":     func(d *Directory) { d.Remove("a"); d.Remove("a") },
+		"known from others": func(d *Directory) { d.RecordRemoval("a", Run{StartedUnixMs: 1, Seq: 10}) },
 	}
 	for name, remove := range remove {
 		t.Run(name, func(t *testing.T) {
@@ -57,6 +54,28 @@
 	is.Equal(len(d.Candidates("s", "m")), 1)
 }
 
+// Guards against a removal, seen by another instance, that removes what has returned since, or a new process.
+func TestRemovalSeenByOthersRemovesNothingNewer(t *testing.T) {
+	is := is.New(t)
+	removal := Run{StartedUnixMs: 2, Seq: 10}
+	for _, tc := range []struct {
+		entry   Entry
+		present int
+	}{
+		{numbered(entry("a", 2, false), 10), 0}, {numbered(entry("a", 2, false), 11), 1},
+		{numbered(entry("a", 3, false), 0), 1}, {numbered(entry("a", 1, false), 50), 0},
+	} {
+		d := New()
+		d.Put(tc.entry)
+		d.RecordRemoval("a", removal)
+		is.Equal(len(d.Candidates("s", "m")), tc.present)
+		d = New()
+		d.RecordRemoval("a", removal) // before the entry is read
+		d.Put(tc.entry)
+		is.Equal(len(d.Candidates("s", "m")), tc.present)
+	}
+}
+
 // Guards against a lapsed entry that an older heartbeat revives during an outage of the store.
 func TestLateHeartbeatDoesNotReviveALapsedEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/digest/follower.go
+++ b/digest/follower.go
@@ -74,7 +74,7 @@
 		f.target.Put(e)
 	}
 	for id, last := range a.Last {
-		f.target.RecordLast(id, last)
+		f.target.RecordRemoval(id, last)
 	}
 	for _, id := range a.Removed {
 		f.target.Remove(id)
--- a/digest/late_test.go
+++ b/digest/late_test.go
@@ -95,3 +95,47 @@
 
 // digestPause is a time between two requests.
 const digestPause = 400 * time.Millisecond
+
+// Guards against an instance that starts after a removal and does not learn of it, and against one that passes on only what it has seen
+// itself.
+func TestRemovalsAreLearnedFromOthers(t *testing.T) {
+	is := is.New(t)
+	seen, second, third := reader(1), reader(2), reader(3)
+	seen.Put(numbered("a", 10))
+	seen.Put(numbered("b", 10))
+	seen.Put(numbered("c", 10))
+	seen.Remove("a")
+	seen.Remove("b")
+	second.Put(numbered("a", 7)) // executed late, and read before the removals were learned
+	second.Put(numbered("b", 11))
+	learn := func(to, from *Recorder) {
+		request, err := RemovalsRequest()
+		is.NoErr(err)
+		reply, err := from.Handle(request)
+		is.NoErr(err)
+		is.NoErr(ApplyRemovals(to, reply))
+	}
+	learn(second, seen)
+	held := contents(second.target.(*backends.Directory))
+	is.Equal(len(held), 1) // b has returned
+	_, returned := held["b"]
+	is.True(returned)
+	learn(third, second)
+	is.Equal(third.Put(numbered("a", 8)), backends.Outdated)
+	is.Equal(third.Put(numbered("b", 11)), backends.Added)
+}
+
+// Guards against learned removals that an instance with its entries from others can't give.
+func TestRemovalsAreLearnedFromAnyInstance(t *testing.T) {
+	is := is.New(t)
+	follower := NewRecorder(backends.New(), 1, func() (time.Duration, bool) { return 0, false }, func() bool { return false })
+	follower.Put(numbered("a", 10))
+	follower.Remove("a")
+	request, err := RemovalsRequest()
+	is.NoErr(err)
+	reply, err := follower.Handle(request)
+	is.NoErr(err)
+	to := reader(2)
+	is.NoErr(ApplyRemovals(to, reply))
+	is.Equal(to.Put(numbered("a", 9)), backends.Outdated)
+}
--- a/digest/recorder.go
+++ b/digest/recorder.go
@@ -20,9 +20,9 @@
 // Target takes the entries of back ends, like backends.Directory.
 type Target interface {
 	Put(e backends.Entry) backends.Change
-	// RecordLast states the newest run of a back end that is about to be removed.
-	RecordLast(id string, last backends.Run)
 	Remove(id string)
+	// RecordRemoval states that another instance has seen the removal of a back end after the given entry.
+	RecordRemoval(id string, last backends.Run)
 	RemoveAllBut(ids map[string]bool)
 }
 
@@ -91,8 +91,28 @@
 	return reflect.DeepEqual(a, b)
 }
 
-// RecordLast implements Target.
-func (r *Recorder) RecordLast(id string, last backends.Run) { r.target.RecordLast(id, last) }
+// RecordRemoval implements Target.
+func (r *Recorder) RecordRemoval(id string, last backends.Run) {
+	r.target.RecordRemoval(id, last)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.byID[id]
+	if ok && runOf(known.entry).IsNewerThan(last) {
+		return
+	}
+	if !ok { // for instances that start later
+		r.number++
+		known = change{number: r.number, removed: time.Now(), entry: backends.Entry{ID: id}}
+	}
+	known.entry.StartedUnixMs, known.entry.Seq = last.StartedUnixMs, last.Seq
+	r.byID[id] = known
+	r.removeLocked(id)
+}
+
+// runOf returns the run that has written an entry.
+func runOf(e backends.Entry) backends.Run {
+	return backends.Run{StartedUnixMs: e.StartedUnixMs, Seq: e.Seq}
+}
 
 // Remove implements Target.
 func (r *Recorder) Remove(id string) {
@@ -135,6 +155,8 @@
 type request struct {
 	Epoch uint64 `cbor:"1,keyasint"`
 	After uint64 `cbor:"2,keyasint"`
+	// OnlyRemovals asks for the runs of removed back ends alone. Instances that do not read the store answer that too.
+	OnlyRemovals bool `cbor:"3,keyasint,omitempty"`
 }
 
 // answer holds changes. If Whole is set, it holds all entries, and other back ends are gone.
@@ -148,7 +170,7 @@
 	Age time.Duration `cbor:"6,keyasint"`
 	// Outage states that the store has failed to answer recently, so that removed entries may return.
 	Outage bool `cbor:"7,keyasint"`
-	// Last holds the newest runs of removed back ends.
+	// Last holds the runs of removed back ends, with their last entries.
 	Last map[string]backends.Run `cbor:"8,keyasint,omitempty"`
 }
 
@@ -165,6 +187,9 @@
 	if err := cbor.Unmarshal(payload, &asked); err != nil {
 		return nil, fmt.Errorf("decode request for entries: %w", err)
 	}
+	if asked.OnlyRemovals {
+		return cbor.Marshal(&answer{Last: r.Removals()})
+	}
 	age, reads := r.source()
 	if !reads {
 		return nil, &NotReaderError{}
@@ -180,7 +205,7 @@
 		case c.removed.IsZero():
 			a.Entries = append(a.Entries, c.current())
 		default:
-			a.Last[id] = backends.Run{StartedUnixMs: c.entry.StartedUnixMs, Seq: c.entry.Seq}
+			a.Last[id] = runOf(c.entry)
 			if !a.Whole {
 				a.Removed = append(a.Removed, id)
 			}
@@ -188,3 +213,32 @@
 	}
 	return cbor.Marshal(&a)
 }
+
+// Removals returns the runs of the back ends that were removed within goneMemory.
+func (r *Recorder) Removals() map[string]backends.Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := map[string]backends.Run{}
+	for id, c := range r.byID {
+		if !c.removed.IsZero() && time.Since(c.removed) <= goneMemory {
+			runs[id] = runOf(c.entry)
+		}
+	}
+	return runs
+}
+
+// RemovalsRequest returns a request for the removals that another instance remembers.
+func RemovalsRequest() ([]byte, error) { return cbor.Marshal(&request{OnlyRemovals: true}) }
+
+// ApplyRemovals applies the answer to such a request to a target. Other entries in it, from an instance of an earlier release, are
+// ignored.
+func ApplyRemovals(target Target, payload []byte) error {
+	var a answer
+	if err := cbor.Unmarshal(payload, &a); err != nil {
+		return fmt.Errorf("decode removals: %w", err)
+	}
+	for id, last := range a.Last {
+		target.RecordRemoval(id, last)
+	}
+	return nil
+}
--- a/instance/entries.go
+++ b/instance/entries.go
@@ -44,6 +44,10 @@
 	maxDigestAge = 1200 * time.Millisecond
 	// directReadTime is how long it then does so before it asks the readers again.
 	directReadTime = 5 * time.Second
+	// removalAnswers is how many other instances a starting one asks for the back ends that were removed before, within
+	// removalsTimeout: heartbeats from before a removal may still be executed, up to six seconds late.
+	removalAnswers  = 2
+	removalsTimeout = 6 * time.Second
 	// roleCheckInterval is how often an instance that reads the store checks whether it is still to do so.
 	roleCheckInterval = time.Second
 )
@@ -124,12 +128,49 @@
 
 // run keeps the entries current until ctx ends.
 func (r *entryReader) run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { r.learnRemovals(ctx) })
 	for ctx.Err() == nil {
 		r.readStore(ctx)
 		r.askReaders(ctx)
 	}
 }
 
+// learnRemovals learns from other instances which back ends were removed before this instance started.
+func (r *entryReader) learnRemovals(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, removalsTimeout)
+	defer cancel()
+	request, err := digest.RemovalsRequest()
+	if err != nil {
+		r.instance.log.Error("cannot encode the request for removals", "err", err)
+		return
+	}
+	asked := map[string]bool{}
+	for answers := 0; answers < removalAnswers; {
+		for _, peer := range r.instance.presence.Peers() {
+			if asked[peer.ID] || answers == removalAnswers {
+				continue
+			}
+			callCtx, cancelCall := context.WithTimeout(ctx, digestTimeout)
+			reply, err := r.instance.node.Call(callCtx, peer, link.CauseFeed, digestMethod, request)
+			cancelCall()
+			if err == nil {
+				err = digest.ApplyRemovals(r.recorder, reply)
+			}
+			if err != nil {
+				r.instance.log.Debug("removals not learned", "peer", peer.ID, "err", err)
+				continue
+			}
+			asked[peer.ID] = true
+			answers++
+		}
+		if !timing.Sleep(ctx, digestInterval) {
+			return
+		}
+	}
+}
+
 // readStore reads the entries from the store while it is this instance's part.
 func (r *entryReader) readStore(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/instance/lateentry_test.go
+++ b/instance/lateentry_test.go
@@ -76,6 +76,39 @@
 	}
 }
 
+// Guards against requests to a back end that has left (DRAIN) at an instance that has started since: one of the back end's earlier heartbeats
+// is executed late, before or after the instance reads the entries for the first time.
+func TestStartingInstanceKnowsWhatWasRemoved(t *testing.T) {
+	for _, lateFirst := range []bool{false, true} {
+		t.Run(fmt.Sprint("late entry first: ", lateFirst), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 1)
+			leaving := c.startBackEnd("desk-leaving")
+			late := leaving.Entry("ready")
+			c.register(leaving)
+			for _, m := range c.members {
+				c.waitUntil("the back end is known", func() bool { return hasCandidate(m, "desk", leaving.ID) })
+			}
+			c.store.PutEntry(leaving.ID, nil)
+			for _, m := range c.members {
+				c.waitUntil("the back end gets no work", func() bool { return !hasCandidate(m, "desk", leaving.ID) })
+			}
+			if lateFirst {
+				c.store.PutEntry(leaving.ID, late)
+			}
+			m := c.startInstance("instance-late")
+			c.waitUntil("instance is ready", m.isReady)
+			c.waitUntil("removals are learned", func() bool { return len(m.entries.recorder.Removals()) > 0 })
+			c.store.PutEntry(leaving.ID, late)
+			next := c.startBackEnd("desk-next") // whoever knows it has read the late entry
+			c.waitUntil("the entries after the late one are known", func() bool { return hasCandidate(m, "desk", next.ID) })
+			if hasCandidate(m, "desk", leaving.ID) {
+				t.Error("the instance sends requests to a back end that has left")
+			}
+		})
+	}
+}
+
 // startBackEnd starts and registers a back end of the plain service.
 func (c *cluster) startBackEnd(id string) *hostedtest.Engine {
 	e := hostedtest.NewEngine(id, "desk", "a", "")
