backends, digest, changelog: entries of earlier releases, one lock for a recorder, smaller functions

An instance of an earlier release passes entries on without their numbers, and a newer one that has seen numbers would ignore its news during an upgrade: such entries are marked as unnumbered and count as before (TestEntriesOfAnEarlierReleaseCount fails without the mark). Recorder holds its lock over the call of its target, because removals now also come from another goroutine, and an interleaving could have left an entry for others that the instance itself had removed. Effect, applyToState and learnRemovalsFrom are new names for what newcomers stumbled over.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -20,7 +20,7 @@
 	Leaving bool
 	// StartedUnixMs is the start time of the back end's process in Unix milliseconds.
 	StartedUnixMs int64
-	// Seq numbers the entries of a process in the order in which it wrote them.
+	// Seq numbers the entries of a process in the order in which it wrote them; Unnumbered if it is not known.
 	Seq int64
 	// Versions maps each model to the version of its weights; it is never nil.
 	Versions map[string]int64
@@ -123,12 +123,12 @@
 	d.outageAt = time.Now()
 }
 
-// Change is the effect of an entry on a Directory.
-type Change int
+// Effect is what an entry changes in a Directory.
+type Effect int
 
 const (
 	// Outdated entries were written before one that is known, or before the removal of the entry. They have no effect.
-	Outdated Change = iota
+	Outdated Effect = iota
 	// Updated states that the entry belongs to a known Backend.
 	Updated
 	// Added states that the entry created a new Backend.
@@ -136,7 +136,7 @@
 )
 
 // Put adds or updates a back end from its entry.
-func (d *Directory) Put(e Entry) Change {
+func (d *Directory) Put(e Entry) Effect {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if known, ok := d.runs[e.ID]; ok && known.supersedes(&e) {
--- a/backends/runs.go
+++ b/backends/runs.go
@@ -14,6 +14,9 @@
 	maxRemovedRuns = 10_000
 )
 
+// Unnumbered is the Seq of entries whose order is not known: those that come from an instance of an earlier release.
+const Unnumbered = -1
+
 // Run identifies a process of a back end, by its start, and the newest entry of it that is known.
 type Run struct {
 	StartedUnixMs int64
@@ -36,18 +39,22 @@
 		return false
 	case e.StartedUnixMs != k.StartedUnixMs:
 		return e.StartedUnixMs < k.StartedUnixMs
-	case e.StartedUnixMs == 0: // without a start, the numbers of different processes can't be compared
+	case e.StartedUnixMs == 0, e.Seq == Unnumbered: // without a start, the numbers of different processes can't be compared
 		return false
-	}
-	if k.removedAt.IsZero() {
+	case k.removedAt.IsZero():
 		return e.Seq < k.Seq
+	default:
+		return e.Seq <= k.Seq
 	}
-	return e.Seq <= k.Seq
 }
 
 // recordRun records the entry of a run that is now the newest. The caller holds d.mu.
 func (d *Directory) recordRun(e *Entry) {
-	d.runs[e.ID] = knownRun{Run: Run{StartedUnixMs: e.StartedUnixMs, Seq: e.Seq}}
+	run := Run{StartedUnixMs: e.StartedUnixMs, Seq: e.Seq}
+	if known := d.runs[e.ID]; e.Seq == Unnumbered && known.StartedUnixMs == e.StartedUnixMs {
+		run.Seq = known.Seq
+	}
+	d.runs[e.ID] = knownRun{Run: run}
 }
 
 // IsNewerThan reports whether the run began after the other one or, if it is the same, whether its newest entry did.
@@ -67,6 +74,9 @@
 	if (ok && known.IsNewerThan(last)) || last.StartedUnixMs == 0 {
 		return
 	}
+	if known.StartedUnixMs != last.StartedUnixMs {
+		known.removedAt = time.Time{}
+	}
 	d.runs[id] = knownRun{Run: last, removedAt: known.removedAt}
 	if !d.removeLocked(id) {
 		d.recordRemoval(id)
--- a/changelog/load.go
+++ b/changelog/load.go
@@ -120,9 +120,7 @@
 func (r *Replica) install(l *load) {
 	r.state.Reset()
 	for _, record := range l.records() {
-		if record.Key != fenceKey {
-			r.state.Apply(record)
-		}
+		r.applyToState(record)
 	}
 	if observer, ok := r.state.(LoadObserver); ok {
 		observer.Loaded()
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -250,9 +250,7 @@
 		if record.Offset < r.next {
 			continue
 		}
-		if record.Key != fenceKey {
-			r.state.Apply(record)
-		}
+		r.applyToState(record)
 		r.next = record.Offset + 1
 		applied = true
 	}
@@ -268,6 +266,13 @@
 	return r.next, r.loading == nil
 }
 
+// applyToState applies a record unless it is a fence. The caller holds mu.
+func (r *Replica) applyToState(record Record) {
+	if record.Key != fenceKey {
+		r.state.Apply(record)
+	}
+}
+
 // notify closes the channel that Changed has returned. The caller holds mu.
 func (r *Replica) notify() {
 	close(r.changed)
--- a/digest/follower.go
+++ b/digest/follower.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/cicadasill/cicadasill/backends"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
@@ -70,6 +71,9 @@
 		if e.Versions == nil {
 			e.Versions = map[string]int64{}
 		}
+		if !a.Numbered {
+			e.Seq = backends.Unnumbered
+		}
 		present[e.ID] = true
 		f.target.Put(e)
 	}
--- a/digest/late_test.go
+++ b/digest/late_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/backends"
@@ -139,3 +140,20 @@
 	is.NoErr(ApplyRemovals(to, reply))
 	is.Equal(to.Put(numbered("a", 9)), backends.Outdated)
 }
+
+// Guards against a planned stop that an instance ignores during an upgrade: a reader of an earlier release passes entries on without
+// their numbers.
+func TestEntriesOfAnEarlierReleaseCount(t *testing.T) {
+	is := is.New(t)
+	directory := backends.New()
+	directory.Put(numbered("a", 10))
+	follower := NewFollower(directory, func() {})
+	leaving := numbered("a", 0)
+	leaving.Leaving = true
+	payload, err := cbor.Marshal(&answer{Epoch: 1, Number: 1, Entries: []backends.Entry{leaving}})
+	is.NoErr(err)
+	_, err = follower.Apply(payload)
+	is.NoErr(err)
+	is.Equal(len(contents(directory)), 0)
+	is.Equal(directory.Put(numbered("a", 9)), backends.Outdated) // the number is not forgotten
+}
--- a/digest/recorder.go
+++ b/digest/recorder.go
@@ -19,7 +19,7 @@
 
 // Target takes the entries of back ends, like backends.Directory.
 type Target interface {
-	Put(e backends.Entry) backends.Change
+	Put(e backends.Entry) backends.Effect
 	Remove(id string)
 	// RecordRemoval states that another instance has seen the removal of a back end after the given entry.
 	RecordRemoval(id string, last backends.Run)
@@ -55,7 +55,7 @@
 	// outage reports whether the store has failed to answer recently.
 	outage func() bool
 
-	mu        sync.Mutex // guards the fields below
+	mu        sync.Mutex // guards the fields below, and orders the calls of target
 	number    uint64
 	forgotten uint64 // highest number of a removal that is no longer remembered
 	byID      map[string]change
@@ -67,14 +67,17 @@
 }
 
 // Put implements Target. Outdated entries are not passed on to others either.
-func (r *Recorder) Put(e backends.Entry) backends.Change {
+func (r *Recorder) Put(e backends.Entry) backends.Effect {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	effect := r.target.Put(e)
 	if effect == backends.Outdated {
 		return effect
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	old, ok := r.byID[e.ID]
+	if ok && old.entry.StartedUnixMs == e.StartedUnixMs {
+		e.Seq = max(e.Seq, old.entry.Seq) // e may be unnumbered
+	}
 	if !ok || !old.removed.IsZero() || !sameContent(old.entry, e) {
 		r.number++
 		r.byID[e.ID] = change{number: r.number, entry: e, at: timing.SinceBoot()}
@@ -93,9 +96,12 @@
 
 // RecordRemoval implements Target.
 func (r *Recorder) RecordRemoval(id string, last backends.Run) {
-	r.target.RecordRemoval(id, last)
+	if last.StartedUnixMs == 0 { // runs without a start can't be told apart
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.target.RecordRemoval(id, last)
 	known, ok := r.byID[id]
 	if ok && runOf(known.entry).IsNewerThan(last) {
 		return
@@ -117,8 +123,8 @@
 // Remove implements Target.
 func (r *Recorder) Remove(id string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.removeLocked(id)
-	r.mu.Unlock()
 	r.target.Remove(id)
 }
 
@@ -142,12 +148,12 @@
 // RemoveAllBut implements Target.
 func (r *Recorder) RemoveAllBut(ids map[string]bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	for id := range r.byID {
 		if !ids[id] {
 			r.removeLocked(id)
 		}
 	}
-	r.mu.Unlock()
 	r.target.RemoveAllBut(ids)
 }
 
@@ -172,6 +178,8 @@
 	Outage bool `cbor:"7,keyasint"`
 	// Last holds the runs of removed back ends, with their last entries.
 	Last map[string]backends.Run `cbor:"8,keyasint,omitempty"`
+	// Numbered states that the entries bear their numbers. Earlier releases do not pass them on.
+	Numbered bool `cbor:"9,keyasint,omitempty"`
 }
 
 // NotReaderError reports a request to an instance that does not read the entries from the store.
@@ -196,9 +204,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := answer{Epoch: r.epoch, Number: r.number, Age: age, Outage: r.outage()}
+	a := answer{Epoch: r.epoch, Number: r.number, Age: age, Outage: r.outage(), Numbered: true, Last: map[string]backends.Run{}}
 	a.Whole = asked.Epoch != r.epoch || asked.After > r.number || asked.After < r.forgotten
-	a.Last = map[string]backends.Run{}
 	for id, c := range r.byID {
 		switch {
 		case !a.Whole && c.number <= asked.After:
--- a/instance/entries.go
+++ b/instance/entries.go
@@ -152,13 +152,7 @@
 			if asked[peer.ID] || answers == removalAnswers {
 				continue
 			}
-			callCtx, cancelCall := context.WithTimeout(ctx, digestTimeout)
-			reply, err := r.instance.node.Call(callCtx, peer, link.CauseFeed, digestMethod, request)
-			cancelCall()
-			if err == nil {
-				err = digest.ApplyRemovals(r.recorder, reply)
-			}
-			if err != nil {
+			if err := r.learnRemovalsFrom(ctx, peer, request); err != nil {
 				r.instance.log.Debug("removals not learned", "peer", peer.ID, "err", err)
 				continue
 			}
@@ -171,6 +165,17 @@
 	}
 }
 
+// learnRemovalsFrom makes one call of learnRemovals.
+func (r *entryReader) learnRemovalsFrom(ctx context.Context, peer machine.Instance, request []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
+	defer cancel()
+	reply, err := r.instance.node.Call(ctx, peer, link.CauseFeed, digestMethod, request)
+	if err != nil {
+		return err
+	}
+	return digest.ApplyRemovals(r.recorder, reply)
+}
+
 // readStore reads the entries from the store while it is this instance's part.
 func (r *entryReader) readStore(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/instance/guards.go
+++ b/instance/guards.go
@@ -13,8 +13,8 @@
 	connFraction = 0.15
 	// headFraction is the fraction of the memory limit that larger heads may take.
 	headFraction = 0.1
-	// spareFraction is the fraction of the memory limit by which items and heads may exceed the memory of clients' bodies before they
-	// leave less to large ones. An instance that drives as many items as it may then still takes jobs for others to drive.
+	// spareFraction is the fraction of the memory limit that items and large heads may take before they leave less to large bodies.
+	// An instance that drives as many items as it may then still takes jobs for others to drive.
 	spareFraction = 0.05
 	// fileFDs are the descriptors that the platform keeps for files.
 	fileFDs = 200
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -102,7 +102,8 @@
 	replaced uint64
 }
 
-// isOlderThan reports whether next was written after s: the store may execute a write without an answer seconds late. Incarnations have no order, because they follow a clock that may be set back.
+// isOlderThan reports whether next was written after s: the store may execute a write without an answer seconds late. Incarnations
+// have no order, because they follow a clock that may be set back.
 func (s *observedRecord) isOlderThan(next *record) bool {
 	if next.Incarnation != s.Incarnation {
 		return next.Incarnation != s.replaced
