--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -48,7 +48,7 @@
 check P8 entry/stop.go 's/if err := i\.gateway\.Drain\(ctx\); err != nil \{.*?\n\t\}\n.*?return i\.awaitIdle\(ctx\)/return nil/s' entry TestPlannedStopFinishesRequestsInFlight
 check P9 release/catalog.go 's/last > n\.Base/last > n.Base \&\& false/' entry TestRacingOperatorsGetOneWinner
 # The hosted program (docs/design/platform.md).
-check H1 changelog/replica.go 's/r\.log\.Append\(ctx, r\.partition, records, expectEnd\)/r.log.Append(ctx, r.partition, records, Unconditional)/' changelog 'TestOnlyOneOfTwoWritersWins|TestClaimsAgreeUnderFaults'
+check H1 changelog/replica.go 's/r\.log\.Append\(ctx, r\.partition, records, expected\)/r.log.Append(ctx, r.partition, records, Unconditional)/' changelog 'TestOnlyOneOfTwoWritersWins|TestClaimsAgreeUnderFaults'
 check H2 changelog/replica.go 's/errors\.As\(err, &trimmed\)/false \&\& errors.As(err, \&trimmed)/' changelog TestReloadAfterExpiry
 check H3 job/driver.go 's/if !dead \|\| d\.takeoversStopped/if true || !dead || d.takeoversStopped/' instance TestJobOfADeadDriverIsTakenOver
 check H4 job/run.go 's/a\.saveCheckpoint\(\)/_ = a.saveCheckpoint/' instance TestTakeoverGoesOnWithTheTextSoFar
@@ -81,4 +81,9 @@
 check H31 instance/instance.go 's/ && i\.quarantine\.HasRead\(\)//' instance TestStartingInstanceKnowsTheQuarantine
 check H32 changelog/map.go 's/m\.readWait, m\.opts/ConstantWait(mapReadWait), m.opts/' changelog TestChangeAfterAChangeIsSeenSoon
 check H33 platform/hosted/backend.go 's/\tpreventResend\(request\)\n//' platform/hosted TestBrokenRequestIsSentOnce
+check H34 changelog/replica.go 's/if openUntil < expected \{/if true || openUntil < expected {/' changelog 'TestNothingWrittenIsFinal|TestRefusedCommitsNeverTakeEffect'
+check H35 backends/runs.go 's/return e\.Seq <= k\.Seq/return false/' platform/hosted TestHeartbeatBeforeRemovalIsIgnored
+check H36 backends/runs.go 's/return e\.Seq < k\.Seq/return false/' platform/hosted TestHeartbeatBeforeDrainingIsIgnored
+check H37 presence/presence.go 's/return next\.Sequence > s\.Sequence/return true/' presence TestLateHeartbeatTakesNothingBack
+check H38 platform/hosted/permit.go 's/Conn: netend\.Wrap\(conn\)/Conn: conn/; s/\n\t\"github.com\/cicadasill\/cicadasill\/netend\"\n//' platform/hosted TestAnswerResetDuringAnUploadIsNotWhole
 exit "$status"
