--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -149,7 +149,7 @@
 	directory.SetRateLimit("b", 7, 1) // a late record of the run before
 	is.Equal(b.RateLimit(), 3.0)
 	directory.Remove("b")
-	directory.Put(backends.Entry{ID: "b", StartedUnixMs: 8})
+	directory.Put(backends.Entry{ID: "b", StartedUnixMs: 8, Seq: 1}) // its next heartbeat
 	b, _ = directory.Backend("b")
 	is.Equal(b.RateLimit(), 0.0)
 }
