--- a/changelog/age_test.go
+++ b/changelog/age_test.go
@@ -71,3 +71,28 @@
 	is.True(errors.As(r.catchUp(t.Context(), 0, nil), &rewound))
 	is.Equal(r.readAt, before)
 }
+
+// agedState records the ages that it is told, and how many records it had before.
+type agedState struct {
+	noState
+	ages []time.Duration
+}
+
+func (s *agedState) Aged(age time.Duration) { s.ages = append(s.ages, age) }
+
+// Guards against records whose greatest possible lateness is understated or told too late.
+func TestStateLearnsItsAgeBeforeRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, state := &scriptedLog{read: func(from int64, _ time.Duration) (Batch, error) { return Batch{End: from}, nil }}, &agedState{}
+		r := NewReplica(log, Partition{Topic: "t"}, state)
+		is.NoErr(r.Sync(t.Context()))
+		time.Sleep(2 * time.Second)
+		log.read = func(from int64, _ time.Duration) (Batch, error) {
+			time.Sleep(time.Second)
+			return Batch{Records: []Record{{Offset: from, Key: "a"}, {Offset: from + 1, Key: "b"}}, End: from + 2}, nil
+		}
+		is.NoErr(r.Sync(t.Context()))
+		is.Equal(state.ages, []time.Duration{3 * time.Second}) // none for the first load
+	})
+}
--- a/changelog/load.go
+++ b/changelog/load.go
@@ -118,6 +118,7 @@
 
 // install rebuilds the state from a complete load. The caller holds mu.
 func (r *Replica) install(l *load) {
+	r.observeAge()
 	r.state.Reset()
 	for _, record := range l.records() {
 		r.applyToState(record)
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -35,6 +35,11 @@
 // been applied, the replica loads the partition again.
 type IntegrityChecker interface{ Incomplete() bool }
 
+// AgeObserver is implemented by a State that needs to know for how long records may have been in the log before this instance read
+// them. Aged is called before records are applied, with the time since the start of the last successful read or append before. It is
+// not called for the first load.
+type AgeObserver interface{ Aged(age time.Duration) }
+
 // Replica is this instance's copy of the state of one partition.
 type Replica struct {
 	log       Log
@@ -250,6 +255,9 @@
 		if record.Offset < r.next {
 			continue
 		}
+		if !applied {
+			r.observeAge()
+		}
 		r.applyToState(record)
 		r.next = record.Offset + 1
 		applied = true
@@ -273,6 +281,13 @@
 	}
 }
 
+// observeAge tells the state how old it is before records are applied. The caller holds mu.
+func (r *Replica) observeAge() {
+	if observer, ok := r.state.(AgeObserver); ok && r.loaded {
+		observer.Aged(r.readAt.Age())
+	}
+}
+
 // notify closes the channel that Changed has returned. The caller holds mu.
 func (r *Replica) notify() {
 	close(r.changed)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -101,8 +101,9 @@
 	log      *log.Logger
 	registry *prometheus.Registry
 
-	config   atomic.Pointer[routes.Config]
-	draining atomic.Bool
+	config    atomic.Pointer[routes.Config]
+	configLag prometheus.Histogram
+	draining  atomic.Bool
 	// answersEnd is the time at which a stopping instance ends the requests that have no answer yet. It is set before draining.
 	answersEnd atomic.Pointer[time.Time]
 	// requests is the parent of the contexts of all client requests. endRequests ends it at answersEnd.
@@ -176,6 +177,10 @@
 		Peers: func() []machine.Instance { return i.presence.Peers() },
 	})
 	i.node.Handle(relay.Method, i.store.Handle)
+	i.configLag = prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cicadasill_config_lag_seconds",
+		Help:    "Longest time for which the store may have had a configuration before it was in force at this instance: the age of the copy before.",
+		Buckets: prometheus.ExponentialBuckets(0.125, 2, 8)})
+	i.registry.MustRegister(i.configLag)
 	i.operatorRecords = &hosted.OperatorRecords{Logger: logger, OnConfig: i.applyConfig, OnVersion: i.recordTargetVersion}
 	i.operators = changelog.NewReplica(i.store, hosted.OperatorPartition, i.operatorRecords)
 	i.entries = newEntryReader(i)
@@ -263,14 +268,18 @@
 	return i.node.Call(ctx, to, link.CauseStore, job.ReadMethod, request)
 }
 
-// applyConfig puts a configuration in force unless the current one is as new or newer.
-func (i *Instance) applyConfig(c *routes.Config) {
+// applyConfig puts a configuration in force unless the current one is as new or newer. lag is the longest time for which the store
+// may have had it; 0 if that is not known.
+func (i *Instance) applyConfig(c *routes.Config, lag time.Duration) {
 	old := i.config.Load()
 	if old != nil && old.Version >= c.Version {
 		return
 	}
 	i.config.Store(c)
-	i.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
+	if lag > 0 {
+		i.configLag.Observe(lag.Seconds())
+	}
+	i.log.Info("configuration in force", "version", c.Version, "lag_at_most", lag, "routes", len(c.Routes), "services", len(c.Services))
 }
 
 // recordTargetVersion records a version of a model's weights that a trainer has announced. Versions
