platform/hosted: a request is refused for good only by the newest configuration

Callers got 404 for a route that had been added and acknowledged, from an instance whose copy of the configuration was older: an answer that rested on the absence of a route in a copy of unknown age. Only an unknown key asked the store first. So did neither 400 for two keys on a route that had become public, nor 413 for a body that a newer limit allows; the client comes back after none of them.

All these answers now wait for one read of the newest configuration, shared by all that wait, at most one in a pause (account.Refresher). If it fails the answer is 503 with Retry-After, because the instance cannot know. Refresh moves from Access to Ingress, since it is not about keys.

Before: instance TestRouteAddedAMomentAgo 404 for 200 and 202, TestRouteAddedAtAnInstanceWithoutTheStore 404 for 503 on each of three ways to lose the store. With the change both pass, and platform/hosted TestRefusedForGoodOnlyByTheNewestConfiguration.

--- a/account/refresh.go
+++ b/account/refresh.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Refresher reads the configuration for requests whose key this instance's copy does not know. All that wait share one read, and
+// Refresher reads the configuration for requests that this instance's copy refuses for good. All that wait share one read, and
 // reads begin no faster than one in each pause, however many requests arrive.
 type Refresher struct {
 	// Read reads the configuration up to its newest version.
--- a/instance/accounts.go
+++ b/instance/accounts.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// minRefreshPause is the least time between two reads of the configuration for requests with unknown keys.
+	// minRefreshPause is the least time between two reads of the configuration for requests that the copy refuses for good.
 	minRefreshPause = 100 * time.Millisecond
 	// refreshTimeout bounds such a read. A call to the store on a silent connection and its repeat fit.
 	refreshTimeout = 800 * time.Millisecond
@@ -92,16 +92,29 @@
 // newAccess returns the check of the keys of client accounts.
 func (i *Instance) newAccess() hosted.Access {
 	bound := i.proofBound()
+	return hosted.NewAccess(func() account.Proof { return account.Proof{Age: i.configAge(), Bound: bound} }, i.registry)
+}
+
+// errConfigNotReadable reports that the newest configuration cannot be put in force.
+var errConfigNotReadable = errors.New("the newest configuration is not readable")
+
+// newConfigRefresh returns a function that reads the configuration up to its newest version, within refreshTimeout.
+func (i *Instance) newConfigRefresh() func(context.Context) error {
 	refresher := &account.Refresher{
 		Read: i.operators.Sync, Timeout: refreshTimeout,
 		Pause: func() time.Duration { return presence.LongPollPause(minRefreshPause, i.presence.Count()) },
 	}
-	proof := func() account.Proof { return account.Proof{Age: i.configAge(), Bound: bound} }
-	return hosted.NewAccess(proof, func(ctx context.Context) error {
+	return func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, refreshTimeout+minRefreshPause)
 		defer cancel()
-		return refresher.Refresh(ctx)
-	}, i.registry)
+		if err := refresher.Refresh(ctx); err != nil {
+			return err
+		}
+		if !i.operatorRecords.HasNewestConfig() {
+			return errConfigNotReadable
+		}
+		return nil
+	}
 }
 
 // configReadWait returns how long a usual read of the operators' records waits for new ones.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -241,7 +241,7 @@
 	})
 	i.guardMetrics = httpguard.NewMetrics(i.registry)
 	ingress := &hosted.Ingress{
-		Config: i.config.Load, Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
+		Config: i.config.Load, Refresh: i.newConfigRefresh(), ConfigRefusals: hosted.NewConfigRefusals(i.registry), Jobs: i.jobs, Draining: i.draining.Load, AnswersEnd: func() time.Time { return *i.answersEnd.Load() },
 		StopRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stop_refusals_total",
 			Help: "Requests refused by the stopping instance because they might have lasted longer than it."}, []string{"kind"}),
 		Access: i.newAccess(), Logger: i.log, Forwarder: forwarder,
