instance: a configuration that grows old is read on further ways in every deployment

Callers could be served by the old service of a moved route, or on a dropped one, for as long as the store took longer to answer than the usual reads wait: 0.9 s, or 1.9 s for a read that waits for changes. A read that is given up is not counted as slow, so that its time limit never grows, and the copy stays as it is for good. Only deployments with strict revocation began further reads, with 2.5 s each, directly and through other instances.

The time after which a configuration must be in force is a setting now (configuration.in_force_ms), and from six tenths of it on the same further reads begin everywhere.

Before: instance TestRouteMovedWhileTheStoreIsSlow, store answers after 2.2 s, in_force 4 s: the request ran at the old service. It passes now, as do the tests of late reads and lost stores of accounts. The reads move from accounts.go to config.go.

--- a/instance/accounts.go
+++ b/instance/accounts.go
@@ -1,46 +1,12 @@
 package instance
 
 import (
-	"context"
-	"errors"
-	"math"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/cicadasill/cicadasill/account"
-	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/platform/hosted"
-	"github.com/cicadasill/cicadasill/presence"
-	"github.com/cicadasill/cicadasill/relay"
-	"github.com/cicadasill/cicadasill/telemetry"
-	"github.com/cicadasill/cicadasill/timing"
-)
-
-const (
-	// minRefreshPause is the least time between two reads of the configuration for requests that the copy refuses for good.
-	minRefreshPause = 100 * time.Millisecond
-	// refreshTimeout bounds such a read. A call to the store on a silent connection and its repeat fit.
-	refreshTimeout = 800 * time.Millisecond
-	// renewalInterval is the least time between two further reads of a configuration that grows old, on each way.
-	renewalInterval = 400 * time.Millisecond
-	// renewalPatience bounds such a read. With renewalInterval it also bounds how many run at the same time.
-	renewalPatience = 2500 * time.Millisecond
-	// readsPerProof is the least number of reads that the usual way begins within the bound of a proof.
-	readsPerProof = 4
 )
 
-// errNoDirectCalls is the cause with which calls go through other instances only.
-var errNoDirectCalls = errors.New("direct calls are made beside")
-
-// peersOnly is a store that no direct call reaches.
-type peersOnly struct{ changelog.Log }
-
-// Read implements changelog.Log.
-func (peersOnly) Read(context.Context, changelog.Partition, int64, time.Duration) (changelog.Batch, error) {
-	return changelog.Batch{}, &changelog.NotDoneError{Call: "read", Err: errNoDirectCalls}
-}
-
 // proofBound returns the age from which on the configuration no longer proves that a key is valid; 0 if no proof is needed.
 func (i *Instance) proofBound() time.Duration {
 	if s := i.settings.Accounts; s.StrictRevocation.Value {
@@ -49,90 +15,8 @@
 	return 0
 }
 
-// renewProof keeps the configuration fresh until ctx ends, where requests depend on that. While the usual reads are stuck or late, it
-// begins further ones that may take longer, directly and through other instances, those that may only seem to have ended included.
-func (i *Instance) renewProof(ctx context.Context) {
-	s, bound := i.settings, i.proofBound()
-	if bound <= 0 {
-		if s.Accounts.StrictRevocation.Value {
-			i.log.Error("strict revocation is off: accounts.revocation_ms is missing or not positive")
-		}
-		return
-	}
-	direct := hosted.NewStore(hosted.StoreOptions{
-		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS, Patience: renewalPatience,
-	})
-	throughPeers := relay.New(relay.Options{Direct: peersOnly{}, Caller: i.node, Logger: telemetry.Discard(), Peers: i.presence.PossiblyLive})
-	var reads conc.WaitGroup
-	defer reads.Wait()
-	pause := func() time.Duration { return presence.LongPollPause(renewalInterval, i.presence.Count()) }
-	for old := false; timing.Sleep(ctx, pause()); {
-		proof := account.Proof{Age: i.configAge(), Bound: bound}
-		if config := i.config.Load(); config == nil || config.Accounts == nil || !proof.NeedsRenewal() {
-			if old {
-				i.log.Info("configuration is fresh again", "version", i.config.Load().Version)
-			}
-			old = false
-			continue
-		}
-		if !old {
-			old = true
-			i.log.Warn("configuration grows old", "age", proof.Age, "bound", bound, "version", i.config.Load().Version, "err", i.operators.LastReadError())
-		}
-		for _, way := range []changelog.Log{direct, throughPeers} {
-			reads.Go(func() {
-				ctx, cancel := context.WithTimeout(ctx, renewalPatience)
-				defer cancel()
-				_ = i.operators.ReadThrough(ctx, way) // the age tells whether any of them has succeeded
-			})
-		}
-	}
-}
-
 // newAccess returns the check of the keys of client accounts.
 func (i *Instance) newAccess() hosted.Access {
 	bound := i.proofBound()
 	return hosted.NewAccess(func() account.Proof { return account.Proof{Age: i.configAge(), Bound: bound} }, i.registry)
 }
-
-// errConfigNotReadable reports that the newest configuration cannot be put in force.
-var errConfigNotReadable = errors.New("the newest configuration is not readable")
-
-// newConfigRefresh returns a function that reads the configuration up to its newest version, within refreshTimeout.
-func (i *Instance) newConfigRefresh() func(context.Context) error {
-	refresher := &account.Refresher{
-		Read: i.operators.Sync, Timeout: refreshTimeout,
-		Pause: func() time.Duration { return presence.LongPollPause(minRefreshPause, i.presence.Count()) },
-	}
-	return func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, refreshTimeout+minRefreshPause)
-		defer cancel()
-		if err := refresher.Refresh(ctx); err != nil {
-			return err
-		}
-		if !i.operatorRecords.HasNewestConfig() {
-			return errConfigNotReadable
-		}
-		return nil
-	}
-}
-
-// configReadWait returns how long a usual read of the operators' records waits for new ones.
-func (i *Instance) configReadWait() time.Duration {
-	if bound := i.proofBound(); bound > 0 {
-		return min(operatorReadWait, bound/readsPerProof)
-	}
-	return operatorReadWait
-}
-
-// configAge returns the time since the begin of the last read that returned the newest configuration, or the largest duration if that
-// is not in force.
-func (i *Instance) configAge() time.Duration {
-	if !i.operatorRecords.HasNewestConfig() {
-		return math.MaxInt64
-	}
-	return i.operators.Age()
-}
-
-// milliseconds converts a number of milliseconds to a duration.
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/instance/config_test.go
+++ b/instance/config_test.go
@@ -78,3 +78,29 @@
 		})
 	}
 }
+
+// inForceTime is the time after which an acknowledged configuration must be in force in the tests.
+const inForceTime = 4 * time.Second
+
+// Guards against a moved route whose requests run by the old service for good, because each answer of the store takes longer than the
+// usual reads wait for it.
+func TestRouteMovedWhileTheStoreIsSlow(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1, func(s *Settings) {
+		s.Configuration.InForceMs = Number{Value: float64(inForceTime.Milliseconds()), Set: true}
+	})
+	m := c.members[0]
+	c.store.SetLateness(2200 * time.Millisecond) // a waiting read is given up after 1.9 s
+	c.store.SetFault(func(r *http.Request) hostedtest.Fault {
+		if r.URL.Query().Get("topic") == "keyed.op" {
+			return hostedtest.Late
+		}
+		return hostedtest.None
+	})
+	time.Sleep(3 * operatorReadWait) // the reads from before have ended
+	c.store.PutConfig([]byte(strings.Replace(fmt.Sprintf(testConfig, 2), `"service":"desk","attempts":2`, `"service":"llm","attempts":2`, 1)))
+	time.Sleep(inForceTime)
+	is.Equal(c.call(m, http.MethodPost, "/plain/1", "moved", http.Header{"X-Model": {"m"}}, "body").status, http.StatusOK)
+	is.Equal(len(c.desk.Runs()), 0)
+	is.Equal(len(c.engines[0].Runs()), 1)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -378,7 +378,7 @@
 	defer cancel()
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		i.followOperators, i.renewProof, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
+		i.followOperators, i.renewConfig, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
 		i.usage.run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -20,10 +20,11 @@
 	Telemetry TelemetrySettings `json:"telemetry"`
 
 	// The sections below belong to parts that a deployment may not have. A part is off where its values are missing.
-	Duties      DutySettings        `json:"duties"`
-	Accounts    AccountSettings     `json:"accounts"`
-	PlatformAPI PlatformAPISettings `json:"platform_api"`
-	Usage       UsageSettings       `json:"usage"`
+	Duties        DutySettings          `json:"duties"`
+	Configuration ConfigurationSettings `json:"configuration"`
+	Accounts      AccountSettings       `json:"accounts"`
+	PlatformAPI   PlatformAPISettings   `json:"platform_api"`
+	Usage         UsageSettings         `json:"usage"`
 }
 
 // DutySettings tell how the platform and the engines judge the orders of the holders of duties.
@@ -34,6 +35,12 @@
 	FencesEnforced Flag `json:"fences_enforced"`
 }
 
+// ConfigurationSettings tell how soon a configuration of the operators takes effect.
+type ConfigurationSettings struct {
+	// InForceMs is the time in milliseconds after the store has accepted a configuration at which every instance follows it.
+	InForceMs Number `json:"in_force_ms"`
+}
+
 // AccountSettings configure the keys of client accounts.
 type AccountSettings struct {
 	// StrictRevocation states that no request may run that was sent later than RevocationMs after the store accepted the
