instance: one whose configuration may have been replaced gets no new connections

An instance that reads the back ends' entries, but not the operators' records, stayed in rotation with a configuration of any age: readiness asked only whether there is one. In a large deployment the entries come from other instances, so that an instance without the store does not even lose those. It is now not ready once its copy is as old as the time after which a configuration must be in force. Requests on the connections that it has are still served; a short loss moves no clients.

--- a/instance/config.go
+++ b/instance/config.go
@@ -106,6 +106,12 @@
 	}
 }
 
+// configMayBeReplaced reports whether a newer configuration than this instance's should be in force, for all it knows.
+func (i *Instance) configMayBeReplaced() bool {
+	inForce := milliseconds(i.settings.Configuration.InForceMs.Value)
+	return inForce > 0 && i.configAge() >= inForce
+}
+
 // configNeedsRenewal reports whether the configuration grows so old that the usual reads alone may not renew it in time. inForce is the
 // time after which it must be in force; 0 if none is set.
 func (i *Instance) configNeedsRenewal(inForce time.Duration) bool {
--- a/instance/config_test.go
+++ b/instance/config_test.go
@@ -104,3 +104,27 @@
 	is.Equal(len(c.desk.Runs()), 0)
 	is.Equal(len(c.engines[0].Runs()), 1)
 }
+
+// Guards against an instance that gets new connections although it follows a configuration that may be long replaced: it reads the back
+// ends' entries, but not the operators' records.
+func TestInstanceWithAnOldConfigurationIsNotReady(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1, func(s *Settings) {
+		s.Configuration.InForceMs = Number{Value: float64(inForceTime.Milliseconds()), Set: true}
+	})
+	m := c.members[0]
+	c.store.SetFault(func(r *http.Request) hostedtest.Fault {
+		if r.URL.Query().Get("topic") == "keyed.op" {
+			return hostedtest.Busy
+		}
+		return hostedtest.None
+	})
+	lost := time.Now()
+	time.Sleep(inForceTime / 2)
+	is.True(m.isReady()) // a short loss moves no clients
+	c.waitUntil("instance is not ready", func() bool { return !m.isReady() })
+	is.True(time.Since(lost) < inForceTime+operatorReadWait)
+	is.Equal(c.call(m, http.MethodPost, "/plain/1", "known", nil, "body").status, http.StatusOK)
+	c.store.SetFault(nil)
+	c.waitUntil("instance is ready", m.isReady)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -327,10 +327,10 @@
 }
 
 // isReady reports whether the instance should get new connections: it is not draining, has a
-// configuration, knows the quarantined requests and the rate limits, and has read the back ends'
+// configuration that is not too old, knows the quarantined requests and the rate limits, and has read the back ends'
 // entries within maxStoreSilence.
 func (i *Instance) isReady() bool {
-	return !i.draining.Load() && i.config.Load() != nil && i.quarantine.HasRead() && i.rateLimits.HasRead() &&
+	return !i.draining.Load() && i.config.Load() != nil && !i.configMayBeReplaced() && i.quarantine.HasRead() && i.rateLimits.HasRead() &&
 		i.entries.Age() < maxStoreSilence
 }
 
