--- a/backends/backends.go
+++ b/backends/backends.go
@@ -20,6 +20,8 @@
 	Leaving bool
 	// StartedUnixMs is the start time of the back end's process in Unix milliseconds.
 	StartedUnixMs int64
+	// Software is the version of the process's software; empty if it is not known. Versions have no order.
+	Software string
 	// Seq numbers the entries of a process in the order in which it wrote them; Unnumbered if it is not known.
 	Seq int64
 	// Versions maps each model to the version of its weights; it is never nil.
@@ -52,7 +54,7 @@
 	maxBackoff = 4 * time.Second
 )
 
-// Backend is one process of a back end. A restart or a change of address or service yields a new
+// Backend is one process of a back end. A restart or a change of address, service or software yields a new
 // Backend with no earlier observations.
 type Backend struct {
 	ID            string
@@ -60,6 +62,8 @@
 	Addr          string
 	Zone          string
 	StartedUnixMs int64
+	// Software is the version of the process's software; empty if it is not known.
+	Software string
 	// Reclaimable back ends can be taken away by the platform, all of a data centre at once.
 	Reclaimable bool
 
@@ -144,9 +148,9 @@
 	}
 	d.recordRun(&e)
 	b := d.byID[e.ID]
-	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service {
+	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service || b.Software != e.Software {
 		d.byID[e.ID] = &Backend{
-			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs, Reclaimable: e.Reclaimable,
+			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs, Software: e.Software, Reclaimable: e.Reclaimable,
 			dir: d, slots: e.Slots, leaving: e.Leaving, versions: e.Versions,
 			loadingUntil: map[string]time.Time{},
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -79,7 +79,7 @@
 		b.Begin()
 		err := client.Stream(ctx, b, r, w)
 		b.End()
-		f.opts.Logger.Info("stream", "request", r.ID, "route", route.Name, "backend", b.ID, "took", time.Since(start), "err", err)
+		f.opts.Logger.Info("stream", "request", r.ID, "route", route.Name, "backend", b.ID, "software", b.Software, "took", time.Since(start), "err", err)
 		var (
 			notRun    *NotRunError
 			truncated *TruncatedError
