changelog: the test of the age that states learn uses reads that one Sync waits for

TestStateLearnsItsAgeBeforeRecords failed once (deadlock of the bubble): its read took a second, so that Sync, which begins another read after half of one, left that running.

--- a/changelog/age_test.go
+++ b/changelog/age_test.go
@@ -89,10 +89,10 @@
 		is.NoErr(r.Sync(t.Context()))
 		time.Sleep(2 * time.Second)
 		log.read = func(from int64, _ time.Duration) (Batch, error) {
-			time.Sleep(time.Second)
+			time.Sleep(joinLimit / 2)
 			return Batch{Records: []Record{{Offset: from, Key: "a"}, {Offset: from + 1, Key: "b"}}, End: from + 2}, nil
 		}
 		is.NoErr(r.Sync(t.Context()))
-		is.Equal(state.ages, []time.Duration{3 * time.Second}) // none for the first load
+		is.Equal(state.ages, []time.Duration{2*time.Second + joinLimit/2}) // none for the first load
 	})
 }
