forward, origin: a stream that a client takes up goes on at the software version that began it

The service and version at which a stream began are a record in the store (package origin), written in the background when the first event arrives and kept for two minutes or the client's deadline. Resumes names the attempt; an instance that does not know it reads the store. The request then goes to back ends of that version only. Where the version is unknown, cannot be read or has no back end, the answer is 503 at once: without a record no version is guessed, so that a record that is lost or late costs a take-up, never a joined text. An attempt that takes a stream up is recorded too, so that Resumes may name it. A route that is split, or has moved, leads to the service that began the stream or refuses. Instances follow the records only if a route has streams that can be taken up.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -148,7 +148,8 @@
 	}
 	d.recordRun(&e)
 	b := d.byID[e.ID]
-	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service || b.Software != e.Software {
+	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service ||
+		(e.Software != "" && b.Software != e.Software) { // instances of an earlier release pass no version on
 		d.byID[e.ID] = &Backend{
 			ID: e.ID, Service: e.Service, Addr: e.Addr, Zone: e.Zone, StartedUnixMs: e.StartedUnixMs, Software: e.Software, Reclaimable: e.Reclaimable,
 			dir: d, slots: e.Slots, leaving: e.Leaving, versions: e.Versions,
--- a/changelog/map.go
+++ b/changelog/map.go
@@ -74,6 +74,19 @@
 // HasRead reports whether all values that were in the store have been read.
 func (m *Map[V]) HasRead() bool { return m.replica.HasRead() }
 
+// Sync waits until the map holds every value that was written before the call.
+func (m *Map[V]) Sync(ctx context.Context) error { return m.replica.Sync(ctx) }
+
+// Get returns the value of a key as far as it has been read.
+func (m *Map[V]) Get(key string) (value V, found bool) {
+	m.replica.View(func() {
+		var entry mapEntry[V]
+		entry, found = m.entries[key]
+		value = entry.value
+	})
+	return value, found
+}
+
 // Reset implements State.
 func (m *Map[V]) Reset() {
 	m.replaced, m.entries = m.entries, map[string]mapEntry[V]{}
@@ -228,7 +241,8 @@
 	return err
 }
 
-// DeleteIf deletes the keys that match, in the background. age is the time since this instance has read the value.
+// DeleteIf deletes the keys that match, in the background. age is the time since this instance has read the value. If many updates
+// wait to be written, it leaves keys to the next call.
 func (m *Map[V]) DeleteIf(match func(key string, value V, age time.Duration) bool) {
 	var keys []string
 	m.replica.View(func() {
@@ -238,7 +252,7 @@
 			}
 		}
 	})
-	for _, key := range keys {
+	for _, key := range keys[:min(len(keys), max(0, maxMapUpdates/2-len(m.puts)))] {
 		m.Put(key, nil)
 	}
 }
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -10,15 +10,23 @@
 	"github.com/cicadasill/cicadasill/balance"
 )
 
-// choose returns the best back end of a service that has not been tried, or nil: one with few
+// choose returns the best back end of a service that has not been tried, or nil. See chooseOf.
+func (f *Forwarder) choose(service string, tried map[*backends.Backend]bool, spareRateLimited bool) *backends.Backend {
+	return f.chooseOf(service, "", tried, spareRateLimited)
+}
+
+// chooseOf returns the best back end of a service that has not been tried and runs the given version of the software, "" for any, or nil: one with few
 // requests of this instance in flight, preferably in the own data centre. A back end to be avoided is
 // chosen only if there is no other, one whose rate limit allows no request now not at all.
-func (f *Forwarder) choose(service string, tried map[*backends.Backend]bool, spareRateLimited bool) *backends.Backend {
+func (f *Forwarder) chooseOf(service, software string, tried map[*backends.Backend]bool, spareRateLimited bool) *backends.Backend {
 	var best *backends.Candidate
 	list := f.opts.Backends.Candidates(service, "")
 	now := time.Now()
 	for i := range list {
 		c := &list[i]
+		if software != "" && c.Software != software {
+			continue
+		}
 		if !tried[c.Backend] && !now.Before(c.ThrottledUntil) && (best == nil || f.compareCandidates(c, best, spareRateLimited) < 0) {
 			best = c
 		}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -39,6 +39,10 @@
 	Account string
 	// Priority is the urgency of the request, 0 the most urgent: that of its account or, without one, of its route.
 	Priority int
+	// TakesUp states that the request goes on with a stream that an earlier attempt of the client began. Resumes is the id of the
+	// attempt that brought its first event; empty if the client does not name it.
+	TakesUp bool
+	Resumes string
 	// Permit is asked right before each send; an error withholds the request. nil if no permission is needed.
 	Permit func() error
 }
@@ -163,6 +167,8 @@
 	Client     Client
 	RateLimits RateLimits
 	Quarantine Quarantine
+	// Origins tells where streams began; nil if no stream can be taken up.
+	Origins Origins
 	// Self is the id of this instance, by which it prefers one of equal back ends; empty if it decides by their ids.
 	Self       string
 	DataCentre string
@@ -179,6 +185,7 @@
 	latency *prometheus.HistogramVec
 	hedges  prometheus.Counter
 	crashes prometheus.Counter
+	takeUps *prometheus.CounterVec
 }
 
 // New returns a Forwarder and registers its metrics.
@@ -192,9 +199,10 @@
 			Help: "Requests sent to a second back end because the first one was slow."}),
 		crashes: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_request_crashes_total",
 			Help: "Sends after which the back end's process had ended without an answer."}),
+		takeUps: newTakeUps(),
 	}
 	if opts.Registerer != nil {
-		opts.Registerer.MustRegister(f.latency, f.hedges, f.crashes)
+		opts.Registerer.MustRegister(f.latency, f.hedges, f.crashes, f.takeUps)
 	}
 	return f
 }
--- /dev/null
+++ b/forward/origin.go
@@ -0,0 +1,125 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/limit"
+	"github.com/cicadasill/cicadasill/origin"
+	"github.com/cicadasill/cicadasill/routes"
+)
+
+// Streams that clients take up.
+//
+// A stream goes on only at the software version that began it. Where that is not known, or no back end of it takes requests, the
+// request is refused at once: it has not run, and any other back end would append a text that does not fit.
+
+// Origins knows where the streams of clients began.
+type Origins interface {
+	// Record records where the stream of an attempt began, in the background.
+	Record(account, attempt string, o origin.Origin)
+	// Find returns where the stream of an attempt began, and false if there is no record of it.
+	Find(ctx context.Context, account, attempt string) (origin.Origin, bool, error)
+}
+
+// Outcomes of requests that take streams up, in metrics.
+const (
+	takeUpContinued     = "continued"
+	takeUpUnknown       = "unknown"
+	takeUpUnreadable    = "unreadable"
+	takeUpOtherService  = "other_service"
+	takeUpNoBackend     = "no_back_end"
+	takeUpOtherSoftware = "other_software"
+)
+
+// Causes of refused take-ups.
+var (
+	errOriginUnknown      = errors.New("it is not known at which software version the stream began")
+	errOriginOtherService = errors.New("the route no longer leads to the service that began the stream")
+)
+
+// RunReplacedError reports that another process has taken the place of the back end that was to go on with a stream.
+type RunReplacedError struct{ Backend string }
+
+// Error implements error.
+func (e *RunReplacedError) Error() string {
+	return fmt.Sprintf("another process has taken the place of back end %s", e.Backend)
+}
+
+// newTakeUps returns the counter of requests that take streams up.
+func newTakeUps() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stream_take_ups_total",
+		Help: "Requests of clients that go on with a stream: continued, or refused because its software version is not known or has no back end."},
+		[]string{"outcome"})
+}
+
+// countTakeUp counts the outcome of a request if it takes a stream up.
+func (f *Forwarder) countTakeUp(r *Request, outcome string) {
+	if r.TakesUp {
+		f.takeUps.WithLabelValues(outcome).Inc()
+	}
+}
+
+// originOf returns the service of a streaming request and, if it takes a stream up, the software version that must go on with it.
+func (f *Forwarder) originOf(ctx context.Context, route *routes.Route, r *Request) (origin.Origin, *RefusedError) {
+	if !r.TakesUp {
+		return origin.Origin{Service: route.ServiceFor(r.ID)}, nil
+	}
+	began, outcome, err := f.findOrigin(ctx, route, r)
+	if err != nil {
+		f.countTakeUp(r, outcome)
+		f.opts.Logger.Info("stream not taken up", "request", r.ID, "resumes", r.Resumes, "route", route.Name, "err", err)
+		return origin.Origin{}, &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: err}
+	}
+	return began, nil
+}
+
+// findOrigin implements originOf for a request that takes a stream up. outcome names an error in metrics.
+func (f *Forwarder) findOrigin(ctx context.Context, route *routes.Route, r *Request) (began origin.Origin, outcome string, err error) {
+	if r.Resumes == "" || f.opts.Origins == nil {
+		return began, takeUpUnknown, errOriginUnknown
+	}
+	began, found, err := f.opts.Origins.Find(ctx, r.Account, r.Resumes)
+	switch {
+	case err != nil:
+		return began, takeUpUnreadable, err
+	case !found || began.Software == "":
+		return began, takeUpUnknown, errOriginUnknown
+	case !slices.ContainsFunc(route.Shares, func(s routes.Share) bool { return s.Service == began.Service }):
+		return began, takeUpOtherService, errOriginOtherService
+	}
+	return began, "", nil
+}
+
+// recordOrigin records that a stream has begun at b, before its first event reaches the client. It fails if the stream was begun by
+// another software version and another process is now known in the place of b.
+func (f *Forwarder) recordOrigin(route *routes.Route, r *Request, b *backends.Backend, status int) error {
+	if f.opts.Origins == nil || status/100 != http.StatusOK/100 {
+		return nil
+	}
+	current, known := f.opts.Backends.Backend(b.ID)
+	if known && current.Software != b.Software {
+		f.countTakeUp(r, takeUpOtherSoftware)
+		if r.TakesUp {
+			return &RunReplacedError{Backend: b.ID}
+		}
+		return nil // it stays unknown
+	}
+	f.countTakeUp(r, takeUpContinued)
+	if b.Software == "" || !route.Resumable {
+		return nil
+	}
+	o := origin.Origin{Service: b.Service, Software: b.Software}
+	if !r.Deadline.IsZero() {
+		o.Keep = time.Until(r.Deadline) + origin.MinKeep
+	}
+	f.opts.Origins.Record(r.Account, r.ID, o)
+	return nil
+}
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -80,14 +80,24 @@
 type timedWriter struct {
 	http.ResponseWriter
 	timer *silenceTimer
-	begun func() // called before the first write; nil after that
+	// begun is called with the status before the first write, which fails with its error; nil after that.
+	begun  func(status int) error
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *timedWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements io.Writer.
 func (w *timedWriter) Write(data []byte) (int, error) {
-	if w.begun != nil {
-		w.begun()
+	if begun := w.begun; begun != nil {
 		w.begun = nil
+		if err := begun(w.status); err != nil {
+			return 0, err
+		}
 	}
 	w.timer.suspend()
 	defer w.timer.resume()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,7 +49,15 @@
 	}
 	ctx, timer := newSilenceTimer(ctx, route.Timeout, maxSilence(route))
 	defer timer.stop()
-	w = &timedWriter{ResponseWriter: w, timer: timer, begun: func() { f.reportBegun(r, timing.SinceBoot()) }}
+	began, refused := f.originOf(ctx, route, r)
+	if refused != nil {
+		return refused
+	}
+	service, b := began.Service, (*backends.Backend)(nil)
+	w = &timedWriter{ResponseWriter: w, timer: timer, begun: func(status int) error {
+		f.reportBegun(r, timing.SinceBoot())
+		return f.recordOrigin(route, r, b, status)
+	}}
 	client, ok := f.opts.Client.(StreamClient)
 	if !ok {
 		return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errNoBackend}
@@ -58,14 +66,14 @@
 	if verdict.BlockedFor > 0 {
 		return refusalByQuarantine(r, verdict)
 	}
-	if !f.mayRisk(route.ServiceFor(r.ID), verdict) {
+	if !f.mayRisk(service, verdict) {
 		return &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errLastBackend}
 	}
 	tried := map[*backends.Backend]bool{}
-	service := route.ServiceFor(r.ID)
 	for {
-		b := f.choose(service, tried, sparesRateLimited(r.ID))
+		b = f.chooseOf(service, began.Software, tried, sparesRateLimited(r.ID))
 		if b == nil {
+			f.countTakeUp(r, takeUpNoBackend)
 			refused := &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: errNoBackend}
 			if limited, wait := f.firstPermitted(service); limited != nil {
 				refused = refusalByRateLimit(&ratelimit.ExceededError{Backend: limited.ID, RetryAfter: wait})
--- a/instance/cluster_test.go
+++ b/instance/cluster_test.go
@@ -107,9 +107,13 @@
 	}
 }
 
-// register writes the entry of a back end to the store.
-func (c *cluster) register(e *hostedtest.Engine) {
-	c.store.Put("keyed.servers", e.ID, e.Entry("ready"))
+// register writes the entry of a back end to the store. software is the version of its software, v1 if it is left out.
+func (c *cluster) register(e *hostedtest.Engine, software ...string) {
+	fields := map[string]any{}
+	if len(software) > 0 {
+		fields["version"] = software[0]
+	}
+	c.store.Put("keyed.servers", e.ID, e.EntryWith("ready", fields))
 }
 
 // startInstance runs an instance until the test ends or it is killed.
--- a/instance/config.go
+++ b/instance/config.go
@@ -45,6 +45,11 @@
 	return changelog.Batch{}, &changelog.NotDoneError{Call: "read", Err: errNoDirectCalls}
 }
 
+// followOperators reads the operators' records until ctx ends.
+func (i *Instance) followOperators(ctx context.Context) {
+	i.operators.Follow(ctx, changelog.ConstantWait(i.configReadWait()), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
+}
+
 // errConfigNotReadable reports that the newest configuration cannot be put in force.
 var errConfigNotReadable = errors.New("the newest configuration is not readable")
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -29,6 +29,7 @@
 	"github.com/cicadasill/cicadasill/job"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
+	"github.com/cicadasill/cicadasill/origin"
 	"github.com/cicadasill/cicadasill/platform/hosted"
 	"github.com/cicadasill/cicadasill/presence"
 	"github.com/cicadasill/cicadasill/quarantine"
@@ -123,6 +124,7 @@
 	presence        *presence.Table
 	rateLimits      *ratelimit.Replica
 	quarantine      *quarantine.Table
+	origins         *origin.Table
 	orders          *duty.Duty
 	platformAPI     *hosted.PlatformAPI // nil if the deployment has none
 	usage           *usageReports       // nil if the deployment reports no usage
@@ -197,6 +199,7 @@
 		ReadWait:  func() time.Duration { return presence.LongPollWait(i.presence.Count()) },
 		ReadPause: func() time.Duration { return presence.LongPollPause(minCrashReadPause, i.presence.Count()) },
 	})
+	i.origins = i.newOrigins()
 	i.orders = duty.New(ordersDuty, i.self, i.store, i.presence, logger)
 	i.buildServers()
 }
@@ -227,7 +230,7 @@
 		spreadBy = s.Instance.ID
 	}
 	forwarder := forward.New(forward.Options{
-		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Self: spreadBy, DataCentre: s.Instance.DataCentre,
+		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Origins: i.origins, Self: spreadBy, DataCentre: s.Instance.DataCentre,
 		RequestBegan: i.usage.observer(), Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
@@ -381,6 +384,7 @@
 		i.followOperators, i.renewConfig, i.entries.run, i.presence.Run, i.orders.Run, i.jobs.Run, i.driver.Run, i.loadScheduler.Run,
 		i.usage.run,
 		func(ctx context.Context) { i.rateLimits.Run(ctx, i.storeMonitor("rate limits")) },
+		i.followOrigins,
 		func(ctx context.Context) { i.quarantine.Run(ctx, i.storeMonitor("crashes")) },
 	} {
 		tasks.Go(func() { task(ctx) })
@@ -404,11 +408,6 @@
 	return nil
 }
 
-// followOperators reads the operators' records until ctx ends.
-func (i *Instance) followOperators(ctx context.Context) {
-	i.operators.Follow(ctx, changelog.ConstantWait(i.configReadWait()), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
-}
-
 // serve runs an HTTP server until it or its listener is closed.
 func (i *Instance) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -230,6 +230,11 @@
 	return false
 }
 
+// HasStreams reports whether any route is answered with streams that clients may take up.
+func (c *Config) HasStreams() bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Kind == Streaming && r.Resumable })
+}
+
 // HasScaling reports whether back ends can be ordered for any service.
 func (c *Config) HasScaling() bool {
 	for _, s := range c.Services {
