job: a text goes on only at engines of the service and software version that began it

Trainers could get texts joined from two software versions, or from two services: an item that was broken off, moved to a faster engine or was taken over with a checkpoint went on at any engine. Checkpoints held the versions of the weights, not of the software.

The output and its checkpoint name service and software of the engines that wrote it. A text goes on at such an engine; it starts over if there is none, or if none gets free within the time that it takes to generate the lost part again. A move needs an engine of the same version. Checkpoints of earlier releases name no version; their texts start over unless no version is known at all.

--- a/job/driver.go
+++ b/job/driver.go
@@ -97,6 +97,7 @@
 type driverMetrics struct {
 	wait, run prometheus.Histogram
 	retries   prometheus.Counter
+	restarts  prometheus.Counter
 	moves     prometheus.Counter
 	// staleIndex counts sends that waited because the index was too old.
 	staleIndex prometheus.Counter
@@ -114,6 +115,8 @@
 			Help: "Time that items waited for an engine.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}),
 		run: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cicadasill_item_run_seconds",
 			Help: "Duration of the last attempt of completed items.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 10)}),
+		restarts: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_restarts_total",
+			Help: "Texts that started over because no engine with the software that began them got free in time."}),
 		retries: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_attempts_failed_total",
 			Help: "Item attempts that ended without completing the item, except for moves."}),
 		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_moves_total",
@@ -132,7 +135,7 @@
 			Help: "Reward calls by outcome."}, []string{"outcome"}),
 	}
 	if r != nil {
-		r.MustRegister(m.wait, m.run, m.retries, m.moves, m.staleIndex, m.takeovers, m.results, m.rewardWait, m.rewardCall, m.rewards,
+		r.MustRegister(m.wait, m.run, m.retries, m.restarts, m.moves, m.staleIndex, m.takeovers, m.results, m.rewardWait, m.rewardCall, m.rewards,
 			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_reward_calls_waiting",
 				Help: "Complete texts whose reward call waits to be sent."}, func() float64 { return float64(gate.Waiting()) }),
 			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_reward_calls_in_flight",
--- a/job/move.go
+++ b/job/move.go
@@ -163,6 +163,7 @@
 func (m *mover) enqueue(out *partialOutput, reason MovedError) {
 	req := m.request
 	req.excluded, req.expected = m.backend, reason.Remaining
+	req.resumes, req.software = out.lastEvent > 0, out.writer.software
 	if m.singleVersion && len(out.versions) > 0 {
 		req.exactVersion = out.versions[0]
 	}
--- a/job/part.go
+++ b/job/part.go
@@ -33,6 +33,9 @@
 	Versions []int64  `cbor:"3,keyasint"`
 	// Complete states that the text is whole and waits for its score.
 	Complete bool `cbor:"4,keyasint,omitempty"`
+	// Service and Software are those of the engines that generated the output. Earlier releases do not store them.
+	Service  string `cbor:"5,keyasint,omitempty"`
+	Software string `cbor:"6,keyasint,omitempty"`
 }
 
 // size returns the size of the output in bytes.
--- a/job/place.go
+++ b/job/place.go
@@ -46,6 +46,9 @@
 	minVersion int64
 	// exactVersion requires an engine with this weight version; 0 accepts all from minVersion on.
 	exactVersion int64
+	// resumes states that the item goes on with an output, which only engines with this software can do.
+	resumes  bool
+	software string
 	// expected is the item's expected duration at a typical engine.
 	expected time.Duration
 	// excluded is an engine that must not be chosen unless no other candidate has the item's version: the one of the
@@ -60,7 +63,12 @@
 
 // acceptsAnyEngine reports whether r accepts every engine that serves its model from minVersion on.
 func (r *engineRequest) acceptsAnyEngine() bool {
-	return r.excluded == nil && r.eventIntervalBelow == 0 && r.exactVersion == 0
+	return r.excluded == nil && r.eventIntervalBelow == 0 && r.exactVersion == 0 && !r.resumes
+}
+
+// accepts reports whether an engine can run the item, whatever its load.
+func (r *engineRequest) accepts(c *backends.Candidate) bool {
+	return r.acceptsVersion(c.Versions[r.model]) && (!r.resumes || c.Software == r.software)
 }
 
 // acceptsVersion reports whether an engine with the given version of the model's weights can run the item.
@@ -71,6 +79,8 @@
 // requirement is what decides whether an engine suits a request, beside the engine's state.
 type requirement struct {
 	minVersion, exactVersion int64
+	resumes                  bool
+	software                 string
 	excluded                 *backends.Backend
 	eventIntervalBelow       time.Duration
 	needsIdleConn            bool
@@ -205,7 +215,7 @@
 			unplaced = append(unplaced, req)
 			continue
 		}
-		required := requirement{req.minVersion, req.exactVersion, req.excluded, req.eventIntervalBelow, needsIdleConn}
+		required := requirement{req.minVersion, req.exactVersion, req.resumes, req.software, req.excluded, req.eventIntervalBelow, needsIdleConn}
 		if !req.acceptsAnyEngine() && engines.unmet[required] {
 			unplaced = append(unplaced, req)
 			continue
@@ -253,7 +263,7 @@
 	best, bestCost := -1, 0.0
 	now := time.Now()
 	hasOther := req.excluded != nil && slices.ContainsFunc(candidates, func(c backends.Candidate) bool {
-		return c.Backend != req.excluded && req.acceptsVersion(c.Versions[req.model])
+		return c.Backend != req.excluded && req.accepts(&c)
 	})
 	for i, c := range candidates {
 		if now.Before(c.ThrottledUntil) {
@@ -262,7 +272,7 @@
 		if c.RateLimited && req.eventIntervalBelow > 0 {
 			continue // a move would use up a request that a waiting item needs
 		}
-		if c.Avoid || !req.acceptsVersion(c.Versions[req.model]) {
+		if c.Avoid || !req.accepts(&c) {
 			continue
 		}
 		if (c.Backend == req.excluded && hasOther) || (needsIdleConn && c.InFlight >= c.OpenConns) {
--- a/job/run.go
+++ b/job/run.go
@@ -30,15 +30,19 @@
 
 // partialOutput is the output that an item has generated so far, over all its attempts.
 type partialOutput struct {
-	data           [][]byte
-	lastEvent      int64
+	data      [][]byte
+	lastEvent int64
+	// writer is the service and software that has generated the output.
+	writer         writer
 	versions       []int64
 	size           int       // bytes of data
 	checkpointedAt time.Time // time of the last checkpoint, or of the item's start here
 }
 
 func (o *partialOutput) checkpoint() Checkpoint {
-	return Checkpoint{LastEvent: o.lastEvent, Data: slices.Clip(o.data), Versions: slices.Clone(o.versions)}
+	return Checkpoint{
+		LastEvent: o.lastEvent, Data: slices.Clip(o.data), Versions: slices.Clone(o.versions), Service: o.writer.service, Software: o.writer.software,
+	}
 }
 
 // itemAttempt is the state of one attempt to run an item at an engine. It implements Receiver.
@@ -108,6 +112,9 @@
 	if e.Version < a.minVersion {
 		return &OldVersionError{Version: e.Version, MinVersion: a.minVersion}
 	}
+	if out.lastEvent == 0 {
+		out.writer = writerOf(a.backend)
+	}
 	if !slices.Contains(out.versions, e.Version) {
 		if a.singleVersion && len(out.versions) > 0 {
 			return errMixedVersions
@@ -140,7 +147,7 @@
 
 // reset discards the output, so that the next attempt starts from the beginning.
 func (o *partialOutput) reset() {
-	o.data, o.lastEvent, o.versions, o.size = nil, 0, nil, 0
+	o.data, o.lastEvent, o.versions, o.size, o.writer = nil, 0, nil, 0, writer{}
 }
 
 // runItem generates the text of an item and obtains its score, until the item has a result or ctx ends. It
@@ -148,7 +155,10 @@
 func (d *Driver) runItem(ctx context.Context, job *activeJob, itemIndex int) (Result, bool) {
 	item := &job.items[itemIndex]
 	stored := job.checkpoints[item.ID]
-	out := &partialOutput{data: slices.Clip(stored.Data), lastEvent: stored.LastEvent, versions: slices.Clip(stored.Versions), size: stored.size()}
+	out := &partialOutput{
+		data: slices.Clip(stored.Data), lastEvent: stored.LastEvent, versions: slices.Clip(stored.Versions), size: stored.size(),
+		writer: writer{stored.Service, stored.Software},
+	}
 	result := Result{Item: item.ID, State: Complete}
 	if !stored.Complete {
 		var done bool
@@ -210,7 +220,7 @@
 			b.End()
 			b = nil
 		}
-		b, err := d.acquireEngine(ctx, req, b)
+		b, err := d.acquireWriter(ctx, req, b, out)
 		if err != nil {
 			return 0, false
 		}
--- /dev/null
+++ b/job/writer.go
@@ -0,0 +1,61 @@
+package job
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cicadasill/cicadasill/backends"
+)
+
+// Resumption of texts at the software that began them.
+//
+// What two versions of an engine's software write does not fit together, and engines do not check it. A text that was broken off goes on
+// at an engine of its service and software. If there is none, or none gets free within the time that it takes to generate the lost part
+// again, the text starts over.
+
+// minWriterWait is the least time that a text waits for an engine of its software: one dispatch after a change, and one of another item.
+const minWriterWait = 2 * dispatchInterval
+
+// writer is what has generated an output: engines of one service with one version of their software. The software is empty if it is
+// not known, as it is at instances that have their entries from one of an earlier release; unknown versions count as equal.
+type writer struct{ service, software string }
+
+// writerOf returns the writer that an engine belongs to.
+func writerOf(b *backends.Backend) writer { return writer{b.Service, b.Software} }
+
+// serves reports whether any engine of a writer may run an item for the request, now or when it has a free slot.
+func (p *placer) serves(w writer, req *engineRequest) bool {
+	return slices.ContainsFunc(p.dir.Candidates(w.service, req.model), func(c backends.Candidate) bool { return req.accepts(&c) })
+}
+
+// acquireWriter is acquireEngine for an item that has generated out. It chooses an engine that can go on with it, or discards it.
+func (d *Driver) acquireWriter(ctx context.Context, req *engineRequest, first *backends.Backend, out *partialOutput) (*backends.Backend, error) {
+	if out.lastEvent == 0 {
+		return d.acquireEngine(ctx, req, first)
+	}
+	resumed := *req
+	resumed.resumes, resumed.software = true, out.writer.software
+	if first != nil && writerOf(first) != out.writer {
+		first.End()
+		first = nil
+	}
+	if first != nil || (req.service == out.writer.service && d.placer.serves(out.writer, &resumed)) {
+		waitCtx, cancel := context.WithTimeout(ctx, d.regenerationTime(out))
+		b, err := d.acquireEngine(waitCtx, &resumed, first)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return b, err
+		}
+	}
+	d.metrics.restarts.Inc()
+	d.log.Info("text starts over", "service", req.service, "software", out.writer.software, "events", out.lastEvent)
+	out.reset()
+	return d.acquireEngine(ctx, req, nil)
+}
+
+// regenerationTime returns about how long an engine takes to generate an output again.
+func (d *Driver) regenerationTime(out *partialOutput) time.Duration {
+	interval := eventIntervalQuantile(d.placer.dir.Candidates(out.writer.service, ""), 0.5)
+	return max(minWriterWait, time.Duration(out.lastEvent)*interval)
+}
