forward: the version of a stream is unknown if another process took its back end's place

A version is a property of the process that ran the request. A back end that restarts at once under its id with other software serves requests that were meant for the process before, and its entry is read up to a second and a half later: the stream was recorded at the version of the old process, and taken up there. Now the version of a stream counts as unknown if a process with other software is known in the back end's place when the first event arrives, or 1.5 s later; a request that takes a stream up is then broken off before its first event.

Tests: forward TestStreamBegunByAnUnknownProcess, TestTakeUpByAnotherProcessSendsNoEvent (both fail without isReplaced), TestTakeUpGoesToTheOriginOnly.

--- a/forward/origin.go
+++ b/forward/origin.go
@@ -29,6 +29,10 @@
 	Find(ctx context.Context, account, attempt string) (origin.Origin, bool, error)
 }
 
+// runDoubt is the time after which the entry of a process that took the place of another one has been read, where back ends write about
+// once a second. A stream that began earlier was begun by the process that its back end's entry then named.
+const runDoubt = 1500 * time.Millisecond
+
 // Outcomes of requests that take streams up, in metrics.
 const (
 	takeUpContinued     = "continued"
@@ -98,14 +102,14 @@
 	return began, "", nil
 }
 
-// recordOrigin records that a stream has begun at b, before its first event reaches the client. It fails if the stream was begun by
-// another software version and another process is now known in the place of b.
+// recordOrigin records that a stream has begun at b, before its first event reaches the client. If another process with other software
+// is known in the place of b by then, or within runDoubt, the version is unknown. A request that takes a stream up fails then, if it is
+// known in time.
 func (f *Forwarder) recordOrigin(route *routes.Route, r *Request, b *backends.Backend, status int) error {
 	if f.opts.Origins == nil || status/100 != http.StatusOK/100 {
 		return nil
 	}
-	current, known := f.opts.Backends.Backend(b.ID)
-	if known && current.Software != b.Software {
+	if f.isReplaced(b) {
 		f.countTakeUp(r, takeUpOtherSoftware)
 		if r.TakesUp {
 			return &RunReplacedError{Backend: b.ID}
@@ -121,5 +125,17 @@
 		o.Keep = time.Until(r.Deadline) + origin.MinKeep
 	}
 	f.opts.Origins.Record(r.Account, r.ID, o)
+	time.AfterFunc(runDoubt, func() {
+		if f.isReplaced(b) {
+			o.Software = ""
+			f.opts.Origins.Record(r.Account, r.ID, o)
+		}
+	})
 	return nil
 }
+
+// isReplaced reports whether another process with other software has taken the place of b.
+func (f *Forwarder) isReplaced(b *backends.Backend) bool {
+	current, known := f.opts.Backends.Backend(b.ID)
+	return known && current.Software != b.Software
+}
--- /dev/null
+++ b/forward/origin_test.go
@@ -0,0 +1,167 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadasill/cicadasill/backends"
+	"github.com/cicadasill/cicadasill/origin"
+	"github.com/cicadasill/cicadasill/routes"
+)
+
+// fakeOrigins holds the origins of streams by attempt.
+type fakeOrigins struct {
+	known map[string]origin.Origin
+	err   error
+}
+
+func (o *fakeOrigins) Record(_, attempt string, began origin.Origin) { o.known[attempt] = began }
+
+func (o *fakeOrigins) Find(_ context.Context, _, attempt string) (origin.Origin, bool, error) {
+	began, ok := o.known[attempt]
+	return began, ok, o.err
+}
+
+// streamAt is a StreamClient that keeps the back ends that were sent to. beforeEvent is called when a stream has begun.
+type streamAt struct {
+	fakeClient
+	sentTo      []string
+	refusing    map[string]bool
+	beforeEvent func()
+}
+
+func (c *streamAt) Stream(_ context.Context, b *backends.Backend, _ *Request, w http.ResponseWriter) error {
+	if c.refusing[b.ID] {
+		return &NotRunError{Err: errTest}
+	}
+	c.sentTo = append(c.sentTo, b.ID)
+	if c.beforeEvent != nil {
+		c.beforeEvent()
+	}
+	w.WriteHeader(http.StatusOK)
+	if _, err := io.WriteString(w, "id: 1\ndata: x\n\n"); err != nil {
+		return &TruncatedError{Err: err}
+	}
+	return nil
+}
+
+// originFixture is a Forwarder with four back ends of service s, the even ones with v1, and one with v1 of service t.
+type originFixture struct {
+	*Forwarder
+	client  *streamAt
+	origins *fakeOrigins
+	route   *routes.Route
+}
+
+func newOriginFixture() *originFixture {
+	f := &originFixture{client: &streamAt{refusing: map[string]bool{}}, origins: &fakeOrigins{known: map[string]origin.Origin{}}}
+	f.Forwarder = newForwarder(f.client, 0)
+	f.opts.Origins = f.origins
+	for n := range 4 {
+		f.put(fmt.Sprint("s", n), "s", fmt.Sprint("v", 1+n%2), 1)
+	}
+	f.put("t0", "t", "v1", 1)
+	f.route = testRoute(routes.Streaming, 1)
+	f.route.Resumable = true
+	f.route.Shares = []routes.Share{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+	return f
+}
+
+func (f *originFixture) put(id, service, software string, started int64) {
+	f.opts.Backends.Put(backends.Entry{ID: id, Service: service, Slots: 4, Software: software, StartedUnixMs: started})
+}
+
+// takeUp sends an attempt that goes on with the stream of another one, and returns the back end that ran it.
+func (f *originFixture) takeUp(t *testing.T, id, resumes string) (string, error) {
+	f.client.sentTo = nil
+	err := f.Stream(t.Context(), f.route, &Request{ID: id, TakesUp: true, Resumes: resumes}, httptest.NewRecorder())
+	if len(f.client.sentTo) == 0 {
+		return "", err
+	}
+	return f.client.sentTo[0], err
+}
+
+// Guards against a stream that goes on at another service of a split route, at another version when those of its own refuse, or where
+// nobody knows its version.
+func TestTakeUpGoesToTheOriginOnly(t *testing.T) {
+	is := is.New(t)
+	f := newOriginFixture()
+	f.origins.known = map[string]origin.Origin{
+		"s1": {Service: "s", Software: "v1"}, "s2": {Service: "s", Software: "v2"}, "t1": {Service: "t", Software: "v1"},
+		"t3": {Service: "t", Software: "v3"}, "moved": {Service: "u", Software: "v1"}, "doubtful": {Service: "s"},
+	}
+	for n := range 20 { // the ids decide between the shares of the route
+		id := fmt.Sprint("id-", n)
+		for resumes, want := range map[string][]string{"s1": {"s0", "s2"}, "s2": {"s1", "s3"}, "t1": {"t0"}} {
+			b, err := f.takeUp(t, id, resumes)
+			is.NoErr(err)
+			is.True(b == want[0] || b == want[len(want)-1])
+		}
+		for _, resumes := range []string{"", "nobody", "t3", "moved", "doubtful"} {
+			b, err := f.takeUp(t, id, resumes)
+			var refused *RefusedError
+			is.True(errors.As(err, &refused) && refused.RetryAfter > 0)
+			is.Equal(b, "")
+		}
+	}
+	f.client.refusing["s0"], f.client.refusing["s2"] = true, true
+	b, err := f.takeUp(t, "id", "s1")
+	var refused *RefusedError
+	is.True(errors.As(err, &refused))
+	is.Equal(b, "")
+	f.origins.err = errTest
+	b, err = f.takeUp(t, "id", "s2")
+	is.True(errors.As(err, &refused))
+	is.Equal(b, "")
+}
+
+// Guards against the version of a process that has been replaced: the back end restarts at once with other software, and its entry is
+// read when the stream has begun, or soon after.
+func TestStreamBegunByAnUnknownProcess(t *testing.T) {
+	for name, late := range map[string]time.Duration{"with the first event": 0, "soon after": runDoubt / 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newOriginFixture()
+				f.route.Shares = f.route.Shares[1:]
+				restart := func() { f.put("t0", "t", "v2", 2) }
+				f.client.beforeEvent = func() {
+					if late == 0 {
+						restart()
+					} else {
+						time.AfterFunc(late, restart)
+					}
+				}
+				is.NoErr(f.Stream(t.Context(), f.route, &Request{ID: "first"}, httptest.NewRecorder()))
+				time.Sleep(2 * runDoubt)
+				is.Equal(f.origins.known["first"].Software, "")
+				b, err := f.takeUp(t, "again", "first")
+				is.True(err != nil)
+				is.Equal(b, "")
+			})
+		})
+	}
+}
+
+// Guards against an event of another process in a stream that was taken up.
+func TestTakeUpByAnotherProcessSendsNoEvent(t *testing.T) {
+	is := is.New(t)
+	f := newOriginFixture()
+	f.origins.known["first"] = origin.Origin{Service: "t", Software: "v1"}
+	f.client.beforeEvent = func() { f.put("t0", "t", "v2", 2) }
+	answer := httptest.NewRecorder()
+	defer func() {
+		is.Equal(recover(), http.ErrAbortHandler) // the client's connection is closed
+		is.Equal(answer.Body.Len(), 0)
+	}()
+	_ = f.Stream(t.Context(), f.route, &Request{ID: "again", TakesUp: true, Resumes: "first"}, answer)
+}
