soak: clients that take streams up while software is released and instances are lost

Three instances as processes, six back ends that are replaced by halves with other software versions every 3 s on average; connections of back ends break, instances are stopped or killed, one or all at once, the store refuses, loses and delays calls. Clients take streams up at any instance. Checked: no stream holds events of two versions, none misses an event, and in calm, while two back ends of their version serve, take-ups go on at half the share of new streams at least.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -25,8 +25,9 @@
 const configTemplate = `{"version":%d,"routes":[
 {"name":"plain","host":"soak.example","path_prefix":"/plain/","type":"idempotent","timeout_ms":2000,"slo_ms":150,"service":"desk","attempts":2},
 {"name":"once","host":"soak.example","path_prefix":"/once/","type":"non_idempotent","timeout_ms":2000,"slo_ms":150,"service":"desk","attempts":1},
+{"name":"streams","host":"soak.example","path_prefix":"/streams/","type":"streaming","timeout_ms":2000,"slo_ms":150,"service":"writer","attempts":2,"resumable":true},
 {"name":"jobs","host":"soak.example","path_prefix":"/jobs/","type":"rollout","timeout_ms":10000,"slo_ms":500,"service":"llm","attempts":3,"keep_s":300,"run_slo_ms":7500,"resumable":true}],
-"services":[{"name":"desk","max_conns":90},{"name":"llm","max_conns":90,"engine":{"slots":4,"models":[{"name":"m"}]}}],
+"services":[{"name":"desk","max_conns":90},{"name":"writer","max_conns":90,"engine":{"slots":4,"models":[{"name":"w"}]}},{"name":"llm","max_conns":90,"engine":{"slots":4,"models":[{"name":"m"}]}}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":10000000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 // settingsTemplate is the settings file of an instance, with verbs for its id and its addresses and for
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,9 @@
 // back end whose entry had been removed.
 var lateHeartbeatSeeds = []uint64{1, 2}
 
+// streamSeeds are the same for TestSoakStreams. Before take-ups followed the software version, 1 and 2 failed.
+var streamSeeds = []uint64{1, 2}
+
 // Environment variables that replace seeds by a range: the first seed and the number of seeds.
 const (
 	firstSeedEnv = "CICADASILL_SOAK_SEED"
@@ -70,6 +73,11 @@
 	runSeeds(t, lateHeartbeatSeeds, Options{}, RunLateHeartbeats)
 }
 
+// Guards against streams that clients take up and that go on at another software version than the one that began them, and against
+// take-ups that are refused more than twice as often as new streams, while back ends are released, instances restart, one or all at once,
+// and the store fails.
+func TestSoakStreams(t *testing.T) { runSeeds(t, streamSeeds, Options{}, RunStreams) }
+
 // runSeeds runs the selected seeds with opts.
 func runSeeds(t *testing.T, byDefault []uint64, opts Options, run func(Options) (*Report, error)) {
 	binary := buildDaemon(t)
