--- a/scripts/promises.sh
+++ b/scripts/promises.sh
@@ -86,4 +86,10 @@
 check H36 backends/runs.go 's/return e\.Seq < k\.Seq/return false/' platform/hosted TestHeartbeatBeforeDrainingIsIgnored
 check H37 presence/presence.go 's/return next\.Sequence > s\.Sequence/return true/' presence TestLateHeartbeatTakesNothingBack
 check H38 platform/hosted/permit.go 's/Conn: netend\.Wrap\(conn\)/Conn: conn/; s/\n\t\"github.com\/cicadasill\/cicadasill\/netend\"\n//' platform/hosted TestAnswerResetDuringAnUploadIsNotWhole
+check H39 platform/hosted/access.go 's/if c\.isRefusedForGood\(\) \{/if false \&\& c.isRefusedForGood() {/' platform/hosted TestRefusedForGoodOnlyByTheNewestConfiguration
+check H40 instance/config.go 's/if !i\.configNeedsRenewal\(inForce\) \{/if true || !i.configNeedsRenewal(inForce) {/' instance TestRouteMovedWhileTheStoreIsSlow
+check H41 instance/instance.go 's/!i\.configMayBeReplaced\(\) && //' instance TestInstanceWithAnOldConfigurationIsNotReady
+check H42 forward/stream.go 's/service, began\.Software, tried/service, "", tried/' instance TestStreamGoesOnAtItsSoftwareVersion
+check H43 job/place.go 's/ && \(!r\.resumes \|\| c\.Software == r\.software\)//' job TestTextIsNotJoinedFromTwoSoftwareVersions
+check H44 forward/origin.go 's/return known && current/return false \&\& known \&\& current/' forward TestStreamBegunByAnUnknownProcess
 exit "$status"
