origin: records of streams are kept as long as a client can take them up, and all old ones are deleted

Found while reading: the records of more than 64 streams a second were deleted more slowly than they were written, and each was kept for two minutes, so that the store and each instance's memory would fill.

--- a/changelog/map.go
+++ b/changelog/map.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -241,10 +242,30 @@
 	return err
 }
 
-// DeleteIf deletes the keys that match, in the background. age is the time since this instance has read the value. If many updates
-// wait to be written, it leaves keys to the next call.
+// DeleteIf deletes the keys that match, in the background. age is the time since this instance has read the value.
 func (m *Map[V]) DeleteIf(match func(key string, value V, age time.Duration) bool) {
-	var keys []string
+	for _, key := range m.matching(match) {
+		m.Put(key, nil)
+	}
+}
+
+// DeleteMany deletes the keys that match like DeleteIf, however many they are, and returns when they are deleted or ctx ends. Nothing may
+// write these keys at the same time.
+func (m *Map[V]) DeleteMany(ctx context.Context, match func(key string, value V, age time.Duration) bool) error {
+	for keys := range slices.Chunk(m.matching(match), maxMapUpdates) {
+		records := make([]Record, len(keys))
+		for n, key := range keys {
+			records[n].Key = key
+		}
+		if err := AppendWithRetry(ctx, m.opts.Log, Partition{Topic: m.opts.Topic}, records); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// matching returns the keys that match. age is the time since this instance has read the value.
+func (m *Map[V]) matching(match func(key string, value V, age time.Duration) bool) (keys []string) {
 	m.replica.View(func() {
 		for key, entry := range m.entries {
 			if match(key, entry.value, time.Since(entry.readAt)) {
@@ -252,7 +273,5 @@
 			}
 		}
 	})
-	for _, key := range keys[:min(len(keys), max(0, maxMapUpdates/2-len(m.puts)))] {
-		m.Put(key, nil)
-	}
+	return keys
 }
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -120,9 +120,9 @@
 	if b.Software == "" || !route.Resumable {
 		return nil
 	}
-	o := origin.Origin{Service: b.Service, Software: b.Software}
+	o := origin.Origin{Service: b.Service, Software: b.Software, Keep: origin.DefaultKeep}
 	if !r.Deadline.IsZero() {
-		o.Keep = time.Until(r.Deadline) + origin.MinKeep
+		o.Keep = time.Until(r.Deadline) + origin.KeepMargin
 	}
 	f.opts.Origins.Record(r.Account, r.ID, o)
 	time.AfterFunc(runDoubt, func() {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -23,12 +23,15 @@
 
 // Times of records.
 const (
-	// MinKeep is how long the origin of a stream is kept at least, MaxKeep at most. Streams take seconds, and a client takes one up
-	// within the deadline of its request.
-	MinKeep = 2 * time.Minute
-	MaxKeep = time.Hour
-	// cleanInterval is the time between two searches for records that are no longer kept.
+	// KeepMargin is how long the origin of a stream is kept after the deadline of its client, which takes the stream up before. It
+	// covers the difference between the times at which instances read the record.
+	KeepMargin = 15 * time.Second
+	// DefaultKeep is how long it is kept if the client states no deadline, maxKeep at most.
+	DefaultKeep = 2 * time.Minute
+	maxKeep     = time.Hour
+	// cleanInterval is the time between two searches for records that are no longer kept, cleanTimeout bounds their deletion.
 	cleanInterval = 2 * time.Second
+	cleanTimeout  = 3 * time.Second
 	// findTimeout bounds the read of a record that this instance does not know yet. A call to the store on a silent connection and
 	// its repeat fit.
 	findTimeout = 800 * time.Millisecond
@@ -91,13 +94,13 @@
 		t.records.Run(ctx, onRead)
 	}()
 	for timing.Sleep(ctx, cleanInterval) {
-		t.clean()
+		t.clean(ctx)
 	}
 	<-done
 }
 
 // clean deletes the records that are no longer kept. A record is as old as this instance has known it.
-func (t *Table) clean() {
+func (t *Table) clean(ctx context.Context) {
 	t.mu.Lock()
 	for key, o := range t.unread {
 		if time.Since(o.at) > o.Keep {
@@ -105,14 +108,23 @@
 		}
 	}
 	t.mu.Unlock()
-	if t.opts.Rank(topic) == 0 {
-		t.records.DeleteIf(func(_ string, o Origin, age time.Duration) bool { return age > min(max(o.Keep, MinKeep), MaxKeep) })
+	if t.opts.Rank(topic) != 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, cleanTimeout)
+	defer cancel()
+	err := t.records.DeleteMany(ctx, func(_ string, o Origin, age time.Duration) bool { return age > boundKeep(o.Keep) })
+	if err != nil {
+		t.opts.Logger.Debug("old origins not deleted yet", "err", err)
 	}
 }
 
+// boundKeep returns the time for which a record with the given one is kept.
+func boundKeep(keep time.Duration) time.Duration { return min(max(keep, KeepMargin), maxKeep) }
+
 // Record records where the stream of a client's attempt began, in the background. The account is empty for clients without one.
 func (t *Table) Record(account, attempt string, o Origin) {
-	o.Keep = min(max(o.Keep, MinKeep), MaxKeep)
+	o.Keep = boundKeep(o.Keep)
 	key := keyOf(account, attempt)
 	t.mu.Lock()
 	t.unread[key] = unwritten{o, time.Now()}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -67,6 +68,23 @@
 	return changelog.Page{Records: append([]changelog.Record{}, l.records...), End: int64(len(l.records))}, nil
 }
 
+// held returns the number of keys with a value.
+func (l *memoryLog) held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := map[string]bool{}
+	for _, r := range l.records {
+		newest[r.Key] = r.Value != nil
+	}
+	n := 0
+	for _, has := range newest {
+		if has {
+			n++
+		}
+	}
+	return n
+}
+
 // startTable runs a Table with a rank until the test ends.
 func startTable(t *testing.T, log changelog.Log, rank int) *Table {
 	table := New(Options{
@@ -128,6 +146,12 @@
 		log := &memoryLog{}
 		first, second := startTable(t, log, 0), startTable(t, log, 1)
 		second.Record("", "short", Origin{Service: "s", Software: "v1"})
+		for n := range 2000 { // more than one append takes
+			second.Record("", fmt.Sprint("many-", n), Origin{Service: "s", Software: "v1"})
+			if n%100 == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
 		second.Record("", "long", Origin{Service: "s", Software: "v1", Keep: 10 * time.Minute})
 		held := func() (n int) {
 			for _, attempt := range []string{"short", "long"} {
@@ -137,10 +161,11 @@
 			}
 			return n
 		}
-		time.Sleep(MinKeep - time.Second)
+		time.Sleep(KeepMargin - time.Second)
 		is.Equal(held(), 2)
 		time.Sleep(10 * time.Second)
 		is.Equal(held(), 1)
+		is.Equal(log.held(), 1)
 		time.Sleep(10 * time.Minute)
 		is.Equal(held(), 0)
 		_, found, err := second.Find(t.Context(), "", "long")
