backends, digest: tests of the software version of a process

An entry with another version than the one known of a process makes another back end, one without a version (from an instance of an earlier release) does not; instances that have their entries from others get the version. go test ./backends ./digest passes.

--- a/backends/order_test.go
+++ b/backends/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -65,3 +66,23 @@
 		}
 	})
 }
+
+// Guards against the software version of a process that is taken for that of the one before it under the same id.
+func TestOtherSoftwareIsAnotherProcess(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	put := func(software string, seq int64) *Backend {
+		d.Put(Entry{ID: "a", Service: "s", Slots: 1, StartedUnixMs: 1, Seq: seq, Software: software})
+		b, _ := d.Backend("a")
+		return b
+	}
+	first := put("", 1)
+	known := put("v1", 2)
+	is.True(known != first) // nothing is known of the version under which the first one's streams began
+	is.True(put("v1", 3) == known)
+	is.True(put("", 4) == known) // from an instance of an earlier release
+	next := put("v2", 5)
+	is.True(next != known)
+	is.Equal(known.Software, "v1")
+	is.Equal(next.Software, "v2")
+}
--- a/digest/older_test.go
+++ b/digest/older_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/cicadasill/cicadasill/backends"
@@ -38,3 +39,27 @@
 	is.True(errors.As(err, &older))
 	is.Equal(candidates(), before)
 }
+
+// Guards against a stream that is taken up at another software version by an instance that has its entries from others, and against a
+// known version that is lost, with the process's observations, to an entry from a reader of an earlier release.
+func TestSoftwareIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	r, directory := reader(1), backends.New()
+	follower := NewFollower(directory, func() {})
+	e := numbered("a", 1)
+	e.Software = "v1"
+	r.Put(e)
+	ask(t, follower, r, "r")
+	first, ok := directory.Backend("a")
+	is.True(ok)
+	is.Equal(first.Software, "v1")
+
+	_, err := follower.Request("older")
+	is.NoErr(err)
+	payload, err := cbor.Marshal(&answer{Epoch: 2, Number: 1, Entries: []backends.Entry{numbered("a", 2)}})
+	is.NoErr(err)
+	_, err = follower.Apply(payload)
+	is.NoErr(err)
+	kept, _ := directory.Backend("a")
+	is.True(kept == first)
+}
