--- a/forward/choose.go
+++ b/forward/choose.go
@@ -15,9 +15,9 @@
 	return f.chooseOf(service, "", tried, spareRateLimited)
 }
 
-// chooseOf returns the best back end of a service that has not been tried and runs the given version of the software, "" for any, or nil: one with few
-// requests of this instance in flight, preferably in the own data centre. A back end to be avoided is
-// chosen only if there is no other, one whose rate limit allows no request now not at all.
+// chooseOf returns the best back end of a service that has not been tried and runs the given version of the software, "" for any, or
+// nil: one with few requests of this instance in flight, preferably in the own data centre. A back end to be avoided is chosen only if
+// there is no other, one whose rate limit allows no request now not at all.
 func (f *Forwarder) chooseOf(service, software string, tried map[*backends.Backend]bool, spareRateLimited bool) *backends.Backend {
 	var best *backends.Candidate
 	list := f.opts.Backends.Candidates(service, "")
