--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,13 +21,20 @@
 
 // fakeOrigins holds the origins of streams by attempt.
 type fakeOrigins struct {
+	mu    sync.Mutex // guards known
 	known map[string]origin.Origin
 	err   error
 }
 
-func (o *fakeOrigins) Record(_, attempt string, began origin.Origin) { o.known[attempt] = began }
+func (o *fakeOrigins) Record(_, attempt string, began origin.Origin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.known[attempt] = began
+}
 
 func (o *fakeOrigins) Find(_ context.Context, _, attempt string) (origin.Origin, bool, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	began, ok := o.known[attempt]
 	return began, ok, o.err
 }
@@ -143,7 +151,8 @@
 				}
 				is.NoErr(f.Stream(t.Context(), f.route, &Request{ID: "first"}, httptest.NewRecorder()))
 				time.Sleep(2 * runDoubt)
-				is.Equal(f.origins.known["first"].Software, "")
+				began, _, _ := f.origins.Find(t.Context(), "", "first")
+				is.Equal(began.Software, "")
 				b, err := f.takeUp(t, "again", "first")
 				is.True(err != nil)
 				is.Equal(b, "")
--- a/job/writer.go
+++ b/job/writer.go
@@ -12,7 +12,7 @@
 //
 // What two versions of an engine's software write does not fit together, and engines do not check it. A text that was broken off goes on
 // at an engine of its service and software. If there is none, or none gets free within the time that it takes to generate the lost part
-// again, the text starts over.
+// again, the text starts over at the first engine of any writer.
 
 // minWriterWait is the least time that a text waits for an engine of its software: one dispatch after a change, and one of another item.
 const minWriterWait = 2 * dispatchInterval
@@ -29,7 +29,8 @@
 	return slices.ContainsFunc(p.dir.Candidates(w.service, req.model), func(c backends.Candidate) bool { return req.accepts(&c) })
 }
 
-// acquireWriter is acquireEngine for an item that has generated out. It chooses an engine that can go on with it, or discards it.
+// acquireWriter is acquireEngine for an item that has generated out. It prefers an engine that can go on with it. It discards the output
+// only when it has another one: those of the output's writer may be avoided for a moment, like all others.
 func (d *Driver) acquireWriter(ctx context.Context, req *engineRequest, first *backends.Backend, out *partialOutput) (*backends.Backend, error) {
 	if out.lastEvent == 0 {
 		return d.acquireEngine(ctx, req, first)
@@ -48,10 +49,13 @@
 			return b, err
 		}
 	}
-	d.metrics.restarts.Inc()
-	d.log.Info("text starts over", "service", req.service, "software", out.writer.software, "events", out.lastEvent)
-	out.reset()
-	return d.acquireEngine(ctx, req, nil)
+	b, err := d.acquireEngine(ctx, req, nil)
+	if err == nil && writerOf(b) != out.writer {
+		d.metrics.restarts.Inc()
+		d.log.Info("text starts over", "service", req.service, "software", out.writer.software, "events", out.lastEvent, "backend", b.ID)
+		out.reset()
+	}
+	return b, err
 }
 
 // regenerationTime returns about how long an engine takes to generate an output again.
--- a/job/writer_test.go
+++ b/job/writer_test.go
@@ -48,6 +48,7 @@
 	for name, tc := range map[string]struct {
 		engines map[string]string
 		stored  Checkpoint
+		failed  string        // an engine that has just failed, so that it is avoided
 		busy    string        // an engine without a free slot
 		free    time.Duration // until it has one; 0 for never
 		want    string        // the run: engine and first event
@@ -56,6 +57,7 @@
 		"its version has left":      {engines: map[string]string{"e1": "v1"}, stored: storedText(20, "llm", "v2"), want: "e1:1"},
 		"its version is full":       {engines: map[string]string{"e1": "v1", "e2": "v2"}, stored: storedText(20, "llm", "v2"), busy: "e2", want: "e1:1"},
 		"its version is free soon":  {engines: map[string]string{"e1": "v1", "e2": "v2"}, stored: storedText(20, "llm", "v2"), busy: "e2", free: regenerated / 2, want: "e2:21"},
+		"its only engine failed":    {engines: map[string]string{"e2": "v2"}, stored: storedText(20, "llm", "v2"), failed: "e2", want: "e2:21"},
 		"of another service":        {engines: map[string]string{"e1": "v1"}, stored: storedText(20, "other", "v1"), want: "e1:1"},
 		"of an earlier release":     {engines: map[string]string{"e1": "v1"}, stored: storedText(20, "", ""), want: "e1:1"},
 		"versions are not known":    {engines: map[string]string{"e1": ""}, stored: storedText(20, "llm", ""), want: "e1:21"},
@@ -66,6 +68,10 @@
 				is := is.New(t)
 				f := newWriterFixture(tc.engines)
 				f.job.checkpoints = map[string]Checkpoint{"i": tc.stored}
+				if tc.failed != "" {
+					f.engineOf(tc.failed).RecordFailure()
+					time.AfterFunc(regenerated+regenerated/2, f.driver.placer.dispatch) // the engine is no longer avoided
+				}
 				if tc.busy != "" {
 					f.engineOf(tc.busy).Begin()
 				}
