soak: the store of the streams' soak sends pages of 500 keys, as the platform's does

All refusals were 'context deadline exceeded', up to 8 s after all instances had started: the stand-in's pages hold three keys, so that loading the streams of half a minute, some 1,500, took 500 calls one after the other. The platform's pages have 500 keys or 1 MB. The check and its bound are as they were.

--- a/soak/streams.go
+++ b/soak/streams.go
@@ -26,6 +26,8 @@
 )
 
 const (
+	// storePageSize is the number of keys in a page of the platform's store. A starting instance loads the streams of half a minute.
+	storePageSize = 500
 	// writers is the number of back ends that serve at the same time.
 	writers = 6
 	// streamEvents is the number of events of a stream, streamEventInterval the time between two of them.
@@ -73,6 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.store.SetPageSize(storePageSize)
 	r := &streamRun{f: f, obs: newObservations(), seed: opts.Seed, stop: make(chan struct{})}
 	defer r.closeEngines()
 	for range writers {
