--- a/review/_standin-3/fleet.go
+++ b/review/_standin-3/fleet.go
@@ -13,14 +13,15 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// Bounds of the deployment, those of altyn-fry.
+// Bounds of the deployment, those of shuckhall.
 var bounds = map[string]string{
 	"bounds.config_ms": "2500", "bounds.grace_s": "8", "bounds.status_s": "120", "bounds.lease_ms": "3000", "bounds.fencing_enforced": "true",
-	"limits.memory_mb": "324", "limits.max_fds": "8200", "limits.cpu_share": "0.8", "limits.cores": "1",
+	"limits.memory_mb": "154", "limits.max_fds": "8200", "limits.cpu_share": "0.8", "limits.cores": "1",
 	"platform.parts": "8", "platform.writes_per_s": "800", "platform.reads_per_s": "2000",
 }
 
@@ -41,6 +42,7 @@
 	store     *store
 	samplers  []*sampler
 	instances []*process
+	ended     atomic.Bool // the case ends its processes
 
 	mu     sync.Mutex
 	visits []*visit
@@ -116,6 +118,7 @@
 	settings                                   string
 	command                                    *exec.Cmd
 	exited                                     chan struct{}
+	lost                                       bool
 }
 
 // freeAddr returns a loopback address whose port is free.
@@ -224,6 +227,7 @@
 
 // end ends all processes and writes what they wrote beside the record if KEEP_LOGS is set.
 func (f *fleet) end() {
+	f.ended.Store(true)
 	for _, p := range f.instances {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
--- a/review/_standin-3/moved.go
+++ b/review/_standin-3/moved.go
@@ -17,20 +17,20 @@
 		// deadline is how long the trainer waits for a step, idle the time at no sampler that breaks the rule.
 		deadline, idle = 12 * time.Second, 5 * time.Second
 	)
-	zones := []string{"alm-north", "shym-east", "alm-south"}
+	zones := []string{"brisbane-a", "townsville-a", "brisbane-b"}
 	services := []map[string]any{engineService("old-lm", model, 4), engineService("new-lm", model, 4)}
 	f.configure(1, services, rolloutRoute("rolls", host, prefix, "old-lm"))
 	var retired []*sampler
 	for n := range 3 {
 		retired = append(retired, f.addSampler(&sampler{id: fmt.Sprintf("i-old%d", n), service: "old-lm", zone: zones[n], model: model, slots: 4, queue: 12, gap: gap}))
 	}
-	for n := range 20 {
+	for n := range 21 {
 		f.addSampler(&sampler{id: fmt.Sprintf("i-new%02d", n), service: "new-lm", zone: zones[n%3], model: model, slots: 4, queue: 12, gap: gap})
 	}
 	for n, zone := range zones {
-		region := "almaty"
+		region := "brisbane"
 		if n == 1 {
-			region = "shymkent"
+			region = "townsville"
 		}
 		f.addInstance("edge-"+zone, zone, region)
 	}
--- a/review/_standin-3/sampler.go
+++ b/review/_standin-3/sampler.go
@@ -257,7 +257,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(map[string]any{
 		"stage": "hybrid", "models": s.models(), "busy": false, "seq": s.accepted, "waiting": s.waiting, "running": len(s.places),
-		"kv_used": 0, "kv_total": 34744, "handles": 0,
+		"kv_used": 0, "kv_total": 51838, "handles": 0,
 	})
 }
 
