--- a/review/_standin-3/store.go
+++ b/review/_standin-3/store.go
@@ -11,11 +11,17 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// appendTime is how long a partition takes for an append (append_ms on the sheets).
-const appendTime = 4 * time.Millisecond
+const (
+	// appendTime is how long a partition takes for an append (append_ms on the sheets).
+	appendTime = 4 * time.Millisecond
+	// recordBytes and callBytes are the largest record, and the largest total of a call's records (record_bytes, call_bytes).
+	recordBytes = 262144
+	callBytes   = 2097152
+)
 
 // storeMode is what a door of the store does with calls.
 type storeMode int
@@ -100,6 +106,7 @@
 	addr     string
 	listener net.Listener
 	server   *http.Server
+	tooLarge atomic.Int64 // calls with a record, or records, over the limits
 
 	mu     sync.Mutex
 	mode   storeMode
@@ -170,8 +177,10 @@
 		return
 	}
 	var records []storeRecord
+	tooLarge := len(body) > callBytes
 	for len(body) > 0 {
 		size := int(binary.BigEndian.Uint32(body))
+		tooLarge = tooLarge || size > recordBytes
 		data := body[4 : 4+size]
 		body = body[4+size:]
 		keyEnd := 1 + int(data[0])
@@ -181,6 +190,11 @@
 		}
 		records = append(records, r)
 	}
+	if tooLarge {
+		d.tooLarge.Add(1)
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
 	expected := -1
 	if asOf != "" {
 		expected, _ = strconv.Atoi(asOf)
