--- a/review/_standin-3/memory.go
+++ b/review/_standin-3/memory.go
@@ -27,7 +27,7 @@
 		host, prefix, model = "lots.example", "/rolls/", "fry"
 		machines, left      = 9, 2
 		jobs, items, events = 9, 108, 600
-		// itemBytes is the size of an item's body. A job has 27.5 MB then, of the 33.5 MB that the configuration allows.
+		// itemBytes is the size of an item's body. A job has 28.0 MB then, of the 33.5 MB that the configuration allows.
 		itemBytes = 190 << 10
 	)
 	zones := []string{"brisbane-a", "townsville-a", "brisbane-b"}
