--- a/review/_standin-3/sampler.go
+++ b/review/_standin-3/sampler.go
@@ -75,6 +75,13 @@
 		return
 	}
 	s.seq++
+	entry := s.entry()
+	s.mu.Unlock()
+	s.fleet.store.put("keyed.servers", s.id, entry)
+}
+
+// entry returns the sampler's entry. The caller holds mu.
+func (s *sampler) entry() map[string]any {
 	entry := map[string]any{
 		"service": s.service, "addr": s.listener.Addr().String(), "zone": s.zone, "version": "1.0.0", "slots": s.slots, "state": s.state,
 		"cold_left_ms": 0, "seq": s.seq, "born": s.born,
@@ -82,8 +89,7 @@
 	if s.model != "" {
 		entry["stage"], entry["models"] = "hybrid", s.models()
 	}
-	s.mu.Unlock()
-	s.fleet.store.put("keyed.servers", s.id, entry)
+	return entry
 }
 
 // models returns the sampler's models as reports and entries state them. The caller holds mu.
