--- a/review/_standin-3/fleet.go
+++ b/review/_standin-3/fleet.go
@@ -44,6 +44,7 @@
 	samplers  []*sampler
 	instances []*process
 	ended     atomic.Bool // the case ends its processes
+	starting  sync.Mutex  // held while a process is started, and while the case ends them
 
 	mu     sync.Mutex
 	visits []*visit
@@ -178,22 +179,33 @@
 	return p
 }
 
-// launch starts the process.
+// launch starts the process, unless the case ends.
 func (p *process) launch() {
+	if err := p.start(); err != nil {
+		cannotRun("start: %v", err)
+	}
+}
+
+func (p *process) start() error {
 	line := p.fleet.deployLine()
-	p.command = exec.Command(filepath.Join(p.fleet.root, line[0]), line[1:]...)
-	p.command.Dir = p.fleet.root
-	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CICADASILL_CONFIG=" + p.settings}
+	p.fleet.starting.Lock()
+	defer p.fleet.starting.Unlock()
+	if p.fleet.ended.Load() {
+		return nil
+	}
+	command := exec.Command(filepath.Join(p.fleet.root, line[0]), line[1:]...)
+	command.Dir = p.fleet.root
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CICADASILL_CONFIG=" + p.settings}
 	out, err := os.OpenFile(filepath.Join(p.fleet.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		cannotRun("log: %v", err)
+		return err
 	}
-	p.command.Stdout, p.command.Stderr = out, out
-	if err := p.command.Start(); err != nil {
-		cannotRun("start: %v", err)
+	command.Stdout, command.Stderr = out, out
+	if err := command.Start(); err != nil {
+		return err
 	}
-	exited, command := make(chan struct{}), p.command
-	p.exited = exited
+	exited := make(chan struct{})
+	p.command, p.exited = command, exited
 	go func() {
 		err := command.Wait()
 		out.Close()
@@ -201,6 +213,7 @@
 		close(exited)
 	}()
 	p.fleet.log("process %s started", p.name)
+	return nil
 }
 
 func (p *process) signal(s syscall.Signal) {
@@ -234,8 +247,15 @@
 
 // end ends all processes and writes what they wrote beside the record if KEEP_LOGS is set.
 func (f *fleet) end() {
-	f.ended.Store(true)
+	f.starting.Lock()
+	defer f.starting.Unlock()
+	if f.ended.Swap(true) {
+		return
+	}
 	for _, p := range f.instances {
+		if p.command == nil { // it could not be started
+			continue
+		}
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
 		<-p.exited
--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -49,6 +49,11 @@
 			cannotRun("not done after %v", caseTime)
 		}
 	}()
+	defer func() {
+		if err := recover(); err != nil {
+			cannotRun("%v", err)
+		}
+	}()
 	broken := cases[os.Args[1]](current, os.Getenv("TROUBLE") != "0")
 	verdict := "the rule held"
 	if broken {
