job: waits of items end when the configuration or their age changes what they wait for

Cause: a queued request for an engine kept the service that the configuration named when the wait began. A new configuration, the removal of the route and the age at which the item may be given up were looked at before the wait, never in it. Reward calls that wait for their turn had the same fault.

Change: job.waits holds the open waits with the placements that they rest on and ends them when the configuration places the item otherwise or its age is reached; the item then asks for its route again.

TestItemsLookForTheirRouteLessAndLessOften only follows the new result of waitForRoute.

--- a/job/age.go
+++ b/job/age.go
@@ -1,6 +1,10 @@
 package job
 
-import "time"
+import (
+	"time"
+
+	"github.com/cicadasill/cicadasill/routes"
+)
 
 // Age of a job.
 //
@@ -35,6 +39,14 @@
 // isOlderThan reports whether the job is certainly older than d at the given time.
 func (s *Summary) isOlderThan(d time.Duration, now time.Time) bool { return now.Sub(s.read.at) > d }
 
+// giveUpAt returns the time after which the route's items of the job may be given up, or zero if they never may.
+func (s *Summary) giveUpAt(route *routes.Route) time.Time {
+	if route.GiveUpAfter <= 0 {
+		return time.Time{}
+	}
+	return s.read.at.Add(route.GiveUpAfter)
+}
+
 // processStart is the origin of queue times.
 var processStart = time.Now()
 
--- a/job/driver.go
+++ b/job/driver.go
@@ -73,6 +73,7 @@
 	opts      DriverOptions
 	log       *log.Logger
 	placer    *placer
+	waits     *waits
 	rewards   *reward.Gate
 	durations durationEstimator
 	metrics   *driverMetrics
@@ -147,7 +148,7 @@
 // NewDriver returns a driver without jobs.
 func NewDriver(opts DriverOptions) *Driver {
 	d := &Driver{
-		opts: opts, log: opts.Logger, placer: newPlacer(opts.Backends, opts.DataCentre, opts.SlotShare),
+		opts: opts, log: opts.Logger, placer: newPlacer(opts.Backends, opts.DataCentre, opts.SlotShare), waits: newWaits(),
 		running: map[ID]context.CancelFunc{}, active: map[ID]*activeJob{}, orphanedSince: map[ID]time.Time{}, takeovers: map[ID]bool{},
 	}
 	d.indexState = func() (time.Duration, error) {
@@ -160,6 +161,9 @@
 	d.rewards = reward.NewGate(d.rewardLimit)
 	d.metrics = newDriverMetrics(opts.Registerer, d.rewards)
 	d.placer.register(opts.Registerer)
+	if opts.Registerer != nil {
+		opts.Registerer.MustRegister(d.waits.ended)
+	}
 	return d
 }
 
@@ -180,6 +184,7 @@
 // Run drives jobs until ctx ends, then waits until all jobs have stopped.
 func (d *Driver) Run(ctx context.Context) {
 	d.tasks.Go(func() { d.placer.run(ctx) })
+	d.tasks.Go(func() { d.runWaits(ctx) })
 	for {
 		changed := d.opts.Registry.indexReplica.Changed()
 		d.scan(ctx)
--- a/job/route_test.go
+++ b/job/route_test.go
@@ -64,7 +64,7 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), wait)
 		defer cancel()
-		_, _, found := f.driver.waitForRoute(ctx, f.job, &f.job.items[0])
+		_, found := f.driver.waitForRoute(ctx, f.job, &f.job.items[0])
 		is.True(!found)
 		t.Logf("%d lookups", lookups.Load())
 		is.True(lookups.Load() <= 2*int64(wait/maxConfigPollInterval))
--- a/job/run.go
+++ b/job/run.go
@@ -196,10 +196,11 @@
 		}
 	}()
 	for attemptNumber := 1; ; attemptNumber++ {
-		route, service, ok := d.waitForRoute(ctx, job, item)
+		place, ok := d.waitForRoute(ctx, job, item)
 		if !ok {
 			return Errored, ctx.Err() == nil
 		}
+		route, service := place.route, place.service
 		if route.GiveUpAfter > 0 && job.isOlderThan(route.GiveUpAfter, time.Now()) {
 			d.log.Info("item given up", "job", job.ID, "item", item.ID, "reason", "too old", "age", time.Since(job.AcceptedAt()),
 				"known_for", time.Since(job.read.at), "attempts", attemptNumber-1)
@@ -220,13 +221,15 @@
 			b.End()
 			b = nil
 		}
-		b, err := d.acquireWriter(ctx, req, b, out)
-		if err != nil {
+		b, err := d.awaitEngine(ctx, job, place, req, b, out)
+		if ctx.Err() != nil {
+			if err == nil {
+				b.End()
+			}
 			return 0, false
 		}
-		if !d.awaitFreshIndex(ctx) {
-			b.End()
-			return 0, false
+		if err != nil { // the configuration or the item's age has ended the wait
+			continue
 		}
 		if b.Unavailable() { // since it was chosen
 			b.End()
@@ -295,6 +298,22 @@
 	}
 }
 
+// awaitEngine is acquireWriter for an item that may be sent at once: the index is fresh. It also fails once the configuration places the
+// item otherwise, or the item may be given up.
+func (d *Driver) awaitEngine(ctx context.Context, job *activeJob, place placement, req *engineRequest, first *backends.Backend, out *partialOutput) (*backends.Backend, error) {
+	ctx, done := d.waits.begin(ctx, job.giveUpAt(place.route), place)
+	defer done()
+	b, err := d.acquireWriter(ctx, req, first, out)
+	if err != nil {
+		return nil, err
+	}
+	if !d.awaitFreshIndex(ctx) {
+		b.End()
+		return nil, ctx.Err()
+	}
+	return b, nil
+}
+
 // acquireEngine returns an engine that has a free slot for the request and whose rate limit allows a request: first, unless
 // that is nil, or else the one that the placer chooses. It fails only if ctx ends. The caller must call End on the engine.
 func (d *Driver) acquireEngine(ctx context.Context, req *engineRequest, first *backends.Backend) (*backends.Backend, error) {
@@ -325,22 +344,22 @@
 	return err != nil && !errors.As(err, &notRun) && !errors.As(err, &failed)
 }
 
-// waitForRoute returns the route and the service of an item in the newest configuration. It waits while
+// waitForRoute returns where an item runs by the newest configuration. It waits while
 // this instance has no configuration, or has no route for the item in one that is older than the job's. It returns
 // false if a newer one has no route for the item or ctx ends.
-func (d *Driver) waitForRoute(ctx context.Context, job *activeJob, item *Item) (*routes.Route, string, bool) {
+func (d *Driver) waitForRoute(ctx context.Context, job *activeJob, item *Item) (placement, bool) {
 	for interval := configPollInterval; ; interval = min(2*interval, maxConfigPollInterval) {
 		if config := d.opts.Config(); config != nil {
 			if route, ok := config.Match(job.Host, item.Path); ok {
-				return route, route.ServiceFor(item.ID), true
+				return placement{config: config, host: job.Host, path: item.Path, id: item.ID, route: route, service: route.ServiceFor(item.ID)}, true
 			}
 			if config.Version >= job.ConfigVersion {
 				d.log.Info("item given up", "job", job.ID, "item", item.ID, "reason", "no route", "config", config.Version)
-				return nil, "", false
+				return placement{}, false
 			}
 		}
 		if !timing.Sleep(ctx, interval) {
-			return nil, "", false
+			return placement{}, false
 		}
 	}
 }
@@ -361,7 +380,7 @@
 	}
 	a.silenceTimer = timer
 	if route.GiveUpAfter > 0 {
-		limit := time.AfterFunc(time.Until(job.read.at.Add(route.GiveUpAfter)), func() { cancel(errTooOld) })
+		limit := time.AfterFunc(time.Until(job.giveUpAt(route)), func() { cancel(errTooOld) })
 		defer limit.Stop()
 	}
 	if a.mover != nil {
--- a/job/score.go
+++ b/job/score.go
@@ -77,21 +77,18 @@
 	completeAt := time.Now()
 	calls, failedRuns := 0, 0
 	for {
-		itemRoute, rewardRoute, ok := d.rewardRoutes(ctx, job, item)
+		place, rewardPlace, ok := d.rewardPlacements(ctx, job, item)
 		if !ok {
 			return "", ctx.Err() == nil
 		}
-		policy := reward.Policy{MinDelay: minRewardDelay, MaxDelay: maxRewardDelay}
-		if itemRoute.GiveUpAfter > 0 {
-			policy.GiveUp = job.read.at.Add(itemRoute.GiveUpAfter)
-		}
+		policy := reward.Policy{MinDelay: minRewardDelay, MaxDelay: maxRewardDelay, GiveUp: job.giveUpAt(place.route)}
 		err := error(errNoRewardRoute)
 		calls++
-		if rewardRoute != nil {
-			policy.Failures = max(1, itemRoute.Attempts, rewardRoute.Attempts)
+		if rewardRoute := rewardPlace.route; rewardRoute != nil {
+			policy.Failures = max(1, place.route.Attempts, rewardRoute.Attempts)
 			rewardRoute.Attempts = min(max(1, rewardRoute.Attempts), policy.Failures-failedRuns)
 			var response *forward.Response
-			if response, err = d.callReward(ctx, job, item, itemRoute, rewardRoute, policy.GiveUp, failedRuns > 0); err == nil {
+			if response, err = d.callReward(ctx, job, item, place, rewardPlace, failedRuns > 0); err == nil {
 				if response.Status/100 == 2 {
 					return response.Signature, true
 				}
@@ -117,30 +114,39 @@
 // errNoRewardRoute reports that the configuration in force has no route for a reward call.
 var errNoRewardRoute = errors.New("no route for the reward call")
 
-// rewardRoutes returns the routes of an item and of its reward call, which is nil if the configuration has
-// none. It returns false if ctx ends or the configuration has no route for the item any more.
-func (d *Driver) rewardRoutes(ctx context.Context, job *activeJob, item *Item) (itemRoute, rewardRoute *routes.Route, ok bool) {
-	if itemRoute, _, ok = d.waitForRoute(ctx, job, item); !ok {
-		return nil, nil, false
+// rewardPlacements returns where an item and its reward call run. The latter has no route if the configuration has none for it. It
+// returns false if ctx ends or the configuration has no route for the item any more.
+func (d *Driver) rewardPlacements(ctx context.Context, job *activeJob, item *Item) (place, rewardPlace placement, ok bool) {
+	if place, ok = d.waitForRoute(ctx, job, item); !ok {
+		return placement{}, placement{}, false
 	}
-	route, found := d.opts.Config().Match(item.Reward.Host, item.Reward.Path)
+	call := item.Reward
+	route, found := place.config.Match(call.Host, call.Path)
 	if !found {
-		return itemRoute, nil, true
+		return place, placement{}, true
 	}
 	repeatable := *route
 	repeatable.Kind = routes.Idempotent // reward calls may be repeated, whatever the route's other requests are
-	return itemRoute, &repeatable, true
+	return place, placement{
+		config: place.config, host: call.Host, path: call.Path, id: call.ID, route: &repeatable, service: route.ServiceFor(call.ID),
+	}, true
 }
 
-// callReward waits for its turn and makes one reward call. repeated states that a back end has failed the call before.
-func (d *Driver) callReward(ctx context.Context, job *activeJob, item *Item, itemRoute, route *routes.Route, giveUp time.Time, repeated bool) (*forward.Response, error) {
-	call := item.Reward
-	service := route.ServiceFor(call.ID)
-	start := time.Now()
-	err := d.rewards.Acquire(ctx, service, func() reward.Waiting {
+// awaitRewardTurn waits until the reward call of an item may be sent. It also fails once the configuration places the item or its call
+// otherwise, or the item may be given up.
+func (d *Driver) awaitRewardTurn(ctx context.Context, job *activeJob, item *Item, place, rewardPlace placement) error {
+	ctx, done := d.waits.begin(ctx, job.giveUpAt(place.route), place, rewardPlace)
+	defer done()
+	return d.rewards.Acquire(ctx, rewardPlace.service, func() reward.Waiting {
 		return reward.Waiting{StepStart: job.AcceptedAt(), GroupPending: job.pending.count(item.Group)}
 	})
-	if err != nil {
+}
+
+// callReward waits for its turn and makes one reward call. repeated states that a back end has failed the call before.
+func (d *Driver) callReward(ctx context.Context, job *activeJob, item *Item, place, rewardPlace placement, repeated bool) (*forward.Response, error) {
+	call, route, service := item.Reward, rewardPlace.route, rewardPlace.service
+	start := time.Now()
+	if err := d.awaitRewardTurn(ctx, job, item, place, rewardPlace); err != nil {
 		return nil, err
 	}
 	if !d.awaitFreshIndex(ctx) {
@@ -156,7 +162,7 @@
 	d.metrics.rewardWait.Observe(sent.Sub(start).Seconds())
 	response, err := d.opts.Requests.Forward(ctx, route, &forward.Request{
 		ID: call.ID, Method: http.MethodPost, Target: call.Path, Host: call.Host, Body: whole.Reward.Body, Owed: true, Repeated: repeated, Permit: d.permit(ctx),
-		Deadline: reward.Deadline(sent, job.AcceptedAt().Add(itemRoute.RunObjective), giveUp, route.Objective, route.Timeout),
+		Deadline: reward.Deadline(sent, job.AcceptedAt().Add(place.route.RunObjective), job.giveUpAt(place.route), route.Objective, route.Timeout),
 	})
 	d.rewards.Release(service, err != nil && ctx.Err() == nil && !forward.IsHeldBack(err))
 	d.metrics.rewardCall.Observe(time.Since(sent).Seconds())
