changelog, job: records and calls keep the limits of the store, and a rejected append ends

Cause: a record of results was bounded by its outputs, which errored results do not have, and an append that the store can never accept was repeated like one that met a busy store. It held the partition: no other result, checkpoint or deletion was written.

Change: changelog.Limits is the one bound of records, keys and calls. The client of the store checks every append against it and takes 400 and 413 for a rejection, which ends commits and retries, fails one record alone where records are independent, and is logged and counted. Records of results, items, checkpoints and deletions are built by their encoded size. Jobs whose id or summary the store cannot hold get 413 at once.

Tests that call itemRecords, resultRecords or build an itemAttempt pass the limits that these now take.

--- a/changelog/map.go
+++ b/changelog/map.go
@@ -163,6 +163,10 @@
 		if err == nil {
 			return
 		}
+		if isRejected(err) {
+			m.opts.Logger.Error("value not written", "topic", m.opts.Topic, "count", len(records), "err", err)
+			return
+		}
 		if attempt == 1 {
 			m.opts.Logger.Warn("values not written yet", "topic", m.opts.Topic, "count", len(records), "err", err)
 		}
@@ -206,6 +210,10 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
+		if isRejected(err) {
+			m.opts.Logger.Error("update not written", "topic", m.opts.Topic, "key", u.key, "err", err)
+			return
+		}
 		if attempt == 1 {
 			m.opts.Logger.Warn("update not written yet", "topic", m.opts.Topic, "key", u.key, "err", err)
 		}
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -298,7 +298,7 @@
 // build read the state. It calls build again after each failed attempt, so build must derive its records from
 // the state alone and return none if nothing is left to do. Commit returns the offset after its records, or 0
 // if build returned none; no earlier attempt can take effect then. After an error other than *NotDoneError the records
-// may still be appended later.
+// may still be appended later. It does not retry after *RejectedError.
 func (r *Replica) Commit(ctx context.Context, build func() []Record) (int64, error) {
 	select {
 	case r.commitTurn <- struct{}{}:
@@ -318,6 +318,8 @@
 		)
 		delay := retryDelay
 		switch {
+		case isRejected(err):
+			return 0, commitError(r.partition, outcomeUnknown, err)
 		case errors.As(err, &conflict):
 			delay = conflictRetryDelay
 		case !errors.As(err, &notDone):
@@ -330,10 +332,7 @@
 			failedAt = at
 		}
 		if !timing.Sleep(ctx, delay) {
-			if outcomeUnknown {
-				return 0, &UnknownError{Call: "commit to " + r.partition.String(), Err: err}
-			}
-			return 0, &NotDoneError{Call: "commit to " + r.partition.String(), Err: err}
+			return 0, commitError(r.partition, outcomeUnknown, err)
 		}
 		if err := r.Sync(ctx); err != nil && ctx.Err() == nil {
 			timing.Sleep(ctx, retryDelay)
@@ -341,14 +340,37 @@
 	}
 }
 
+// commitError returns the error of a commit whose last attempt failed with err.
+func commitError(p Partition, outcomeUnknown bool, err error) error {
+	if outcomeUnknown {
+		return &UnknownError{Call: "commit to " + p.String(), Err: err}
+	}
+	return &NotDoneError{Call: "commit to " + p.String(), Err: err}
+}
+
+// isRejected reports whether an append failed for good.
+func isRejected(err error) bool {
+	var rejected *RejectedError
+	return errors.As(err, &rejected)
+}
+
 // AppendWithRetry appends records unconditionally, without reading the partition. It retries until ctx ends or
 // the outcome is unknown. The records may be appended late, so their meaning must not depend on when that
-// happens. After an error other than *NotDoneError they may still be appended.
+// happens. After an error other than *NotDoneError they may still be appended. If the store rejects them, AppendWithRetry appends
+// the records apart, and fails with the *RejectedError of one that it rejects by itself.
 func AppendWithRetry(ctx context.Context, log Log, p Partition, records []Record) error {
 	for {
 		_, err := log.Append(ctx, p, records, Unconditional)
+		if isRejected(err) && len(records) > 1 {
+			half := len(records) / 2
+			first, second := AppendWithRetry(ctx, log, p, records[:half]), AppendWithRetry(ctx, log, p, records[half:])
+			if first == nil || (isRejected(first) && second != nil) {
+				return second
+			}
+			return first
+		}
 		var notDone *NotDoneError
-		if err == nil || !errors.As(err, &notDone) {
+		if err == nil || isRejected(err) || !errors.As(err, &notDone) {
 			return err
 		}
 		if !timing.Sleep(ctx, retryDelay) {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -167,7 +167,7 @@
 	}
 	i.directStore = hosted.NewStore(hosted.StoreOptions{
 		Addr: s.Store.Addr, WritesPerS: storeFraction * s.Store.WritesPerS, ReadsPerS: storeFraction * s.Store.ReadsPerS,
-		Logger: logger, Registerer: i.registry,
+		Limits: s.Store.limits(), Logger: logger, Registerer: i.registry,
 	})
 	i.buildIntake()
 	i.node = link.NewNode(self, link.Options{
@@ -218,7 +218,7 @@
 	})
 	i.node.Handle(ratelimit.Method, limiter.Handle)
 	i.jobs = job.NewRegistry(job.RegistryOptions{
-		Self: i.self, Log: i.store, Partitions: s.Store.Partitions,
+		Self: i.self, Log: i.store, Limits: s.Store.limits(), Partitions: s.Store.Partitions,
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Drivers: i.presence.Drivers, Peers: i.presence,
 		MaxItemBytes: int64(itemFraction * s.Limits.MemoryMB * (1 << 20)),
 		IndexPause:   func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
--- a/instance/settings.go
+++ b/instance/settings.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/jsonc"
 	"github.com/cicadasill/cicadasill/telemetry"
 )
@@ -94,6 +95,14 @@
 	Partitions int     `json:"partitions" validate:"gte=1,lte=10000"`
 	WritesPerS float64 `json:"writes_per_s" validate:"gt=0"`
 	ReadsPerS  float64 `json:"reads_per_s" validate:"gt=0"`
+	// MaxRecordBytes and MaxCallBytes bound a record and the records of one call. changelog.DefaultLimits apply where they are missing.
+	MaxRecordBytes Number `json:"max_record_bytes"`
+	MaxCallBytes   Number `json:"max_call_bytes"`
+}
+
+// limits returns the limits of the store.
+func (s *StoreSettings) limits() changelog.Limits {
+	return changelog.Limits{RecordBytes: int(s.MaxRecordBytes.Value), CallBytes: int(s.MaxCallBytes.Value)}.OrDefault()
 }
 
 // JobSettings configure batch jobs.
--- a/job/delete.go
+++ b/job/delete.go
@@ -49,22 +49,10 @@
 
 // delete deletes all records of a job. The index record comes last, so that a failed deletion is retried.
 func (g *Registry) delete(ctx context.Context, s *Summary) error {
-	p := g.partitions[s.Partition]
-	_, err := p.Commit(ctx, func() []changelog.Record {
-		j := p.state.jobs[s.ID]
-		if j == nil {
-			return nil
-		}
-		deletions := j.itemDeletions(s.ID)
-		for _, key := range j.resultKeys {
-			deletions = append(deletions, changelog.Record{Key: key})
-		}
-		return deletions
-	})
-	if err != nil {
+	if err := g.deleteRecords(ctx, s, (*jobData).deletions); err != nil {
 		return err
 	}
-	_, err = g.indexReplica.Commit(ctx, func() []changelog.Record {
+	_, err := g.indexReplica.Commit(ctx, func() []changelog.Record {
 		if g.index.jobs[s.ID] == nil {
 			return nil
 		}
@@ -72,3 +60,21 @@
 	})
 	return err
 }
+
+// deleteRecords appends the deletions that list returns, in as many calls as they need. list returns those that are left.
+func (g *Registry) deleteRecords(ctx context.Context, s *Summary, list func(*jobData, ID) []changelog.Record) error {
+	p, limits := g.partitions[s.Partition], g.appendLimits()
+	for {
+		end, err := p.Commit(ctx, func() []changelog.Record {
+			j := p.state.jobs[s.ID]
+			if j == nil {
+				return nil
+			}
+			deletions := list(j, s.ID)
+			return deletions[:limits.Fitting(deletions)]
+		})
+		if err != nil || end == 0 {
+			return err
+		}
+	}
+}
--- a/job/endless_test.go
+++ b/job/endless_test.go
@@ -19,7 +19,7 @@
 	directory.Put(backends.Entry{ID: "b"})
 	b, _ := directory.Backend("b")
 	a := &itemAttempt{
-		output: &partialOutput{lastEvent: 2, checkpointedAt: time.Now()}, backend: b, silenceTimer: time.NewTimer(time.Hour),
+		output: &partialOutput{lastEvent: 2, checkpointedAt: time.Now()}, backend: b, silenceTimer: time.NewTimer(time.Hour), maxOutput: 100,
 	}
 	for id := range int64(3) { // events 1 and 2 are repeated before the stream resumes
 		is.NoErr(a.Event(Event{ID: id + 1}))
--- a/job/gap_test.go
+++ b/job/gap_test.go
@@ -107,7 +107,7 @@
 func (r *gapRun) list(t *testing.T, count int) {
 	t.Helper()
 	for range count {
-		records, err := resultRecords(r.job.ID, r.listed, []Result{{Item: fmt.Sprint("i", r.listed), State: Complete}})
+		records, _, err := resultRecords(r.job.ID, r.listed, []Result{{Item: fmt.Sprint("i", r.listed), State: Complete}}, changelog.DefaultLimits)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/job/gapcommit_test.go
+++ b/job/gapcommit_test.go
@@ -15,7 +15,7 @@
 	is := is.New(t)
 	g := testRegistry(logtest.New(1))
 	p := g.partitions[0]
-	after, err := resultRecords("job-1", 1, []Result{{Item: "b", State: Complete}})
+	after, _, err := resultRecords("job-1", 1, []Result{{Item: "b", State: Complete}}, changelog.DefaultLimits)
 	is.NoErr(err)
 	p.View(func() { p.state.Apply(after[0]) }) // position 0 is missing
 	var records []changelog.Record
--- a/job/index.go
+++ b/job/index.go
@@ -73,12 +73,14 @@
 
 // jobData is the content of a data partition for one job.
 type jobData struct {
-	chunks      map[string][]storedItem // by record key
-	results     []Result
-	positions   map[string]int        // positions of the results, by item
-	early       map[int]earlyResults  // results that follow a gap, by position
-	resultKeys  []string              // keys of the result records, for deletion
-	checkpoints map[string]Checkpoint // by item
+	chunks     map[string][]storedItem // by record key
+	results    []Result
+	positions  map[string]int       // positions of the results, by item
+	early      map[int]earlyResults // results that follow a gap, by position
+	resultKeys []string             // keys of the result records, for deletion
+	// resultPositions holds the position of the first result of each of these records.
+	resultPositions []int
+	checkpoints     map[string]Checkpoint // by item
 }
 
 // partitionState is the replicated state of a data partition.
@@ -160,7 +162,7 @@
 	j.early[value.Position] = earlyResults{record: changelog.Record{Key: r.Key, Offset: r.Offset}, value: value}
 	for next, ok := j.early[len(j.results)]; ok; next, ok = j.early[len(j.results)] {
 		delete(j.early, next.value.Position)
-		j.resultKeys = append(j.resultKeys, next.record.Key)
+		j.resultKeys, j.resultPositions = append(j.resultKeys, next.record.Key), append(j.resultPositions, len(j.results))
 		for _, result := range next.value.Results {
 			j.positions[result.Item] = len(j.results)
 			j.results = append(j.results, result)
@@ -180,10 +182,32 @@
 	case checkpointsPrefix:
 		delete(j.checkpoints, item)
 	default:
-		// All results of a job are deleted together after its retention, so the first deletion drops the job.
-		delete(s.jobs, id)
+		j.removeResults(key)
+	}
+	if j.gap() == nil {
 		delete(s.gaps, id)
 	}
+	if j.isEmpty() {
+		delete(s.jobs, id)
+	}
+}
+
+// removeResults removes the results of a record, and those behind it. Deletions begin with the last record, after the retention of the job.
+func (j *jobData) removeResults(key string) {
+	maps.DeleteFunc(j.early, func(_ int, e earlyResults) bool { return e.record.Key == key })
+	at := slices.Index(j.resultKeys, key)
+	if at < 0 {
+		return
+	}
+	for _, r := range j.results[j.resultPositions[at]:] {
+		delete(j.positions, r.Item)
+	}
+	j.results, j.resultKeys, j.resultPositions = j.results[:j.resultPositions[at]], j.resultKeys[:at], j.resultPositions[:at]
+}
+
+// isEmpty reports whether all records of the job have been deleted.
+func (j *jobData) isEmpty() bool {
+	return len(j.chunks) == 0 && len(j.checkpoints) == 0 && len(j.resultKeys) == 0 && len(j.early) == 0
 }
 
 // itemDeletions returns records that delete the items of a job and their checkpoints.
@@ -198,6 +222,19 @@
 	return deletions
 }
 
+// deletions returns records that delete all that the partition holds of the job. Results come last, those with the highest positions first,
+// so that what is left has no gap.
+func (j *jobData) deletions(id ID) []changelog.Record {
+	deletions := j.itemDeletions(id)
+	for _, position := range slices.Backward(slices.Sorted(maps.Keys(j.early))) {
+		deletions = append(deletions, changelog.Record{Key: j.early[position].record.Key})
+	}
+	for _, key := range slices.Backward(j.resultKeys) {
+		deletions = append(deletions, changelog.Record{Key: key})
+	}
+	return deletions
+}
+
 // items returns the items of the job in the order of submission.
 func (j *jobData) items() []storedItem {
 	var items []storedItem
--- a/job/job.go
+++ b/job/job.go
@@ -133,17 +133,25 @@
 	return fmt.Sprintf("batch job %s does not exist", e.Job)
 }
 
-// TooLargeError reports an item that exceeds the size limit of a store record.
+// TooLargeError reports a job that the store cannot hold: an item or the job's own record exceeds a record of the store.
 type TooLargeError struct {
+	// Item is the item at fault; empty if it is the job's record.
 	Item  string
 	Bytes int
+	Err   error // the limit that is exceeded, if the job's record exceeds it
 }
 
 // Error implements error.
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("item %s has %d bytes, more than a store record can hold", e.Item, e.Bytes)
+	if e.Err != nil {
+		return fmt.Sprintf("the job does not fit into a store record: %v", e.Err)
+	}
+	return fmt.Sprintf("item %.40q has %d bytes, more than a store record can hold", e.Item, e.Bytes)
 }
 
+// Unwrap returns the cause.
+func (e *TooLargeError) Unwrap() error { return e.Err }
+
 // FullError reports a job that no instance can hold beside its other open jobs.
 type FullError struct {
 	Job ID
--- a/job/list.go
+++ b/job/list.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/timing"
 )
@@ -12,9 +15,6 @@
 	// resultFlushInterval is the delay before each append of results, so that one append stores many.
 	// Trainers read results about twice a second.
 	resultFlushInterval = 40 * time.Millisecond
-	// maxResultAppendBytes limits the size of the outputs in one append, below the store's limit for a
-	// call.
-	maxResultAppendBytes = 1 << 20
 	// stopTimeout bounds the writes that are left when an instance ends, which AwaitResults has not waited for. It
 	// is a part of the second that a planned stop reserves at the end of its grace time.
 	stopTimeout = 400 * time.Millisecond
@@ -56,13 +56,12 @@
 func (g *Registry) flushResults(p *partition) {
 	ctx := g.writeCtx
 	for timing.Sleep(ctx, resultFlushInterval) {
-		batch := p.takeResultBatch()
+		batch := p.takeResultBatch(g.appendLimits().CallBytes)
 		if batch == nil {
 			return
 		}
 		start := time.Now()
-		_, err := p.Commit(ctx, func() []changelog.Record { return g.newResultRecords(p, batch) })
-		if err != nil {
+		if err := g.listResults(ctx, p, batch); err != nil {
 			g.log.Warn("results not listed", "jobs", len(batch), "waited", time.Since(start), "err", err)
 			return // ctx has ended: the instance stops
 		}
@@ -72,17 +71,88 @@
 	}
 }
 
-// takeResultBatch removes the results of the next append from the queue. If there are none, it returns
+// listResults lists a batch of results. If the store rejects them, it lists parts of the batch, so that a result that the store never takes
+// keeps no other one from being listed. That one is listed as errored.
+func (g *Registry) listResults(ctx context.Context, p *partition, batch map[ID][]Result) error {
+	_, err := p.Commit(ctx, func() []changelog.Record { return g.newResultRecords(p, batch) })
+	var rejected *changelog.RejectedError
+	if !errors.As(err, &rejected) {
+		return err
+	}
+	first, second := splitBatch(batch)
+	if second == nil {
+		return g.listErrored(ctx, p, first, err)
+	}
+	if err := g.listResults(ctx, p, first); err != nil {
+		return err
+	}
+	return g.listResults(ctx, p, second)
+}
+
+// newUnlistedCounter returns a counter of results that the store never accepts. registerer may be nil.
+func newUnlistedCounter(registerer prometheus.Registerer) prometheus.Counter {
+	counter := prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_results_rejected_total",
+		Help: "Results of items that the store never accepts as they are. They are listed as errored."})
+	if registerer != nil {
+		registerer.MustRegister(counter)
+	}
+	return counter
+}
+
+// listErrored lists the only result of a batch, which the store rejects, without its output.
+func (g *Registry) listErrored(ctx context.Context, p *partition, batch map[ID][]Result, cause error) error {
+	for id, results := range batch {
+		r := results[0]
+		g.unlisted.Inc()
+		if r.State == Errored && r.Output == nil {
+			g.log.Error("result not listed", "job", id, "item", r.Item, "err", cause)
+			continue
+		}
+		g.log.Error("result listed as errored", "job", id, "item", r.Item, "bytes", len(r.Output), "err", cause)
+		return g.listResults(ctx, p, map[ID][]Result{id: {{Item: r.Item, State: Errored}}})
+	}
+	return nil
+}
+
+// splitBatch halves a batch of results. The second half is nil if there is only one result.
+func splitBatch(batch map[ID][]Result) (first, second map[ID][]Result) {
+	total := 0
+	for _, results := range batch {
+		total += len(results)
+	}
+	if total <= 1 {
+		return batch, nil
+	}
+	first, second = map[ID][]Result{}, map[ID][]Result{}
+	left := total / 2
+	for id, results := range batch {
+		n := min(left, len(results))
+		left -= n
+		if n > 0 {
+			first[id] = results[:n]
+		}
+		if n < len(results) {
+			second[id] = results[n:]
+		}
+	}
+	return first, second
+}
+
+// takeResultBatch removes the results of the next append, of up to limit encoded bytes, from the queue. If there are none, it returns
 // nil and the caller must stop flushing, because the next queued result starts a new flush.
-func (p *partition) takeResultBatch() map[ID][]Result {
+func (p *partition) takeResultBatch(limit int) map[ID][]Result {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	batch := map[ID][]Result{}
-	size := 0
+	size, full := 0, false
 	for id, results := range p.pendingResults {
+		size += recordOverheadBytes + resultsHeadBytes
 		n := 0
-		for n < len(results) && size < maxResultAppendBytes {
-			size += len(results[n].Output)
+		for n < len(results) {
+			if size += results[n].encodedSize(); size > limit && (n > 0 || len(batch) > 0) {
+				full = true
+				break
+			}
 			n++
 		}
 		if n > 0 {
@@ -93,6 +163,9 @@
 		} else {
 			p.pendingResults[id] = results[n:]
 		}
+		if full {
+			break
+		}
 	}
 	if len(batch) == 0 {
 		p.flushing = false
@@ -118,11 +191,15 @@
 				missing = append(missing, r)
 			}
 		}
-		encoded, err := resultRecords(id, len(j.results), missing)
+		encoded, tooLarge, err := resultRecords(id, len(j.results), missing, g.opts.Limits)
 		if err != nil {
 			g.log.Error("results not encoded", "job", id, "err", err)
 			continue
 		}
+		for _, item := range tooLarge {
+			g.unlisted.Inc()
+			g.log.Error("result listed as errored", "job", id, "item", item, "err", errTextTooLarge)
+		}
 		records = append(records, encoded...)
 	}
 	return records
@@ -144,13 +221,5 @@
 // deleteItems deletes the items and checkpoints of a closed job. Clients may not request the bodies of
 // its items any more.
 func (g *Registry) deleteItems(ctx context.Context, s *Summary) error {
-	p := g.partitions[s.Partition]
-	_, err := p.Commit(ctx, func() []changelog.Record {
-		j := p.state.jobs[s.ID]
-		if j == nil {
-			return nil
-		}
-		return j.itemDeletions(s.ID)
-	})
-	return err
+	return g.deleteRecords(ctx, s, (*jobData).itemDeletions)
 }
--- a/job/memory_test.go
+++ b/job/memory_test.go
@@ -32,7 +32,7 @@
 				Body: make([]byte, bodyBytes), Group: fmt.Sprint(i / 8),
 			})
 		}
-		records, err := itemRecords("job-1", spec)
+		records, err := itemRecords("job-1", spec, changelog.DefaultLimits)
 		is.NoErr(err)
 		for _, r := range records {
 			size += int64(len(r.Value))
--- a/job/part.go
+++ b/job/part.go
@@ -17,10 +17,6 @@
 	// checkpointFlushInterval is the time between two appends of checkpoints, so that one append stores
 	// the checkpoints of many items.
 	checkpointFlushInterval = 250 * time.Millisecond
-	// maxCheckpointAppendBytes bounds the checkpoints in one append, below the store's limit for a call.
-	maxCheckpointAppendBytes = 1 << 20
-	// maxKeyBytes is the length of the longest key that the store accepts.
-	maxKeyBytes = 255
 )
 
 // Checkpoint is the stored output of an item that has not completed. An instance that takes the job
@@ -64,7 +60,7 @@
 // still queued. It drops a checkpoint that exceeds the store's limits: an instance that takes the job
 // over then resumes the item from an earlier checkpoint or runs it from the start.
 func (g *Registry) queueCheckpoint(s *Summary, item string, c Checkpoint) {
-	if len(checkpointKey(s.ID, item)) > maxKeyBytes || c.size() > maxRecordBytes {
+	if len(checkpointKey(s.ID, item)) > changelog.MaxKeyBytes || c.encodedSize() > g.opts.Limits.RecordBytes {
 		return
 	}
 	p := g.partitions[s.Partition]
@@ -77,28 +73,27 @@
 func (g *Registry) flushCheckpoints(ctx context.Context) {
 	for timing.Sleep(ctx, checkpointFlushInterval) {
 		for _, p := range g.partitions {
-			batch := p.takeCheckpointBatch()
+			batch := p.takeCheckpointBatch(g.appendLimits().CallBytes)
 			if len(batch) == 0 {
 				continue
 			}
 			if _, err := p.Commit(ctx, func() []changelog.Record { return g.newCheckpointRecords(p, batch) }); err != nil {
-				g.log.Warn("checkpoints not stored", "texts", len(batch), "err", err) // ctx has ended: the instance stops
+				g.log.Warn("checkpoints not stored", "texts", len(batch), "err", err) // the instance stops, or the store never takes them
 			}
 		}
 	}
 }
 
-// takeCheckpointBatch removes the checkpoints of the next append from the queue.
-func (p *partition) takeCheckpointBatch() map[itemRef]Checkpoint {
+// takeCheckpointBatch removes the checkpoints of the next append, of up to limit bytes, from the queue.
+func (p *partition) takeCheckpointBatch(limit int) map[itemRef]Checkpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	batch := map[itemRef]Checkpoint{}
 	size := 0
 	for ref, c := range p.pendingCheckpoints {
-		if size >= maxCheckpointAppendBytes {
+		if size += c.encodedSize(); size > limit && len(batch) > 0 {
 			break
 		}
-		size += c.size()
 		batch[ref] = c
 		delete(p.pendingCheckpoints, ref)
 	}
--- a/job/registry.go
+++ b/job/registry.go
@@ -32,8 +32,6 @@
 	IndexReadWait = 600 * time.Millisecond
 	// resultPollInterval is the maximum time between two reads of a data partition while a client waits for results.
 	resultPollInterval = 150 * time.Millisecond
-	// maxItemAppendBytes limits the size of the items in one call, below the store's limit.
-	maxItemAppendBytes = 1 << 20
 	// maxPageBytes limits the size of the results in one page.
 	maxPageBytes = 900 << 10
 	// deletionDelay is how long an ended job is kept after its retention.
@@ -48,6 +46,8 @@
 type RegistryOptions struct {
 	Self machine.Ref
 	Log  changelog.Log
+	// Limits are those of the store that Log writes to; missing ones have defaults.
+	Limits changelog.Limits
 	// Partitions is the number of partitions per topic. It must be the same at all instances.
 	Partitions int
 	// Retention is how long after a job's submission clients may request its results.
@@ -83,8 +83,10 @@
 	partitions   []*partition
 	refusals     *refusalLog
 	peerReads    *peerReadLog
-	tasks        conc.WaitGroup
-	flushes      flushGroup
+	// unlisted counts the results that the store never accepts.
+	unlisted prometheus.Counter
+	tasks    conc.WaitGroup
+	flushes  flushGroup
 	// writeCtx is the context of writes that may outlast Run's context. It is cancelled stopTimeout later,
 	// so that a stopping instance can still store its last results.
 	writeCtx     context.Context
@@ -106,6 +108,7 @@
 
 // NewRegistry returns a registry that has not read the log yet. Run starts it.
 func NewRegistry(opts RegistryOptions) *Registry {
+	opts.Limits = opts.Limits.OrDefault()
 	g := &Registry{
 		opts: opts, log: opts.Logger, index: newIndex(opts.Logger),
 		refusals: newRefusalLog(opts.Logger, opts.Registerer), peerReads: newPeerReadLog(opts.Logger, opts.Registerer),
@@ -113,6 +116,7 @@
 	g.writeCtx, g.cancelWrites = context.WithCancel(context.Background())
 	g.indexReplica = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.index)
 	gapsFound := newGapCounter(opts.Registerer)
+	g.unlisted = newUnlistedCounter(opts.Registerer)
 	for i := range dataTopics * opts.Partitions {
 		state := newPartitionState(opts.Logger, gapsFound)
 		id := changelog.Partition{Topic: fmt.Sprintf("%s-%d", dataTopic, i/opts.Partitions), Index: i % opts.Partitions}
@@ -173,10 +177,15 @@
 	if encodeErr != nil {
 		return false, fmt.Errorf("summary of batch job %s: %w", id, encodeErr)
 	}
-	var unknown *changelog.UnknownError
+	var (
+		unknown  *changelog.UnknownError
+		rejected *changelog.RejectedError
+	)
 	switch {
 	case errors.As(err, &unknown):
 		return false, &UncertainError{Job: id, Err: err}
+	case errors.As(err, &rejected):
+		return false, &TooLargeError{Err: rejected}
 	case err != nil:
 		return false, &UnavailableError{Err: err}
 	}
--- a/job/run.go
+++ b/job/run.go
@@ -52,6 +52,7 @@
 	model         string
 	minVersion    int64
 	singleVersion bool
+	maxOutput     int // bytes of data that can be listed
 	silenceTimer  *time.Timer
 	lastEventAt   time.Time
 	lastSeen      int64 // id of the attempt's last event
@@ -121,7 +122,7 @@
 		}
 		out.versions = append(out.versions, e.Version)
 	}
-	if out.size += len(e.Data) + 1; out.size > maxItemRecordBytes {
+	if out.size += len(e.Data) + 1; out.size > a.maxOutput {
 		return errTextTooLarge
 	}
 	out.data = append(out.data, e.Data)
@@ -238,7 +239,8 @@
 		start := time.Now()
 		d.metrics.wait.Observe(start.Sub(waitStart).Seconds())
 		job.progress.start(itemIndex, start)
-		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion, repeated: failedAt[b] || afterSilence}
+		a := &itemAttempt{output: out, backend: b, model: item.Model, minVersion: job.MinVersion, singleVersion: route.SingleVersion, repeated: failedAt[b] || afterSilence,
+			maxOutput: maxOutputBytes(d.opts.Registry.opts.Limits, job.ID, item.ID)}
 		if route.Resumable {
 			a.mover = &mover{
 				placer: d.placer, backend: b, request: *req, submitted: job.AcceptedAt(), itemIndex: itemIndex,
--- a/job/submit.go
+++ b/job/submit.go
@@ -20,6 +20,15 @@
 	for i := range spec.Items {
 		size += int64(itemSize(&spec.Items[i]))
 	}
+	partitionNumber := g.partitionOf(spec.ID)
+	summary := Summary{
+		ID: spec.ID, Partition: partitionNumber, Host: spec.Host, Path: spec.Path, Total: len(spec.Items),
+		Step: spec.Step, Model: spec.Model,
+		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, ConfigVersion: spec.ConfigVersion, ItemBytes: size, Account: spec.Account,
+	}
+	if err := g.checkSummary(&summary); err != nil {
+		return err
+	}
 	var full error
 	checkRoom := func() { _, full = g.chooseDriver(spec, size) }
 	if g.indexReplica.View(checkRoom); full != nil {
@@ -34,19 +43,19 @@
 			return full
 		}
 	}
-	partitionNumber := g.partitionOf(spec.ID)
-	records, err := itemRecords(spec.ID, spec.Items)
+	records, err := itemRecords(spec.ID, spec.Items, g.opts.Limits)
 	if err != nil {
 		return fmt.Errorf("items of batch job %s: %w", spec.ID, err)
 	}
-	if err := g.putItems(ctx, g.partitions[partitionNumber], spec.ID, records); err != nil {
+	err = g.putItems(ctx, g.partitions[partitionNumber], spec.ID, records)
+	var rejected *changelog.RejectedError
+	switch {
+	case errors.As(err, &rejected):
+		return &TooLargeError{Err: rejected}
+	case err != nil:
 		return &UnavailableError{Err: err}
 	}
-	summary := Summary{
-		ID: spec.ID, Partition: partitionNumber, Host: spec.Host, Path: spec.Path, Total: len(spec.Items),
-		SubmittedMs: time.Now().UnixMilli(), Step: spec.Step, Model: spec.Model,
-		MinVersion: spec.MinVersion, GroupCount: spec.GroupCount, ConfigVersion: spec.ConfigVersion, ItemBytes: size, Account: spec.Account,
-	}
+	summary.SubmittedMs = time.Now().UnixMilli()
 	_, err = g.update(ctx, spec.ID, func(old *Summary) *Summary {
 		full = nil
 		if old != nil {
@@ -64,16 +73,36 @@
 	return err
 }
 
+// summaryMargin is what a summary may grow by after the acceptance: its driver, and the flags of its end.
+const summaryMargin = 1 << 10
+
+// checkSummary returns *TooLargeError if a job's records cannot be stored because of its id, or of what its summary holds.
+func (g *Registry) checkSummary(s *Summary) error {
+	if len(s.ID) > maxJobIDBytes {
+		return &TooLargeError{Err: &changelog.SizeError{What: "job id", Bytes: len(s.ID), Limit: maxJobIDBytes}}
+	}
+	record, err := s.record()
+	if err != nil {
+		return fmt.Errorf("summary of batch job %s: %w", s.ID, err)
+	}
+	if limit := g.opts.Limits.RecordBytes - summaryMargin; record.Size() > limit {
+		return &TooLargeError{Err: &changelog.SizeError{What: "summary", Bytes: record.Size(), Limit: limit}}
+	}
+	return nil
+}
+
+// appendLimits returns the limits of this package's appends. They are half of the store's for a call: the records of others wait until an
+// append is complete.
+func (g *Registry) appendLimits() changelog.Limits {
+	return changelog.Limits{RecordBytes: g.opts.Limits.RecordBytes, CallBytes: g.opts.Limits.CallBytes / 2}
+}
+
 // putItems stores the items of a job, in as many calls as they need. Stored items without an index record
 // start nothing, so an append with an unknown outcome doesn't accept the job. The records' keys depend
 // only on the job, so appending them twice does no harm.
 func (g *Registry) putItems(ctx context.Context, p *partition, id ID, records []changelog.Record) error {
 	for len(records) > 0 {
-		n, size := 0, 0
-		for n < len(records) && (n == 0 || size+len(records[n].Value) <= maxItemAppendBytes) {
-			size += len(records[n].Value)
-			n++
-		}
+		n := g.appendLimits().Fitting(records)
 		if err := g.putItemBatch(ctx, p, id, records[:n]); err != nil {
 			return err
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -111,6 +111,8 @@
 	First   int64              `cbor:"4,keyasint"`
 	More    bool               `cbor:"5,keyasint"`
 	Message string             `cbor:"6,keyasint"`
+	// Rejected states that the store never accepts the append.
+	Rejected bool `cbor:"7,keyasint,omitempty"`
 }
 
 // RemoteError is the failure of a relayed call as the peer reported it.
@@ -203,7 +205,13 @@
 		c *changelog.ConflictError
 		t *changelog.TrimmedError
 	)
-	return errors.As(err, &c) || errors.As(err, &t)
+	return errors.As(err, &c) || errors.As(err, &t) || isRejected(err)
+}
+
+// isRejected reports whether the store never accepts an append.
+func isRejected(err error) bool {
+	var rejected *changelog.RejectedError
+	return errors.As(err, &rejected)
 }
 
 func isNotDone(err error) bool {
@@ -300,7 +308,11 @@
 	case outcomeTrimmed:
 		return &changelog.TrimmedError{Partition: r.Partition, First: resp.First}
 	case outcomeNotDone:
-		return &changelog.NotDoneError{Call: r.Op, Err: &RemoteError{Message: resp.Message}}
+		err := error(&RemoteError{Message: resp.Message})
+		if resp.Rejected {
+			err = &changelog.RejectedError{Partition: r.Partition, Err: err}
+		}
+		return &changelog.NotDoneError{Call: r.Op, Err: err}
 	default:
 		return &changelog.UnknownError{Call: r.Op, Err: &RemoteError{Message: resp.Message}}
 	}
@@ -344,7 +356,7 @@
 	case errors.As(err, &t):
 		resp.Outcome, resp.First = outcomeTrimmed, t.First
 	case isNotDone(err):
-		resp.Outcome, resp.Message = outcomeNotDone, err.Error()
+		resp.Outcome, resp.Message, resp.Rejected = outcomeNotDone, err.Error(), isRejected(err)
 	default:
 		resp.Outcome, resp.Message = outcomeUnknown, err.Error()
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -191,3 +191,23 @@
 	is.True(errors.As(err, new(*changelog.SilentConnectionError))) // the caller repeats it directly
 	is.Equal(peer.calls, 0)
 }
+
+// Guards against an append that the store never accepts and that is offered to it again through other instances, or repeated without end.
+func TestRejectedAppendIsFinalOnEachWay(t *testing.T) {
+	is := is.New(t)
+	rejection := &changelog.NotDoneError{Call: "append", Err: &changelog.RejectedError{Partition: partition, Err: errors.New("too large")}}
+	direct, peer := &fakeStore{err: rejection}, &fakeStore{err: rejection}
+	_, err := newLog(direct, peer, nil).Append(context.Background(), partition, nil, changelog.Unconditional)
+	var rejected *changelog.RejectedError
+	is.True(errors.As(err, &rejected))
+	is.Equal([]int{direct.calls, peer.calls}, []int{1, 0})
+
+	direct.err = errors.New("not reached")
+	_, err = newLog(direct, peer, nil).Append(context.Background(), partition, nil, changelog.Unconditional)
+	is.True(err != nil) // unknown: the direct call may have taken effect
+
+	direct.err = &changelog.NotDoneError{Call: "append", Err: errors.New("not reached")}
+	_, err = newLog(direct, peer, nil).Append(context.Background(), partition, nil, changelog.Unconditional)
+	is.True(errors.As(err, &rejected))
+	is.Equal(peer.calls, 1)
+}
