job: takeovers and copies take no memory for which there is no room

Cause: room was asked for when a job was accepted, and never again. A full instance took further jobs over after 1.5 s, and copies of data partitions kept the items of every job that a client had asked about.

Copies hold items up to 0.05 of the memory, also while they are loaded. The driver reads the items of its job from the store, bodies come from the driver or the store.

--- a/changelog/load.go
+++ b/changelog/load.go
@@ -24,6 +24,7 @@
 // attempts. The pages are no consistent snapshot, so the load also follows the records after the end that the first page
 // reports, until it holds the state at one offset.
 type load struct {
+	reduce     func(Record) Record
 	newest     map[string]Record // by key, deletions included
 	begun      bool              // the first page has been read
 	scanned    bool              // all pages have been read
@@ -33,12 +34,19 @@
 	followedAt timing.Instant    // start of the last call that advanced next, or of the first page
 }
 
-func newLoad() *load { return &load{newest: map[string]Record{}} }
+// newLoad returns a load that has read nothing. The records in it are as small as the state allows.
+func (r *Replica) newLoad() *load {
+	l := &load{newest: map[string]Record{}, reduce: func(record Record) Record { return record }}
+	if reducer, ok := r.state.(Reducer); ok {
+		l.reduce = reducer.Reduce
+	}
+	return l
+}
 
 // add adds a record unless a newer one of its key is known.
 func (l *load) add(record Record) {
 	if known, ok := l.newest[record.Key]; !ok || known.Offset <= record.Offset {
-		l.newest[record.Key] = record
+		l.newest[record.Key] = l.reduce(record)
 	}
 }
 
@@ -141,7 +149,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.loading == nil {
-		r.loading = newLoad()
+		r.loading = r.newLoad()
 	}
 }
 
@@ -200,6 +208,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.loading == old {
-		r.loading = newLoad()
+		r.loading = r.newLoad()
 	}
 }
--- a/changelog/replica.go
+++ b/changelog/replica.go
@@ -31,6 +31,10 @@
 // newest record of each key has been applied after a Reset.
 type LoadObserver interface{ Loaded() }
 
+// Reducer is implemented by a State that needs only a part of some records. While a partition is loaded, the replica keeps what Reduce
+// returns until it is applied. The record must keep its key and its offset.
+type Reducer interface{ Reduce(r Record) Record }
+
 // IntegrityChecker is implemented by a State that can find that it lacks records. While Incomplete returns true after records have
 // been applied, the replica loads the partition again.
 type IntegrityChecker interface{ Incomplete() bool }
@@ -269,7 +273,7 @@
 		r.notify()
 	}
 	if checker, ok := r.state.(IntegrityChecker); ok && r.loading == nil && checker.Incomplete() {
-		r.loading = newLoad()
+		r.loading = r.newLoad()
 	}
 	return r.next, r.loading == nil
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -64,6 +64,8 @@
 	memoryFraction = 0.6
 	// itemFraction is the fraction of the memory limit that the items of an instance's open jobs may take.
 	itemFraction = 0.2
+	// copyFraction is the fraction of the memory limit that items in copies of data partitions may take.
+	copyFraction = 0.05
 	// startedFraction is the fraction of the memory limit that started items may take besides their texts.
 	startedFraction = 0.12
 	// peerIdleTimeout is the time after which an unused connection to a peer is closed.
@@ -220,8 +222,8 @@
 	i.jobs = job.NewRegistry(job.RegistryOptions{
 		Self: i.self, Log: i.store, Limits: s.Store.limits(), Partitions: s.Store.Partitions,
 		Retention: seconds(s.Jobs.RetentionS), Logger: i.log, AvailableInDataCentre: i.presence.AvailableInDataCentre, Drivers: i.presence.Drivers, Peers: i.presence,
-		MaxItemBytes: int64(itemFraction * s.Limits.MemoryMB * (1 << 20)),
-		IndexPause:   func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
+		MaxItemBytes: int64(itemFraction * s.Limits.MemoryMB * (1 << 20)), MaxCopiedItemBytes: int64(copyFraction * s.Limits.MemoryMB * (1 << 20)),
+		IndexPause: func() time.Duration { return presence.LongPollPause(minIndexReadPause, i.presence.Count()) }, IndexRead: i.storeMonitor("index"),
 		Holders: &job.Holders{Possible: i.presence.PossiblyLive, Ask: i.readCopy}, Registerer: i.registry,
 	})
 	i.node.Handle(job.ReadMethod, i.jobs.HandleRead)
--- /dev/null
+++ b/job/copies.go
@@ -0,0 +1,181 @@
+package job
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cicadasill/cicadasill/changelog"
+)
+
+// Items in copies of data partitions.
+//
+// An instance copies a data partition to answer for any of its jobs, and almost all reads want results. The items of a job can be as large
+// as the largest request, and a few instances may be asked for all jobs. The copies of an instance therefore hold items up to a bound, and
+// beyond it only their number. Who needs such items reads them from the store: the driver when it runs the job, others when a client asks
+// for the body of an item that the driver does not answer for.
+
+// itemCopies counts the bytes of items in an instance's copies. It is safe for concurrent use.
+type itemCopies struct {
+	limit int64 // 0 sets no bound
+	used  atomic.Int64
+}
+
+// take takes n bytes. It returns false if they do not fit.
+func (c *itemCopies) take(n int64) bool {
+	if used := c.used.Add(n); c.limit > 0 && used > c.limit {
+		c.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// giveBack returns n bytes.
+func (c *itemCopies) giveBack(n int64) { c.used.Add(-n) }
+
+// register registers the metric of the bytes in use; r may be nil.
+func (c *itemCopies) register(r prometheus.Registerer) {
+	if r == nil {
+		return
+	}
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cicadasill_copied_item_bytes",
+		Help: "Bytes of batch job items in this instance's copies of data partitions."}, func() float64 { return float64(c.used.Load()) }))
+}
+
+// itemChunk is what a copy holds of an items record.
+type itemChunk struct {
+	count int
+	items []storedItem // nil if the copy holds only their number
+	taken int64        // bytes of itemCopies
+}
+
+// leftOutItems replaces the value of an items record whose items are left out. It exists in memory only.
+type leftOutItems struct {
+	Count int `cbor:"1,keyasint"`
+}
+
+// isLeftOut reports whether the value of an items record is a leftOutItems, a map in CBOR, instead of a list of items.
+func isLeftOut(value []byte) bool {
+	const (
+		majorTypeBits = 0xe0
+		mapType       = 5 << 5
+	)
+	return len(value) > 0 && value[0]&majorTypeBits == mapType
+}
+
+// Reduce implements changelog.Reducer: a load keeps no items beyond the bound.
+func (s *partitionState) Reduce(r changelog.Record) changelog.Record {
+	if !strings.HasPrefix(r.Key, itemsPrefix) || r.Value == nil {
+		return r
+	}
+	if size := int64(len(r.Value)); s.copies.take(size) {
+		s.loadTaken += size
+		return r
+	}
+	var items []storedItem
+	if err := cbor.Unmarshal(r.Value, &items); err != nil {
+		return r // Apply reports it
+	}
+	value, err := cbor.Marshal(leftOutItems{Count: len(items)})
+	if err != nil {
+		s.log.Error("items not left out", "key", r.Key, "err", err)
+		return r
+	}
+	r.Value = value
+	return r
+}
+
+// newChunk decodes the value of an items record. It leaves the items out if they exceed the bound.
+func (s *partitionState) newChunk(value []byte) (itemChunk, error) {
+	if isLeftOut(value) {
+		var left leftOutItems
+		err := cbor.Unmarshal(value, &left)
+		return itemChunk{count: left.Count}, err
+	}
+	var items []storedItem
+	if err := cbor.Unmarshal(value, &items); err != nil {
+		return itemChunk{}, err
+	}
+	chunk := itemChunk{count: len(items)}
+	if size := int64(len(value)); s.copies.take(size) {
+		chunk.items, chunk.taken = items, size
+	}
+	return chunk, nil
+}
+
+// setChunk replaces a chunk of a job.
+func (s *partitionState) setChunk(j *jobData, key string, chunk itemChunk) {
+	s.removeChunk(j, key)
+	j.chunks[key] = chunk
+}
+
+// removeChunk removes a chunk of a job, if there is one.
+func (s *partitionState) removeChunk(j *jobData, key string) {
+	s.copies.giveBack(j.chunks[key].taken)
+	delete(j.chunks, key)
+}
+
+// giveBackAll returns all bytes that the state and a load of it have taken.
+func (s *partitionState) giveBackAll() {
+	s.copies.giveBack(s.loadTaken)
+	s.loadTaken = 0
+	for _, j := range s.jobs {
+		for _, chunk := range j.chunks {
+			s.copies.giveBack(chunk.taken)
+		}
+	}
+}
+
+// readItems reads the items of a job from the store, in the order of submission. It fails with *IncompleteError if the store holds only
+// some, and with *UnavailableError if it does not answer.
+func (g *Registry) readItems(ctx context.Context, s *Summary) ([]storedItem, error) {
+	found := &jobData{chunks: map[string]itemChunk{}}
+	err := g.scanItems(ctx, s, func(key string, items []storedItem) bool {
+		found.chunks[key] = itemChunk{count: len(items), items: items}
+		return found.itemCount() < s.Total
+	})
+	if err != nil {
+		return nil, err
+	}
+	if n := found.itemCount(); n != s.Total {
+		return nil, &IncompleteError{Job: s.ID, Found: n, Total: s.Total}
+	}
+	items, _ := found.items()
+	return items, nil
+}
+
+// scanItems reads the items of a job from the store and calls take with those of each record until it returns false.
+func (g *Registry) scanItems(ctx context.Context, s *Summary, take func(key string, items []storedItem) bool) error {
+	prefix, p := itemsPrefix+string(s.ID)+"/", g.partitions[s.Partition].id
+	for _, after := range []string{prefix, ""} {
+		inOrder := after != "" // the records follow the prefix if the store orders its keys, which its users' pages do not state
+		for more := true; more; {
+			page, err := g.opts.Log.Newest(ctx, p, after)
+			if err != nil {
+				return &UnavailableError{Err: err}
+			}
+			foundAny := false
+			for _, r := range page.Records {
+				if !strings.HasPrefix(r.Key, prefix) || r.Value == nil {
+					continue
+				}
+				foundAny = true
+				var items []storedItem
+				if err := cbor.Unmarshal(r.Value, &items); err != nil {
+					return &UnavailableError{Err: err}
+				}
+				if !take(r.Key, items) {
+					return nil
+				}
+			}
+			more = page.More && len(page.Records) > 0 && (foundAny || !inOrder)
+			if more {
+				after = page.Records[len(page.Records)-1].Key
+			}
+		}
+	}
+	return nil
+}
--- a/job/driver.go
+++ b/job/driver.go
@@ -90,9 +90,6 @@
 	takeovers        map[ID]bool
 	takeoversStopped bool
 	stopped          bool // no job may run any more
-	// overfull states that a takeover without room is under way, overfullAt when the last one ended.
-	overfull   bool
-	overfullAt time.Time
 }
 
 type driverMetrics struct {
@@ -158,6 +155,9 @@
 		d.placer.self = opts.Self.ID
 	}
 	d.started.limit = startedLimit(opts.StartedBytes)
+	if opts.Registry != nil {
+		opts.Registry.runningBody = d.body
+	}
 	d.rewards = reward.NewGate(d.rewardLimit)
 	d.metrics = newDriverMetrics(opts.Registerer, d.rewards)
 	d.placer.register(opts.Registerer)
@@ -202,11 +202,11 @@
 // assigned to another one, and considers the rest for takeover.
 func (d *Driver) scan(ctx context.Context) {
 	var (
-		open     []Summary
-		ownBytes int64 // of items of the open jobs that this instance drives
+		open []Summary
+		own  openItems // of the jobs that this instance drives
 	)
 	d.opts.Registry.indexReplica.View(func() {
-		ownBytes = d.opts.Registry.openItemBytes()[d.opts.Self]
+		own = d.opts.Registry.openItems()[d.opts.Self]
 		for _, s := range d.opts.Registry.index.jobs {
 			if s.Open() {
 				open = append(open, *s)
@@ -225,7 +225,7 @@
 			d.start(ctx, s)
 			continue
 		}
-		d.considerTakeover(ctx, s, d.opts.Registry.hasRoom(ownBytes, s.ItemBytes))
+		d.considerTakeover(ctx, s, d.opts.Registry.hasRoom(own, s.ItemBytes))
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -341,20 +341,28 @@
 		return nil, &UnavailableError{Err: err}
 	}
 	var items []storedItem
+	found, complete := 0, true
 	listed, checkpoints := map[string]bool{}, map[string]Checkpoint{}
 	p.View(func() {
 		j := p.state.jobs[s.ID]
 		if j == nil {
 			return
 		}
-		items = j.items()
+		found = j.itemCount()
+		items, complete = j.items()
 		for item := range j.positions {
 			listed[item] = true
 		}
 		maps.Copy(checkpoints, j.checkpoints)
 	})
-	if len(items) != s.Total {
-		return nil, &IncompleteError{Job: s.ID, Found: len(items), Total: s.Total}
+	if found != s.Total {
+		return nil, &IncompleteError{Job: s.ID, Found: found, Total: s.Total}
+	}
+	if !complete {
+		var err error
+		if items, err = d.opts.Registry.readItems(ctx, s); err != nil {
+			return nil, err
+		}
 	}
 	for _, stored := range items {
 		item, err := decodeItem(stored)
@@ -373,6 +381,28 @@
 	return job, nil
 }
 
+// body returns the body of an item that this driver runs.
+func (d *Driver) body(id ID, item string) ([]byte, bool) {
+	d.mu.Lock()
+	job := d.active[id]
+	d.mu.Unlock()
+	if job == nil {
+		return nil, false
+	}
+	for i := range job.items {
+		if job.items[i].ID != item {
+			continue
+		}
+		whole, err := job.items[i].whole()
+		if err != nil {
+			d.log.Error("item not readable", "job", id, "item", item, "err", err)
+			return nil, false
+		}
+		return whole.Body, true
+	}
+	return nil, false
+}
+
 // close waits until all results of a job are listed or ctx ends. If this instance still drives the
 // job, it marks the job as listed and deletes the items of a job that is listed or ended.
 func (d *Driver) close(ctx context.Context, s *Summary) {
--- a/job/index.go
+++ b/job/index.go
@@ -73,7 +73,7 @@
 
 // jobData is the content of a data partition for one job.
 type jobData struct {
-	chunks     map[string][]storedItem // by record key
+	chunks     map[string]itemChunk // by record key
 	results    []Result
 	positions  map[string]int       // positions of the results, by item
 	early      map[int]earlyResults // results that follow a gap, by position
@@ -90,20 +90,25 @@
 	jobs      map[ID]*jobData
 	gaps      map[ID]*resultsGap // kept over loads
 	loading   bool
+	copies    *itemCopies
+	loadTaken int64 // bytes of copies that a load has taken since the last Reset
 }
 
-func newPartitionState(logger *log.Logger, gapsFound prometheus.Counter) *partitionState {
-	return &partitionState{log: logger, gapsFound: gapsFound, jobs: map[ID]*jobData{}, gaps: map[ID]*resultsGap{}}
+func newPartitionState(logger *log.Logger, gapsFound prometheus.Counter, copies *itemCopies) *partitionState {
+	return &partitionState{log: logger, gapsFound: gapsFound, copies: copies, jobs: map[ID]*jobData{}, gaps: map[ID]*resultsGap{}}
 }
 
 // Reset implements changelog.State.
-func (s *partitionState) Reset() { s.jobs, s.loading = map[ID]*jobData{}, true }
+func (s *partitionState) Reset() {
+	s.giveBackAll()
+	s.jobs, s.loading = map[ID]*jobData{}, true
+}
 
 // getOrCreate returns the data of a job, which is empty for a new job.
 func (s *partitionState) getOrCreate(id ID) *jobData {
 	j := s.jobs[id]
 	if j == nil {
-		j = &jobData{chunks: map[string][]storedItem{}, positions: map[string]int{}, checkpoints: map[string]Checkpoint{}, early: map[int]earlyResults{}}
+		j = &jobData{chunks: map[string]itemChunk{}, positions: map[string]int{}, checkpoints: map[string]Checkpoint{}, early: map[int]earlyResults{}}
 		s.jobs[id] = j
 	}
 	return j
@@ -126,12 +131,12 @@
 	}
 	switch prefix {
 	case itemsPrefix:
-		var items []storedItem
-		if err := cbor.Unmarshal(r.Value, &items); err != nil {
+		chunk, err := s.newChunk(r.Value)
+		if err != nil {
 			s.log.Error("items record not readable", "key", r.Key, "offset", r.Offset, "err", err)
 			return
 		}
-		s.getOrCreate(id).chunks[r.Key] = items
+		s.setChunk(s.getOrCreate(id), r.Key, chunk)
 	case checkpointsPrefix:
 		var c Checkpoint
 		if err := cbor.Unmarshal(r.Value, &c); err != nil {
@@ -178,7 +183,7 @@
 	}
 	switch prefix {
 	case itemsPrefix:
-		delete(j.chunks, key)
+		s.removeChunk(j, key)
 	case checkpointsPrefix:
 		delete(j.checkpoints, item)
 	default:
@@ -235,13 +240,21 @@
 	return deletions
 }
 
-// items returns the items of the job in the order of submission.
-func (j *jobData) items() []storedItem {
-	var items []storedItem
+// items returns the items of the job in the order of submission. It returns false if some are left out.
+func (j *jobData) items() (items []storedItem, complete bool) {
 	for _, key := range slices.Sorted(maps.Keys(j.chunks)) {
-		items = append(items, j.chunks[key]...)
+		items = append(items, j.chunks[key].items...)
+	}
+	return items, len(items) == j.itemCount()
+}
+
+// itemCount returns the number of the job's items, those that are left out included.
+func (j *jobData) itemCount() int {
+	n := 0
+	for _, chunk := range j.chunks {
+		n += chunk.count
 	}
-	return items
+	return n
 }
 
 // storedItem is an encoded item. It takes a fraction of the memory of the decoded one.
--- a/job/peerread.go
+++ b/job/peerread.go
@@ -26,8 +26,10 @@
 	repeatTime = 500 * time.Millisecond
 	// maxHolders bounds the instances that a read asks. holderDelay is how long it waits for one before it also asks the
 	// next, so that all are asked in the time that is left after ownReadTime.
-	maxHolders  = 3
-	holderDelay = 150 * time.Millisecond
+	maxHolders = 3
+	// askDriverTime is how long a read waits for the job's driver before it reads items from the store.
+	askDriverTime = 300 * time.Millisecond
+	holderDelay   = 150 * time.Millisecond
 	// peerReadLogRate bounds the log lines about reads that other instances have answered, in lines a second.
 	peerReadLogRate = 10
 )
@@ -87,7 +89,7 @@
 	}
 	p := g.partitions[request.Partition]
 	if request.Item != "" {
-		body, found := p.body(request.Job, request.Item)
+		body, found := g.ownBody(p, request.Job, request.Item)
 		return copyContent{Found: found, Body: body, Total: s.Total}
 	}
 	results := p.results(request.Job, request.After)
@@ -194,6 +196,26 @@
 	return answers
 }
 
+// askDriver returns what the driver of the job holds, within askDriverTime. Nothing is found if that is this instance or does not answer.
+func (r *jobRead) askDriver(ctx context.Context, s *Summary) copyContent {
+	if r.opts.Holders == nil || s.Driver == r.opts.Self {
+		return copyContent{}
+	}
+	payload, err := cbor.Marshal(&copyRequest{Job: r.id, Partition: s.Partition, Item: r.item})
+	if err != nil {
+		r.log.Error("read of a copy not encoded", "job", r.id, "err", err)
+		return copyContent{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askDriverTime)
+	defer cancel()
+	for _, i := range r.opts.Holders.Possible() {
+		if i.Ref() == s.Driver {
+			return r.askAll(ctx, []machine.Instance{i}, payload).content
+		}
+	}
+	return copyContent{}
+}
+
 // holders returns the instances that are most likely to hold a copy of the job's partition: its driver, then the nearest ones.
 func (r *jobRead) holders(driver machine.Ref) []machine.Instance {
 	var holders []machine.Instance
--- a/job/read.go
+++ b/job/read.go
@@ -215,9 +215,7 @@
 	n := 0
 	p.View(func() {
 		if j := p.state.jobs[id]; j != nil {
-			for _, chunk := range j.chunks {
-				n += len(chunk)
-			}
+			n = j.itemCount()
 		}
 	})
 	return n
@@ -237,7 +235,7 @@
 		return answers.content.Body, nil
 	}
 	p := g.partitions[s.Partition]
-	if body, ok := p.body(id, item); ok {
+	if body, ok := g.ownBody(p, id, item); ok {
 		return body, nil
 	}
 	answers, err = r.syncPartitionOrAsk(ctx, &s)
@@ -247,12 +245,59 @@
 	case err != nil:
 		return nil, r.refuseUnread(&s, answers, err)
 	}
-	if body, ok := p.body(id, item); ok {
+	if body, ok := g.ownBody(p, id, item); ok {
 		return body, nil
 	}
+	if p.leavesOutItems(id) {
+		body, found, err := r.bodyElsewhere(ctx, &s)
+		switch {
+		case err != nil:
+			return nil, r.refuseUnread(&s, answers, err)
+		case found:
+			return body, nil
+		}
+	}
 	return nil, r.refuseByPartition(StepItemNotFound, &s, answers, &NotFoundError{Job: id, Item: item})
 }
 
+// ownBody returns the body of an item if this instance drives the job or its copy of the partition holds it.
+func (g *Registry) ownBody(p *partition, id ID, item string) ([]byte, bool) {
+	if body, ok := p.body(id, item); ok {
+		return body, true
+	}
+	if g.runningBody == nil {
+		return nil, false
+	}
+	return g.runningBody(id, item)
+}
+
+// leavesOutItems reports whether this instance's copy of the partition holds only the number of some of the job's items.
+func (p *partition) leavesOutItems(id ID) (leavesOut bool) {
+	p.View(func() {
+		if j := p.state.jobs[id]; j != nil {
+			_, complete := j.items()
+			leavesOut = !complete
+		}
+	})
+	return leavesOut
+}
+
+// bodyElsewhere returns the body of an item that the copy leaves out: from the job's driver, or else from the store.
+func (r *jobRead) bodyElsewhere(ctx context.Context, s *Summary) (body []byte, found bool, err error) {
+	if content := r.askDriver(ctx, s); content.Found {
+		return content.Body, true, nil
+	}
+	err = r.scanItems(ctx, s, func(_ string, items []storedItem) bool {
+		for _, stored := range items {
+			if body, found = bodyOf(stored, r.item); found {
+				return false
+			}
+		}
+		return true
+	})
+	return body, found, err
+}
+
 // body returns the body of an item if this instance's copy of the partition holds it.
 func (p *partition) body(id ID, item string) ([]byte, bool) {
 	var (
@@ -265,13 +310,8 @@
 			return
 		}
 		for _, chunk := range j.chunks {
-			for _, stored := range chunk {
-				if !bytes.Contains(stored, []byte(item)) {
-					continue
-				}
-				var decoded Item
-				if err := cbor.Unmarshal(stored, &decoded); err == nil && decoded.ID == item {
-					body, found = decoded.Body, true
+			for _, stored := range chunk.items {
+				if body, found = bodyOf(stored, item); found {
 					return
 				}
 			}
@@ -279,3 +319,15 @@
 	})
 	return body, found
 }
+
+// bodyOf returns the body of an encoded item if its id is the given one.
+func bodyOf(stored storedItem, item string) ([]byte, bool) {
+	if !bytes.Contains(stored, []byte(item)) {
+		return nil, false
+	}
+	var decoded Item
+	if err := cbor.Unmarshal(stored, &decoded); err != nil || decoded.ID != item {
+		return nil, false
+	}
+	return decoded.Body, true
+}
--- a/job/registry.go
+++ b/job/registry.go
@@ -60,9 +60,11 @@
 	Drivers func(key string) []machine.Ref
 	// Peers determines which instance deletes the records of jobs whose driver is dead.
 	Peers Peers
-	// MaxItemBytes bounds the items of the open jobs of one driver, except that a single job is always accepted; 0 sets no
+	// MaxItemBytes bounds the items of the open jobs of one driver, except that a single large job is always accepted; 0 sets no
 	// bound.
 	MaxItemBytes int64
+	// MaxCopiedItemBytes bounds the items in this instance's copies of data partitions; 0 sets no bound.
+	MaxCopiedItemBytes int64
 	// IndexPause returns the pause between reads of the index.
 	IndexPause func() time.Duration
 	// IndexRead is called after each read of the index with its error or nil.
@@ -83,6 +85,9 @@
 	partitions   []*partition
 	refusals     *refusalLog
 	peerReads    *peerReadLog
+	copies       *itemCopies
+	// runningBody returns the body of an item that this instance's driver runs; nil without a driver.
+	runningBody func(id ID, item string) ([]byte, bool)
 	// unlisted counts the results that the store never accepts.
 	unlisted prometheus.Counter
 	tasks    conc.WaitGroup
@@ -117,8 +122,10 @@
 	g.indexReplica = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.index)
 	gapsFound := newGapCounter(opts.Registerer)
 	g.unlisted = newUnlistedCounter(opts.Registerer)
+	g.copies = &itemCopies{limit: opts.MaxCopiedItemBytes}
+	g.copies.register(opts.Registerer)
 	for i := range dataTopics * opts.Partitions {
-		state := newPartitionState(opts.Logger, gapsFound)
+		state := newPartitionState(opts.Logger, gapsFound, g.copies)
 		id := changelog.Partition{Topic: fmt.Sprintf("%s-%d", dataTopic, i/opts.Partitions), Index: i % opts.Partitions}
 		g.partitions = append(g.partitions, &partition{
 			Replica: changelog.NewReplica(opts.Log, id, state), id: id, state: state,
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -11,9 +11,6 @@
 	// instances rarely conflict.
 	rankDelay = 300 * time.Millisecond
 	maxRank   = 4 // caps the rank in the delay
-	// overfullDelay is the additional delay of an instance without room for the job, so that all instances with room come first.
-	// It is also the minimum time between two takeovers without room, in which others take the rest.
-	overfullDelay = (maxRank + 1) * rankDelay
 	// takeoverTimeout bounds one attempt to take over a job.
 	takeoverTimeout = 2 * time.Second
 )
@@ -25,8 +22,9 @@
 	d.takeoversStopped = true
 }
 
-// considerTakeover starts to take over a job if its driver is dead and this instance's delay, which
-// depends on its rank for the job and on whether it has room for the job, has passed.
+// considerTakeover starts to take over a job if its driver is dead, this instance has room for the job, and its delay, which
+// depends on its rank for the job, has passed. A job for which no instance has room waits in the store until one has: an instance that
+// takes more than fits into its memory ends, and the jobs that it had wait as well.
 func (d *Driver) considerTakeover(ctx context.Context, s *Summary, hasRoom bool) {
 	if !d.opts.Peers.Dead(s.Driver) {
 		d.mu.Lock()
@@ -35,9 +33,6 @@
 		return
 	}
 	delay := time.Duration(min(d.opts.Peers.Rank(string(s.ID)), maxRank)) * rankDelay
-	if !hasRoom {
-		delay += overfullDelay
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.takeoversStopped {
@@ -49,31 +44,21 @@
 		since = time.Now()
 		d.orphanedSince[s.ID] = since
 	}
-	if time.Since(since) < delay || d.takeovers[s.ID] {
+	if !hasRoom || time.Since(since) < delay || d.takeovers[s.ID] {
 		return
 	}
-	if !hasRoom {
-		if d.overfull || time.Since(d.overfullAt) < overfullDelay {
-			return
-		}
-		d.overfull = true
-	}
 	d.takeovers[s.ID] = true
 	job := *s
 	d.tasks.Go(func() {
-		d.takeOver(ctx, &job, hasRoom)
+		d.takeOver(ctx, &job)
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		delete(d.takeovers, job.ID)
-		if !hasRoom {
-			d.overfull, d.overfullAt = false, time.Now()
-		}
 	})
 }
 
-// takeOver makes this instance the driver of a job unless the job is closed or has a new driver, or needsRoom is true and this
-// instance has no room left.
-func (d *Driver) takeOver(ctx context.Context, s *Summary, needsRoom bool) {
+// takeOver makes this instance the driver of a job unless the job is closed or has a new driver, or this instance has no room left.
+func (d *Driver) takeOver(ctx context.Context, s *Summary) {
 	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	g := d.opts.Registry
@@ -81,7 +66,7 @@
 		if old == nil || !old.Open() || old.Driver != s.Driver {
 			return nil
 		}
-		if needsRoom && !g.hasRoom(g.openItemBytes()[d.opts.Self], old.ItemBytes) {
+		if !g.hasRoom(g.openItems()[d.opts.Self], old.ItemBytes) {
 			return nil
 		}
 		next := *old
@@ -94,6 +79,13 @@
 	}
 	if changed {
 		d.metrics.takeovers.Inc()
-		d.log.Info("job taken over", "job", s.ID, "from", s.Driver.String(), "room", needsRoom)
+		d.log.Info("job taken over", "job", s.ID, "from", s.Driver.String(), "orphaned_for", d.orphanedFor(s.ID))
 	}
 }
+
+// orphanedFor returns the time since this instance noticed that the driver of a job is dead.
+func (d *Driver) orphanedFor(id ID) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.orphanedSince[id])
+}
