instance: a start learns from the log which back ends were removed

Cause: only processes knew what had been removed. A starting instance read the newest record of each key, which the late write was.

Change: before entries count, a starting instance reads the end of their log and applies the rule of running instances to it: an entry after a removal that is no newer than the last one before it was written earlier. Where the log has been deleted, a back end that is not known to live needs a second, newer entry for 7 s.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -84,6 +84,8 @@
 	crashedUntil  time.Time            // end of the time in which the process is taken to have ended
 	sends         int                  // requests of any kind sent since the rate limit last changed
 	throttled     time.Time            // end of the time in which the rate limit allows no request of this instance
+	doubtedUntil  time.Time            // end of the time in which b needs an entry with a number above doubtedSeq
+	doubtedSeq    int64
 }
 
 // Directory holds the known back ends by id.
@@ -98,7 +100,11 @@
 	runs            map[string]knownRun
 	runsForgottenAt time.Time // when the runs that are too old were last forgotten
 	outageAt        time.Time
-	changed         chan struct{}
+	// If doubts is set, entries of back ends that are not in alive need a second one to count until doubtUntil, which the first entry sets.
+	doubts     bool
+	doubtUntil time.Time
+	alive      map[string]bool
+	changed    chan struct{}
 }
 
 // New returns an empty directory.
@@ -147,6 +153,9 @@
 		return Outdated
 	}
 	d.recordRun(&e)
+	if d.doubts && d.doubtUntil.IsZero() {
+		d.doubtUntil = time.Now().Add(maxWriteDelay)
+	}
 	b := d.byID[e.ID]
 	if b == nil || b.StartedUnixMs != e.StartedUnixMs || b.Addr != e.Addr || b.Service != e.Service ||
 		(e.Software != "" && b.Software != e.Software) { // instances of an earlier release pass no version on
@@ -156,6 +165,7 @@
 			loadingUntil: map[string]time.Time{},
 		}
 		d.byID[e.ID].recordNotice(e)
+		d.byID[e.ID].doubt(&e)
 		if e.StartedUnixMs > d.leavingRuns[e.ID] {
 			delete(d.leavingRuns, e.ID)
 		}
@@ -172,6 +182,9 @@
 	changed := b.leaving != e.Leaving || !maps.Equal(b.versions, versions) || !b.removedAt.IsZero()
 	b.slots, b.leaving, b.versions, b.removedAt = e.Slots, e.Leaving, versions, time.Time{}
 	b.recordNotice(e)
+	if e.Seq > b.doubtedSeq && !b.doubtedUntil.IsZero() {
+		b.doubtedUntil, changed = time.Time{}, true
+	}
 	if changed {
 		d.notify()
 	}
@@ -284,7 +297,7 @@
 	now := time.Now()
 	var list []Candidate
 	for _, b := range d.byID {
-		if b.Service != service || b.leaving || b.hasStatedLeaving() || now.Before(b.crashedUntil) {
+		if b.Service != service || b.leaving || b.hasStatedLeaving() || now.Before(b.crashedUntil) || now.Before(b.doubtedUntil) {
 			continue
 		}
 		if !b.removedAt.IsZero() && now.Sub(b.removedAt) > removalGrace {
--- a/backends/runs.go
+++ b/backends/runs.go
@@ -48,6 +48,26 @@
 	}
 }
 
+// maxWriteDelay bounds how late the store executes a write without an answer: "seconds later" (PROTOCOL.md), six at most on the users'
+// deployments. The margin covers the time from the read of the entries to a request.
+const maxWriteDelay = 7 * time.Second
+
+// Doubt states that entries may have been written before the removal of their back ends, which is not known, because this instance has just
+// started and the history of the entries is lost. For maxWriteDelay from the first entry on, a back end then needs a second, newer entry to
+// count, unless it is known to be alive.
+func (d *Directory) Doubt(alive map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.doubts, d.alive = true, alive
+}
+
+// doubt makes a new back end wait for a second entry if it may have been removed. The caller holds dir.mu.
+func (b *Backend) doubt(e *Entry) {
+	if time.Now().Before(b.dir.doubtUntil) && !b.dir.alive[e.ID] && e.StartedUnixMs != 0 && e.Seq != Unnumbered {
+		b.doubtedUntil, b.doubtedSeq = b.dir.doubtUntil, e.Seq
+	}
+}
+
 // recordRun records the entry of a run that is now the newest. The caller holds d.mu.
 func (d *Directory) recordRun(e *Entry) {
 	run := Run{StartedUnixMs: e.StartedUnixMs, Seq: e.Seq}
--- a/instance/entries.go
+++ b/instance/entries.go
@@ -9,11 +9,13 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/cicadasill/cicadasill/backends"
 	"github.com/cicadasill/cicadasill/changelog"
 	"github.com/cicadasill/cicadasill/digest"
 	"github.com/cicadasill/cicadasill/link"
 	"github.com/cicadasill/cicadasill/machine"
 	"github.com/cicadasill/cicadasill/platform/hosted"
+	"github.com/cicadasill/cicadasill/telemetry"
 	"github.com/cicadasill/cicadasill/timing"
 )
 
@@ -48,6 +50,14 @@
 	// removalsTimeout: heartbeats from before a removal may still be executed, up to six seconds late.
 	removalAnswers  = 2
 	removalsTimeout = 6 * time.Second
+	// historyPerBackend is the number of records for each back end that a starting instance reads of the log of the entries. At one in 1.2 s,
+	// they reach back by 10.8 s: a write that is executed 6 s late, and the entries before the removal that it follows.
+	historyPerBackend = 9
+	// minHistory serves deployments from which many back ends have just been removed. maxHistory is about 1 MB: all instances may start
+	// at the same time.
+	minHistory, maxHistory = 200, 3000
+	// historyTime bounds the time that this may take, because no entry counts until then.
+	historyTime = 1500 * time.Millisecond
 	// roleCheckInterval is how often an instance that reads the store checks whether it is still to do so.
 	roleCheckInterval = time.Second
 )
@@ -131,12 +141,54 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { r.learnRemovals(ctx) })
+	r.learnHistory(ctx)
 	for ctx.Err() == nil {
 		r.readStore(ctx)
 		r.askReaders(ctx)
 	}
 }
 
+// learnHistory learns from the log of the entries which back ends were removed before this instance started. No other instance may know: all
+// may have started at the same time. It does so before the entries are read, for historyTime at most.
+func (r *entryReader) learnHistory(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, historyTime)
+	defer cancel()
+	start := time.Now()
+	for {
+		log, err := changelog.Replay(ctx, r.instance.store, hosted.EntryPartition, changelog.HistoryOptions{
+			PerKey: historyPerBackend, Min: minHistory, Max: maxHistory,
+		})
+		if err == nil {
+			r.applyHistory(log, time.Since(start))
+			return
+		}
+		if !timing.Sleep(ctx, minEntriesReadPause) {
+			r.instance.log.Warn("history of the back ends not read", "took", time.Since(start), "err", err)
+			r.instance.directory.Doubt(nil)
+			return
+		}
+	}
+}
+
+// applyHistory passes the removals in the log of the entries on.
+func (r *entryReader) applyHistory(log changelog.History, took time.Duration) {
+	history := backends.NewHistory()
+	decoder := &hosted.Entries{Logger: telemetry.Discard(), Backends: history}
+	for _, record := range log.Records {
+		decoder.Apply(record)
+	}
+	removed := history.Removed()
+	for id, last := range removed {
+		r.recorder.RecordRemoval(id, last)
+	}
+	alive := history.Alive()
+	if !log.Complete {
+		r.instance.directory.Doubt(alive)
+	}
+	r.instance.log.Info("history of the back ends read", "records", len(log.Records), "complete", log.Complete, "removed", len(removed),
+		"alive", len(alive), "took", took)
+}
+
 // learnRemovals learns from other instances which back ends were removed before this instance started.
 func (r *entryReader) learnRemovals(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, removalsTimeout)
--- a/instance/lateentry_test.go
+++ b/instance/lateentry_test.go
@@ -136,3 +136,52 @@
 	}
 	return false
 }
+
+// Replays the loss of all instances soon after a back end has left. Guards against requests to it (DRAIN) at instances that have started since:
+// nobody remembers the removal, and the store executes one of the back end's earlier heartbeats before or after they read the entries.
+func TestRestartOfAllKeepsWhatWasRemoved(t *testing.T) {
+	for _, lateFirst := range []bool{false, true} {
+		for _, historyLost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("late entry first: %v, history lost: %v", lateFirst, historyLost), func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, 2, 1)
+				leaving, staying := c.startBackEnd("desk-leaving"), c.startBackEnd("desk-staying")
+				late := leaving.Entry("ready")
+				for range 2 {
+					c.register(leaving)
+					c.register(staying)
+				}
+				for _, m := range c.members {
+					c.waitUntil("the back end is known", func() bool { return hasCandidate(m, "desk", leaving.ID) })
+				}
+				c.store.PutEntry(leaving.ID, nil)
+				for _, m := range c.members {
+					m.kill()
+				}
+				if lateFirst {
+					c.store.PutEntry(leaving.ID, late)
+				}
+				if historyLost {
+					c.store.Expire()
+				}
+				m := c.startInstance("instance-after")
+				c.waitUntil("the entries are read", func() bool { return m.directory.Len() > 0 })
+				if !lateFirst {
+					c.store.PutEntry(leaving.ID, late)
+				}
+				if historyLost { // back ends that live write again
+					c.register(staying)
+				}
+				c.waitUntil("the back end that stays is used", func() bool { return hasCandidate(m, "desk", staying.ID) })
+				next := c.startBackEnd("desk-next") // whoever knows it has read the late entry
+				c.waitUntil("the entries after the late one are known", func() bool {
+					_, known := m.directory.Backend(next.ID)
+					return known
+				})
+				if hasCandidate(m, "desk", leaving.ID) {
+					t.Error("the instance sends requests to a back end that has left")
+				}
+			})
+		}
+	}
+}
