instance: a start ignores configurations and versions that the store executed late

A running instance keeps the highest version of the configuration; one that started took the newest record of the key, so that an older configuration, executed late, was in force there for good. The same held for the named versions of models.

Change: a starting instance reads the last 16 records of the operators and begins with the highest version. Evidence: TestStartingInstanceIgnoresLateWritesOfOperators fails before (6 instead of 8) and passes.

--- a/instance/config.go
+++ b/instance/config.go
@@ -13,6 +13,7 @@
 	"github.com/cicadasill/cicadasill/platform/hosted"
 	"github.com/cicadasill/cicadasill/presence"
 	"github.com/cicadasill/cicadasill/relay"
+	"github.com/cicadasill/cicadasill/routes"
 	"github.com/cicadasill/cicadasill/telemetry"
 	"github.com/cicadasill/cicadasill/timing"
 )
@@ -45,8 +46,37 @@
 	return changelog.Batch{}, &changelog.NotDoneError{Call: "read", Err: errNoDirectCalls}
 }
 
+// operatorHistory are the records before the newest ones that a starting instance reads: what operators write in the seconds for which the
+// store may execute a write late. A configuration can have tens of kilobytes.
+var operatorHistory = changelog.HistoryOptions{PerKey: 1, Min: 16, Max: 16}
+
+// learnOperatorHistory applies the operators' last records, so that an older configuration that the store has executed late is not taken for
+// the newest one. It makes one attempt: without it, the newest record of each key counts.
+func (i *Instance) learnOperatorHistory(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	history, err := changelog.Replay(ctx, i.store, hosted.OperatorPartition, operatorHistory)
+	if err != nil {
+		i.log.Warn("history of the operators' records not read", "err", err)
+		return
+	}
+	var newest *routes.Config
+	decoder := &hosted.OperatorRecords{Logger: telemetry.Discard(), OnVersion: i.recordTargetVersion, OnConfig: func(c *routes.Config, _ time.Duration) {
+		if newest == nil || c.Version > newest.Version {
+			newest = c
+		}
+	}}
+	for _, record := range history.Records {
+		decoder.Apply(record)
+	}
+	if newest != nil {
+		i.operators.View(func() { i.applyConfig(newest, 0) })
+	}
+}
+
 // followOperators reads the operators' records until ctx ends.
 func (i *Instance) followOperators(ctx context.Context) {
+	i.learnOperatorHistory(ctx)
 	i.operators.Follow(ctx, changelog.ConstantWait(i.configReadWait()), func() time.Duration { return presence.LongPollPause(0, i.presence.Count()) }, i.storeMonitor("operators"))
 }
 
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -301,6 +301,21 @@
 	is.Equal(c.members[0].config.Load().Version, int64(7))
 }
 
+// Guards against an instance that starts with an older configuration, or an older version of a model, because the store has executed that write
+// after the newest one.
+func TestStartingInstanceIgnoresLateWritesOfOperators(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, 1)
+	for _, version := range []int{7, 8, 6} {
+		c.store.Put("keyed.op", "config", fmt.Appendf(nil, testConfig, version))
+		c.store.PutVersion("m", int64(version))
+	}
+	m := c.startInstance("instance-after")
+	c.waitUntil("instance is ready", m.isReady)
+	is.Equal(m.config.Load().Version, int64(8))
+	is.Equal(m.targetVersions()["m"], int64(8))
+}
+
 // Guards against sending new work to back ends that are leaving.
 func TestLeavingBackendGetsNoNewWork(t *testing.T) {
 	is := is.New(t)
