presence: a live run that seemed to be replaced counts again after two records

An instance that knew only the present run of another one took a late heartbeat of the run before for a restart, and ignored the present run for good: it counted as dead, and its jobs were taken over again and again.

Change: records of the run that seemed to be replaced are counted as far as their numbers rise, and the second one brings it back. One late record of a run that has ended changes nothing. Evidence: TestLateHeartbeatOfAnUnknownEarlierRunLastsAMoment fails before and passes; TestLateHeartbeatOfAnEarlierRunIsIgnored passes as before.

--- a/presence/late_test.go
+++ b/presence/late_test.go
@@ -58,3 +58,25 @@
 		})
 	}
 }
+
+// Guards against a live instance that counts as dead for good, and whose jobs are taken over again and again, at a table that knows only its
+// present run when the store executes a heartbeat of the run before.
+func TestLateHeartbeatOfAnUnknownEarlierRunLastsAMoment(t *testing.T) {
+	is := is.New(t)
+	table := newTableAmong(t, 0, func() int { return 0 })
+	beat := func(incarnation, sequence uint64) {
+		table.Apply(heartbeatOf(t, "other", record{Incarnation: incarnation, Sequence: sequence, Interval: minHeartbeatInterval}))
+	}
+	present := machine.Ref{ID: "other", Incarnation: 9}
+	beat(9, 1)
+	beat(9, 2)
+	beat(5, 71) // late, of a run that this table has not seen
+	beat(9, 2)  // read again
+	beat(9, 3)
+	beat(9, 4)
+	is.True(table.AvailableInDataCentre(present))
+	beat(5, 72) // late as well
+	is.True(table.AvailableInDataCentre(present))
+	beat(9, 5)
+	is.True(table.AvailableInDataCentre(present))
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -98,15 +98,23 @@
 	// hasChanged states that the record has changed since this table first read it. The store keeps the
 	// records of instances that ended long ago, and a table that has just started cannot tell their age.
 	hasChanged bool
-	// replaced is the incarnation that this one has replaced; 0 if none is known.
-	replaced uint64
+	// replaced is the incarnation that this one has replaced; 0 if none is known. replacedSequence is the highest sequence number read of
+	// it, and revivals the number of its records since that raised it.
+	replaced         uint64
+	replacedSequence uint64
+	revivals         int
 }
 
+// revivingRecords is the number of records after which an instance counts as running the incarnation that seemed to be replaced: the record
+// that seemed to replace it was one of an earlier run, executed late. A run that has ended may have one late record as well, but it
+// writes none after that.
+const revivingRecords = 2
+
 // isOlderThan reports whether next was written after s: the store may execute a write without an answer seconds late. Incarnations
 // have no order, because they follow a clock that may be set back.
 func (s *observedRecord) isOlderThan(next *record) bool {
 	if next.Incarnation != s.Incarnation {
-		return next.Incarnation != s.replaced
+		return next.Incarnation != s.replaced || s.revivals >= revivingRecords
 	}
 	return next.Sequence > s.Sequence // each record of a run has a number of its own
 }
@@ -237,15 +245,23 @@
 		return
 	}
 	old, known := t.byID[r.Key]
+	if known && next.Incarnation == old.replaced && next.Sequence > old.replacedSequence {
+		old.replacedSequence = next.Sequence
+		old.revivals++
+		t.byID[r.Key] = old
+	}
 	if known && !old.isOlderThan(&next) {
 		return
 	}
-	replaced := old.replaced
+	observed := observedRecord{
+		record: next, receivedAt: time.Now(), hasChanged: known,
+		replaced: old.replaced, replacedSequence: old.replacedSequence, revivals: old.revivals,
+	}
 	if known && old.Incarnation != next.Incarnation {
 		t.log.Info("instance restarted", "peer", r.Key, "incarnation", next.Incarnation)
-		replaced = old.Incarnation
+		observed.replaced, observed.replacedSequence, observed.revivals = old.Incarnation, old.Sequence, 0
 	}
-	t.byID[r.Key] = observedRecord{record: next, receivedAt: time.Now(), hasChanged: known, replaced: replaced}
+	t.byID[r.Key] = observed
 	if known { // the age of the first record is unknown
 		t.observeClock(r.Key, next)
 	}
