forward, job: instances out of step neither attribute streams nor take them up

Two other orders of events could join texts if a process starts again under its id with other software: the stream begins at the instance out of step, or that one takes a stream of the old version up.

Cause: who serves in a back end's place was judged by entries of any age, and the check 1.5 s after the first event by the time that had passed.

Change: records made with old entries are doubtful until entries that were read later confirm them, at the instance that takes the stream up or at the one where it began. Instances with old entries take nothing up, also if they grow old before the send or within the answer. Drivers start texts over whose software is doubtful.

Evidence: TestStreamBegunAtAnInstanceOutOfStep, TestTakeUpAtAnInstanceOutOfStep and TestTextOfDoubtfulSoftwareStartsOver fail without the checks of age.

--- a/changelog/map.go
+++ b/changelog/map.go
@@ -80,12 +80,19 @@
 
 // Get returns the value of a key as far as it has been read.
 func (m *Map[V]) Get(key string) (value V, found bool) {
+	value, _, found = m.GetWithAge(key)
+	return value, found
+}
+
+// GetWithAge is Get with the time since this instance has read the value.
+func (m *Map[V]) GetWithAge(key string) (value V, age time.Duration, found bool) {
 	m.replica.View(func() {
 		var entry mapEntry[V]
-		entry, found = m.entries[key]
-		value = entry.value
+		if entry, found = m.entries[key]; found {
+			value, age = entry.value, time.Since(entry.readAt)
+		}
 	})
-	return value, found
+	return value, age, found
 }
 
 // Reset implements State.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -84,6 +84,8 @@
 	Quarantine Quarantine
 	// Origins tells where streams began; nil if no stream can be taken up.
 	Origins Origins
+	// EntriesAge returns the time since which the back ends' entries may have changed unnoticed; nil if they are always current.
+	EntriesAge func() time.Duration
 	// Self is the id of this instance, by which it prefers one of equal back ends; empty if it decides by their ids.
 	Self       string
 	DataCentre string
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -33,11 +33,17 @@
 // once a second. A stream that began earlier was begun by the process that its back end's entry then named.
 const runDoubt = 1500 * time.Millisecond
 
+// maxEntriesAge is the age up to which entries tell which process is in a back end's place. Instances in touch with the store read them
+// several times within runDoubt.
+const maxEntriesAge = runDoubt
+
 // Outcomes of requests that take streams up, in metrics.
 const (
 	takeUpContinued     = "continued"
 	takeUpUnknown       = "unknown"
 	takeUpUnreadable    = "unreadable"
+	takeUpOldEntries    = "old_entries"
+	takeUpDoubtful      = "doubtful"
 	takeUpOtherService  = "other_service"
 	takeUpNoBackend     = "no_back_end"
 	takeUpOtherSoftware = "other_software"
@@ -46,6 +52,7 @@
 // Causes of refused take-ups.
 var (
 	errOriginUnknown      = errors.New("it is not known at which software version the stream began")
+	errOldEntries         = errors.New("the entries of the back ends are too old to tell which software serves where")
 	errOriginOtherService = errors.New("the route no longer leads to the service that began the stream")
 )
 
@@ -57,6 +64,17 @@
 	return fmt.Sprintf("another process has taken the place of back end %s", e.Backend)
 }
 
+// DoubtfulOriginError reports a stream whose software version is not certain yet.
+type DoubtfulOriginError struct {
+	// CertainIn is about the time until it is.
+	CertainIn time.Duration
+}
+
+// Error implements error.
+func (e *DoubtfulOriginError) Error() string {
+	return fmt.Sprintf("the stream began at an instance with old entries; its software version is certain in %v", e.CertainIn)
+}
+
 // newTakeUps returns the counter of requests that take streams up.
 func newTakeUps() *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cicadasill_stream_take_ups_total",
@@ -80,8 +98,14 @@
 	if err != nil {
 		f.countTakeUp(r, outcome)
 		f.opts.Logger.Info("stream not taken up", "request", r.ID, "resumes", r.Resumes, "route", route.Name, "err", err)
-		return origin.Origin{}, &RefusedError{RetryAfter: limit.RetryAfter(queueDrainTime), Err: err}
+		after := queueDrainTime
+		var doubtful *DoubtfulOriginError
+		if errors.As(err, &doubtful) {
+			after = max(after, doubtful.CertainIn)
+		}
+		return origin.Origin{}, &RefusedError{RetryAfter: limit.RetryAfter(after), Err: err}
 	}
+	r.Permit = f.permitTakeUp(r.Permit)
 	return began, nil
 }
 
@@ -90,6 +114,9 @@
 	if r.Resumes == "" || f.opts.Origins == nil {
 		return began, takeUpUnknown, errOriginUnknown
 	}
+	if f.hasOldEntries() {
+		return began, takeUpOldEntries, errOldEntries
+	}
 	began, found, err := f.opts.Origins.Find(ctx, r.Account, r.Resumes)
 	switch {
 	case err != nil:
@@ -99,12 +126,55 @@
 	case !slices.ContainsFunc(route.Shares, func(s routes.Share) bool { return s.Service == began.Service }):
 		return began, takeUpOtherService, errOriginOtherService
 	}
+	if err := f.checkDoubtful(began); err != nil {
+		return began, takeUpDoubtful, err
+	}
 	return began, "", nil
 }
 
+// checkDoubtful returns nil unless the software version of a stream is in doubt: it began at an instance with old entries, and this instance
+// does not know by entries of its own which process was in the back end's place.
+func (f *Forwarder) checkDoubtful(began origin.Origin) error {
+	if !began.Doubtful {
+		return nil
+	}
+	if current, known := f.opts.Backends.Backend(began.Backend); known && current.Software != began.Software {
+		return errOriginUnknown
+	}
+	if wait := runDoubt - began.KnownFor + f.entriesAge(); wait > 0 {
+		return &DoubtfulOriginError{CertainIn: wait}
+	}
+	return nil
+}
+
+// entriesAge returns the time since which entries may have changed unnoticed, at most an hour.
+func (f *Forwarder) entriesAge() time.Duration {
+	if f.opts.EntriesAge == nil {
+		return 0
+	}
+	return min(f.opts.EntriesAge(), time.Hour)
+}
+
+// hasOldEntries reports whether this instance is out of step: its entries do not tell which process is in a back end's place.
+func (f *Forwarder) hasOldEntries() bool { return f.entriesAge() > maxEntriesAge }
+
+// permitTakeUp returns a permission that also withholds a request that takes a stream up if the entries have grown old since the back end
+// was chosen, as they have after a freeze.
+func (f *Forwarder) permitTakeUp(permit func() error) func() error {
+	return func() error {
+		if f.hasOldEntries() {
+			return errOldEntries
+		}
+		if permit != nil {
+			return permit()
+		}
+		return nil
+	}
+}
+
 // recordOrigin records that a stream has begun at b, before its first event reaches the client. If another process with other software
-// is known in the place of b by then, or within runDoubt, the version is unknown. A request that takes a stream up fails then, if it is
-// known in time.
+// is known in the place of b by then, or once entries have been read after runDoubt, the version is unknown. A request that takes a stream
+// up fails then, if it is known in time, and if the entries are too old to know.
 func (f *Forwarder) recordOrigin(route *routes.Route, r *Request, b *backends.Backend, status int) error {
 	if f.opts.Origins == nil || status/100 != http.StatusOK/100 {
 		return nil
@@ -116,24 +186,49 @@
 		}
 		return nil // it stays unknown
 	}
+	doubtful := f.hasOldEntries()
+	if r.TakesUp && doubtful {
+		f.countTakeUp(r, takeUpOldEntries)
+		return errOldEntries
+	}
 	f.countTakeUp(r, takeUpContinued)
 	if b.Software == "" || !route.Resumable {
 		return nil
 	}
-	o := origin.Origin{Service: b.Service, Software: b.Software, Keep: origin.DefaultKeep}
+	o := origin.Origin{Service: b.Service, Software: b.Software, Keep: origin.DefaultKeep, Backend: b.ID, Doubtful: doubtful}
 	if !r.Deadline.IsZero() {
 		o.Keep = time.Until(r.Deadline) + origin.KeepMargin
 	}
 	f.opts.Origins.Record(r.Account, r.ID, o)
-	time.AfterFunc(runDoubt, func() {
-		if f.isReplaced(b) {
-			o.Software = ""
-			f.opts.Origins.Record(r.Account, r.ID, o)
-		}
-	})
+	begunAt := time.Now()
+	time.AfterFunc(runDoubt, func() { f.confirmOrigin(r, b, o, begunAt) })
 	return nil
 }
 
+// confirmInterval is the time between two checks whether entries have been read.
+const confirmInterval = 250 * time.Millisecond
+
+// confirmOrigin corrects the record of a stream that began at a moment, once entries have been read that show which process was in the place
+// of b then. It gives up when the record is no longer kept.
+func (f *Forwarder) confirmOrigin(r *Request, b *backends.Backend, o origin.Origin, begunAt time.Time) {
+	elapsed := time.Since(begunAt)
+	switch {
+	case f.isReplaced(b):
+		o.Software = ""
+	case elapsed-f.entriesAge() >= runDoubt:
+		if !o.Doubtful {
+			return
+		}
+		o.Doubtful = false
+	case elapsed < o.Keep:
+		time.AfterFunc(confirmInterval, func() { f.confirmOrigin(r, b, o, begunAt) })
+		return
+	default:
+		return
+	}
+	f.opts.Origins.Record(r.Account, r.ID, o)
+}
+
 // isReplaced reports whether another process with other software has taken the place of b.
 func (f *Forwarder) isReplaced(b *backends.Backend) bool {
 	current, known := f.opts.Backends.Backend(b.ID)
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -39,18 +39,28 @@
 	return began, ok, o.err
 }
 
-// streamAt is a StreamClient that keeps the back ends that were sent to. beforeEvent is called when a stream has begun.
+// streamAt is a StreamClient that keeps the back ends that were sent to. beforeSend is called before a request is sent, beforeEvent when a
+// stream has begun.
 type streamAt struct {
 	fakeClient
 	sentTo      []string
 	refusing    map[string]bool
+	beforeSend  func()
 	beforeEvent func()
 }
 
-func (c *streamAt) Stream(_ context.Context, b *backends.Backend, _ *Request, w http.ResponseWriter) error {
+func (c *streamAt) Stream(_ context.Context, b *backends.Backend, r *Request, w http.ResponseWriter) error {
 	if c.refusing[b.ID] {
 		return &NotRunError{Err: errTest}
 	}
+	if c.beforeSend != nil {
+		c.beforeSend()
+	}
+	if r.Permit != nil {
+		if err := r.Permit(); err != nil {
+			return &NotRunError{Err: err, Withheld: true}
+		}
+	}
 	c.sentTo = append(c.sentTo, b.ID)
 	if c.beforeEvent != nil {
 		c.beforeEvent()
@@ -174,3 +184,110 @@
 	}()
 	_ = f.Stream(t.Context(), f.route, &Request{ID: "again", TakesUp: true, Resumes: "first"}, answer)
 }
+
+// sharedOrigins holds the origins of streams for the instances of a test, each of which knows them from when they were recorded on.
+type sharedOrigins struct {
+	fakeOrigins
+	at map[string]time.Time
+}
+
+func (o *sharedOrigins) Record(account, attempt string, began origin.Origin) {
+	o.fakeOrigins.Record(account, attempt, began)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.at[attempt] = time.Now()
+}
+
+func (o *sharedOrigins) Find(ctx context.Context, account, attempt string) (origin.Origin, bool, error) {
+	began, found, err := o.fakeOrigins.Find(ctx, account, attempt)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	began.KnownFor = time.Since(o.at[attempt])
+	return began, found, err
+}
+
+// Replays a release during which the instance where a stream begins is out of step: a back end has started again under its id with other software,
+// and the instance has not read its entry. Guards against a take-up at another instance, in step, that goes on at the version of before (ORDER).
+func TestStreamBegunAtAnInstanceOutOfStep(t *testing.T) {
+	for name, replaced := range map[string]bool{"another process": true, "the same process": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				origins := &sharedOrigins{fakeOrigins: fakeOrigins{known: map[string]origin.Origin{}}, at: map[string]time.Time{}}
+				behind, inStep := newOriginFixture(), newOriginFixture()
+				behind.opts.Origins, inStep.opts.Origins = origins, origins
+				readAt := time.Now()
+				behind.opts.EntriesAge = func() time.Duration { return time.Since(readAt) }
+				behind.route.Shares, inStep.route.Shares = behind.route.Shares[1:], inStep.route.Shares[1:]
+				inStep.put("t1", "t", "v1", 1) // would go on with a text of t0's old software
+				time.Sleep(3 * time.Second)
+				is.NoErr(behind.Stream(t.Context(), behind.route, &Request{ID: "first"}, httptest.NewRecorder()))
+				is.Equal(behind.client.sentTo, []string{"t0"})
+				takenUp := func() (bool, time.Duration) {
+					b, err := inStep.takeUp(t, "again", "first")
+					var refused *RefusedError
+					if errors.As(err, &refused) {
+						return false, refused.RetryAfter
+					}
+					is.NoErr(err)
+					is.True(b != "")
+					return true, 0
+				}
+				went, wait := takenUp() // the entry of the new process is not read anywhere yet
+				is.True(!went && wait >= runDoubt && wait < 3*runDoubt)
+				if replaced {
+					time.Sleep(time.Second)
+					inStep.put("t0", "t", "v2", 2)
+				}
+				time.Sleep(2 * runDoubt)
+				went, _ = takenUp()
+				is.Equal(went, !replaced)
+				readAt = time.Now() // the instance is in step again
+				if replaced {
+					behind.put("t0", "t", "v2", 2)
+				}
+				time.Sleep(2 * runDoubt)
+				readAt = time.Now()
+				time.Sleep(2 * confirmInterval)
+				began, _, _ := origins.Find(t.Context(), "", "first")
+				is.Equal(began.Software == "", replaced)
+				is.True(!began.Doubtful || replaced)
+				went, _ = takenUp()
+				is.Equal(went, !replaced)
+			})
+		})
+	}
+}
+
+// Replays a release during which an instance that takes a stream up is out of step, from before it chooses a back end, from the send on or within
+// the answer. Guards against a take-up at a process that has taken the back end's place since (ORDER).
+func TestTakeUpAtAnInstanceOutOfStep(t *testing.T) {
+	for _, from := range []string{"before", "send", "answer"} {
+		t.Run(from, func(t *testing.T) {
+			is := is.New(t)
+			f := newOriginFixture()
+			f.origins.known["first"] = origin.Origin{Service: "t", Software: "v1", Backend: "t0"}
+			var age time.Duration
+			f.opts.EntriesAge = func() time.Duration { return age }
+			freeze := func() { age = 3 * time.Second }
+			answer := httptest.NewRecorder()
+			defer func() {
+				is.Equal(recover() != nil, from == "answer") // the client's connection is closed
+				is.Equal(answer.Body.Len(), 0)
+				is.Equal(len(f.client.sentTo) > 0, from == "answer")
+			}()
+			switch from {
+			case "before":
+				freeze()
+			case "send":
+				f.client.beforeSend = freeze
+			case "answer":
+				f.client.beforeEvent = freeze
+			}
+			err := f.Stream(t.Context(), f.route, &Request{ID: "again", TakesUp: true, Resumes: "first"}, answer)
+			var refused *RefusedError
+			is.True(errors.As(err, &refused))
+			is.True(refused.RetryAfter > 0)
+		})
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -232,12 +232,12 @@
 		spreadBy = s.Instance.ID
 	}
 	forwarder := forward.New(forward.Options{
-		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Origins: i.origins, Self: spreadBy, DataCentre: s.Instance.DataCentre,
+		Backends: i.directory, Client: backendClient, RateLimits: limiter, Quarantine: i.quarantine, Origins: i.origins, EntriesAge: i.entries.Age, Self: spreadBy, DataCentre: s.Instance.DataCentre,
 		RequestBegan: i.usage.observer(), Logger: i.log, Registerer: i.registry,
 	})
 	i.driver = job.NewDriver(job.DriverOptions{
 		Self: i.self, DataCentre: s.Instance.DataCentre, Registry: i.jobs, Backends: i.directory,
-		Engine: backendClient, Requests: forwarder, RateLimits: limiter, Peers: i.presence, Config: i.config.Load, SlotShare: s.Jobs.SlotShare, SpreadEqual: s.Jobs.SpreadEqual,
+		Engine: backendClient, Requests: forwarder, RateLimits: limiter, Peers: i.presence, Config: i.config.Load, EntriesAge: i.entries.Age, SlotShare: s.Jobs.SlotShare, SpreadEqual: s.Jobs.SpreadEqual,
 		StartedBytes: int64(startedFraction * s.Limits.MemoryMB * (1 << 20)), Logger: i.log, Registerer: i.registry,
 	})
 	i.loadScheduler = versions.New(versions.Options{
--- a/job/driver.go
+++ b/job/driver.go
@@ -56,6 +56,8 @@
 	RateLimits forward.RateLimits
 	Peers      Peers
 	Config     func() *routes.Config
+	// EntriesAge returns the time since which the entries of Backends may have changed unnoticed; nil if they are always current.
+	EntriesAge func() time.Duration
 	// SpreadEqual makes this instance prefer one of equal engines by an order of its own instead of by their ids.
 	SpreadEqual bool
 	// SlotShare is the fraction of an engine's slots that this instance may use, from 0 to 1.
@@ -114,7 +116,7 @@
 		run: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cicadasill_item_run_seconds",
 			Help: "Duration of the last attempt of completed items.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 10)}),
 		restarts: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_restarts_total",
-			Help: "Texts that started over because no engine with the software that began them got free in time."}),
+			Help: "Texts that started over because no engine with the software that began them got free in time, or that is not certain."}),
 		retries: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_attempts_failed_total",
 			Help: "Item attempts that ended without completing the item, except for moves."}),
 		moves: prometheus.NewCounter(prometheus.CounterOpts{Name: "cicadasill_item_moves_total",
--- a/job/run.go
+++ b/job/run.go
@@ -34,6 +34,7 @@
 	lastEvent int64
 	// writer is the service and software that has generated the output.
 	writer         writer
+	begunAt        *backends.Backend // where the output began; nil if another driver has stored it
 	versions       []int64
 	size           int       // bytes of data
 	checkpointedAt time.Time // time of the last checkpoint, or of the item's start here
@@ -114,7 +115,7 @@
 		return &OldVersionError{Version: e.Version, MinVersion: a.minVersion}
 	}
 	if out.lastEvent == 0 {
-		out.writer = writerOf(a.backend)
+		out.writer, out.begunAt = writerOf(a.backend), a.backend
 	}
 	if !slices.Contains(out.versions, e.Version) {
 		if a.singleVersion && len(out.versions) > 0 {
@@ -148,7 +149,7 @@
 
 // reset discards the output, so that the next attempt starts from the beginning.
 func (o *partialOutput) reset() {
-	o.data, o.lastEvent, o.versions, o.size, o.writer = nil, 0, nil, 0, writer{}
+	o.data, o.lastEvent, o.versions, o.size, o.writer, o.begunAt = nil, 0, nil, 0, writer{}, nil
 }
 
 // runItem generates the text of an item and obtains its score, until the item has a result or ctx ends. It
@@ -210,6 +211,11 @@
 		if !route.Resumable {
 			out.reset()
 		}
+		if d.isWriterDoubtful(out) {
+			d.metrics.restarts.Inc()
+			d.log.Info("text starts over", "job", job.ID, "item", item.ID, "software", out.writer.software, "events", out.lastEvent, "reason", "its software is doubtful")
+			out.reset()
+		}
 		req := &engineRequest{
 			order: queueOrder(queueTime(job.AcceptedAt()), expected, itemIndex), service: service, model: item.Model,
 			group: string(job.ID) + item.Group, minVersion: job.MinVersion, expected: expected, excluded: excluded,
@@ -389,7 +395,11 @@
 		defer a.mover.cancel()
 	}
 	if route.Resumable {
-		a.saveCheckpoint = func() { d.opts.Registry.queueCheckpoint(&job.Summary, item.ID, out.checkpoint()) }
+		a.saveCheckpoint = func() {
+			if !d.isWriterDoubtful(out) {
+				d.opts.Registry.queueCheckpoint(&job.Summary, item.ID, out.checkpoint())
+			}
+		}
 	}
 	err = d.opts.Engine.Generate(ctx, b, Call{
 		Host: job.Host, Item: whole, Account: job.Account, After: out.lastEvent, Repeated: a.repeated, Permit: d.permit(jobCtx),
--- a/job/writer.go
+++ b/job/writer.go
@@ -24,6 +24,26 @@
 // writerOf returns the writer that an engine belongs to.
 func writerOf(b *backends.Backend) writer { return writer{b.Service, b.Software} }
 
+// maxEntriesAge is the age up to which entries tell which software serves in an engine's place. Instances in touch with the store read them
+// several times in it.
+const maxEntriesAge = 1500 * time.Millisecond
+
+// isWriterDoubtful reports whether this driver cannot tell what software has generated an output, or would go on with it: its entries are old,
+// or another process with other software has taken the place of the engine that began the output here.
+func (d *Driver) isWriterDoubtful(out *partialOutput) bool {
+	if out.lastEvent == 0 {
+		return false
+	}
+	if d.opts.EntriesAge != nil && d.opts.EntriesAge() > maxEntriesAge {
+		return true
+	}
+	if out.begunAt == nil {
+		return false
+	}
+	current, known := d.opts.Backends.Backend(out.begunAt.ID)
+	return known && current.Software != out.begunAt.Software
+}
+
 // serves reports whether any engine of a writer may run an item for the request, now or when it has a free slot.
 func (p *placer) serves(w writer, req *engineRequest) bool {
 	return slices.ContainsFunc(p.dir.Candidates(w.service, req.model), func(c backends.Candidate) bool { return req.accepts(&c) })
--- a/job/writer_test.go
+++ b/job/writer_test.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"context"
+	"io"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -119,3 +121,60 @@
 		is.Equal(f.waiting(), 0)
 	})
 }
+
+// Replays a driver that is out of step during a release: its entries are old, or an engine that broke a text off has started again under its id
+// with other software. Guards against a text that goes on at the version of before.
+func TestTextOfDoubtfulSoftwareStartsOver(t *testing.T) {
+	for name, tc := range map[string]struct {
+		breaks func(f *moveFixture, age *time.Duration)
+		want   []string
+	}{
+		"in step":         {func(*moveFixture, *time.Duration) {}, []string{"e1:1", "e2:11"}},
+		"entries are old": {func(_ *moveFixture, age *time.Duration) { *age = 3 * time.Second }, []string{"e1:1", "e2:1"}},
+		"other software in its place": {func(f *moveFixture, _ *time.Duration) {
+			f.dir.Put(backends.Entry{ID: "e1", Service: "llm", Addr: "127.0.0.1:1", Zone: "a", Slots: 1, StartedUnixMs: 2, Software: "v2"})
+		}, []string{"e1:1", "e2:1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newWriterFixture(map[string]string{"e1": "v1", "e2": "v1"})
+				var age time.Duration
+				f.driver.opts.EntriesAge = func() time.Duration { return age }
+				f.driver.opts.Engine = &breakingEngine{fixedIntervalEngine: f.engine, after: 10, onBreak: func() { tc.breaks(f, &age) }}
+				f.engineOf("e2").Begin() // takes its slot
+				stop := f.runWaits(t.Context())
+				defer stop()
+				time.AfterFunc(5*fastInterval, func() { f.engineOf("e2").End() })
+				result, done := f.driver.runItem(t.Context(), f.job, 0)
+				is.True(done)
+				is.Equal(result.State, Complete)
+				is.Equal(f.engine.runs, tc.want)
+			})
+		})
+	}
+}
+
+// breakingEngine is an Engine whose first run breaks off after a number of events.
+type breakingEngine struct {
+	*fixedIntervalEngine
+	after   int64
+	onBreak func()
+	broken  bool
+}
+
+func (e *breakingEngine) Generate(ctx context.Context, b *backends.Backend, call Call, to Receiver) error {
+	if e.broken {
+		return e.fixedIntervalEngine.Generate(ctx, b, call, to)
+	}
+	e.broken = true
+	whole := e.events
+	e.events = e.after
+	err := e.fixedIntervalEngine.Generate(ctx, b, call, to)
+	e.events = whole
+	if err != nil {
+		return err
+	}
+	e.onBreak()
+	return &BrokenError{Err: io.ErrUnexpectedEOF}
+}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -44,6 +44,12 @@
 	Software string `cbor:"2,keyasint"`
 	// Keep is how long the record is kept.
 	Keep time.Duration `cbor:"3,keyasint"`
+	// Backend is the id of the back end. Instances of earlier releases do not state it.
+	Backend string `cbor:"4,keyasint,omitempty"`
+	// Doubtful states that the instance at which the stream began had old entries: another process may have been in the back end's place.
+	Doubtful bool `cbor:"5,keyasint,omitempty"`
+	// KnownFor is the time since this instance has recorded or read the origin. Find sets it.
+	KnownFor time.Duration `cbor:"-"`
 }
 
 // Options configure a Table.
@@ -154,9 +160,12 @@
 	o, ok := t.unread[key]
 	t.mu.Unlock()
 	if ok {
+		o.KnownFor = time.Since(o.at)
 		return o.Origin, true
 	}
-	return t.records.Get(key)
+	read, age, ok := t.records.GetWithAge(key)
+	read.KnownFor = age
+	return read, ok
 }
 
 // keyOf returns the key of an attempt's record. It has a fixed length, because clients choose the ids.
