job: items that have ended make room for the next job

Change: a driver frees an item when it has a result, and counts only the others when it decides on a takeover. A body that is asked for before the result is listed is read from the store.

Evidence: TestItemsThatHaveEndedMakeRoom.

--- a/job/driver.go
+++ b/job/driver.go
@@ -181,6 +181,23 @@
 	longest time.Duration
 	// progress tells which items have started and ended.
 	progress progress
+	// freed is the size of the items whose memory has been freed.
+	freed atomic.Int64
+}
+
+// free frees the memory of an item that has a result. Its body can be read from the store until the result is listed.
+func (j *activeJob) free(index int) {
+	j.progress.mu.Lock()
+	defer j.progress.mu.Unlock()
+	j.freed.Add(int64(len(j.items[index].stored)))
+	j.items[index].stored = nil
+}
+
+// storedItem returns the encoded form of an item, nil if it has been freed.
+func (j *activeJob) storedItem(index int) storedItem {
+	j.progress.mu.Lock()
+	defer j.progress.mu.Unlock()
+	return j.items[index].stored
 }
 
 // Run drives jobs until ctx ends, then waits until all jobs have stopped.
@@ -208,7 +225,7 @@
 		own  openItems // of the jobs that this instance drives
 	)
 	d.opts.Registry.indexReplica.View(func() {
-		own = d.opts.Registry.openItems()[d.opts.Self]
+		own = d.ownItems()
 		for _, s := range d.opts.Registry.index.jobs {
 			if s.Open() {
 				open = append(open, *s)
@@ -301,6 +318,7 @@
 		d.metrics.results.WithLabelValues(result.State.String()).Inc()
 		job.pending.finish(job.items[i].Group)
 		d.opts.Registry.queueResult(s, result)
+		job.free(i)
 	})
 	d.forgetGroups(job)
 	d.log.Info("job stopped", "job", s.ID, "took", time.Since(start), "cancelled", ctx.Err() != nil)
@@ -366,6 +384,7 @@
 			return nil, err
 		}
 	}
+	held := int64(0)
 	for _, stored := range items {
 		item, err := decodeItem(stored)
 		if err != nil {
@@ -379,7 +398,9 @@
 		if c, ok := checkpoints[item.ID]; ok {
 			job.checkpoints[item.ID] = c
 		}
+		held += int64(len(stored))
 	}
+	job.freed.Store(max(0, s.ItemBytes-held)) // items that are listed already
 	return job, nil
 }
 
@@ -395,12 +416,11 @@
 		if job.items[i].ID != item {
 			continue
 		}
-		whole, err := job.items[i].whole()
-		if err != nil {
-			d.log.Error("item not readable", "job", id, "item", item, "err", err)
+		stored := job.storedItem(i)
+		if stored == nil {
 			return nil, false
 		}
-		return whole.Body, true
+		return bodyOf(stored, item)
 	}
 	return nil, false
 }
--- a/job/room.go
+++ b/job/room.go
@@ -23,6 +23,14 @@
 	large int // jobs
 }
 
+// add adds a job.
+func (o *openItems) add(size int64, large bool) {
+	o.bytes += size
+	if large {
+		o.large++
+	}
+}
+
 // isLarge reports whether a job of the given size is large.
 func (g *Registry) isLarge(size int64) bool { return size > g.opts.MaxItemBytes/largeDivisor }
 
@@ -34,9 +42,7 @@
 			continue
 		}
 		o := open[s.Driver]
-		if o.bytes += s.ItemBytes; g.isLarge(s.ItemBytes) {
-			o.large++
-		}
+		o.add(s.ItemBytes, g.isLarge(s.ItemBytes))
 		open[s.Driver] = o
 	}
 	return open
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -66,7 +66,7 @@
 		if old == nil || !old.Open() || old.Driver != s.Driver {
 			return nil
 		}
-		if !g.hasRoom(g.openItems()[d.opts.Self], old.ItemBytes) {
+		if !g.hasRoom(d.ownItems(), old.ItemBytes) {
 			return nil
 		}
 		next := *old
@@ -89,3 +89,23 @@
 	defer d.mu.Unlock()
 	return time.Since(d.orphanedSince[id])
 }
+
+// ownItems returns what the open jobs of this instance take. Other instances, which choose it for new jobs, count the items that have ended
+// as well. The caller reads the index.
+func (d *Driver) ownItems() openItems {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := d.opts.Registry
+	var own openItems
+	for _, s := range g.index.jobs {
+		if s.Driver != d.opts.Self || !s.Open() {
+			continue
+		}
+		left := s.ItemBytes
+		if job := d.active[s.ID]; job != nil {
+			left = max(0, left-job.freed.Load())
+		}
+		own.add(left, g.isLarge(left))
+	}
+	return own
+}
--- a/job/takeover_test.go
+++ b/job/takeover_test.go
@@ -154,6 +154,44 @@
 	})
 }
 
+// Guards against a full instance that leaves engines idle at the end of its job although others wait: items that have ended take no memory.
+func TestItemsThatHaveEndedMakeRoom(t *testing.T) {
+	is := is.New(t)
+	log := newCountingLog()
+	own := &Spec{ID: "own", Host: "h", Model: "m", Step: -1}
+	for i := range 9 {
+		own.Items = append(own.Items, Item{ID: fmt.Sprint("i", i), Path: "/p/1", Body: make([]byte, 60)})
+	}
+	client := testRegistry(log)
+	client.opts.Drivers = func(string) []machine.Ref { return []machine.Ref{rankedRef(0)} }
+	is.NoErr(client.Submit(t.Context(), own))
+	submitTo(t, log, goneDriver, "orphan", 600)
+	g := testRegistry(log)
+	g.opts.MaxItemBytes = roomLimit
+	d := NewDriver(DriverOptions{Self: rankedRef(0), Registry: g, Backends: backends.New(), Peers: goneFirst{}, Logger: telemetry.Discard()})
+	is.NoErr(g.indexReplica.Sync(t.Context()))
+	s, _ := g.Summary("own")
+	is.True(s.ItemBytes > 450 && s.ItemBytes <= roomLimit)
+	job, err := d.loadJob(t.Context(), &s)
+	is.NoErr(err)
+	d.active["own"] = job
+	orphan, _ := g.Summary("orphan")
+	d.takeOver(t.Context(), &orphan)
+	is.Equal(drivenBy(t, log)[rankedRef(0)], 1)
+	for i := range 8 {
+		job.free(i)
+	}
+	d.takeOver(t.Context(), &orphan)
+	is.Equal(drivenBy(t, log)[rankedRef(0)], 2)
+	_, found := d.body("own", "i0")
+	is.True(!found)
+	body, err := g.Body(t.Context(), "own", "i0") // from the store, until the result is listed
+	is.NoErr(err)
+	is.Equal(len(body), 60)
+	_, found = d.body("own", "i8")
+	is.True(found)
+}
+
 // Guards against a job that is too large for every instance because each always has some small job open.
 func TestLargestJobHasRoomBesideSmallOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
