job: records of items keep a lower limit of the store

Items shared records of up to 160 KB whatever the settings say of the store, so that with a lower max_record_bytes a job was refused as too large although each of its items fits. The shared size follows the limit now. Evidence: TestItemsFitIntoSmallerRecords, which the code before fails with TooLargeError (read in the code, the test was written with the change).

--- a/job/limits_test.go
+++ b/job/limits_test.go
@@ -204,6 +204,26 @@
 	is.Equal(len(left), 0)
 }
 
+// Guards against a job that is refused as too large where the store takes smaller records than usual, although each of its items fits.
+func TestItemsFitIntoSmallerRecords(t *testing.T) {
+	is := is.New(t)
+	log := newLimitedLog()
+	log.limits = changelog.Limits{RecordBytes: 20_000, CallBytes: 100_000}
+	g := testRegistry(log)
+	g.opts.Limits = log.limits
+	spec := &Spec{ID: "job", Host: "h", Step: -1}
+	for i := range 100 {
+		item := Item{ID: itemID(i, 8), Path: "/p/1", Body: make([]byte, 5000)}
+		is.NoErr(item.Pack())
+		spec.Items = append(spec.Items, item)
+	}
+	is.NoErr(g.Submit(t.Context(), spec))
+	is.Equal(log.rejected.Load(), int64(0))
+	body, err := g.Body(t.Context(), "job", itemID(99, 8))
+	is.NoErr(err)
+	is.Equal(len(body), 5000)
+}
+
 // Guards against jobs whose ids or summaries the store cannot hold: such an id was cut, and the records of such a summary were repeated until
 // the client's deadline, while all other jobs of the instance waited.
 func TestJobThatTheStoreCannotHoldIsRefusedAtOnce(t *testing.T) {
--- a/job/records.go
+++ b/job/records.go
@@ -52,9 +52,10 @@
 // does not fit into a record.
 func itemRecords(id ID, items []Item, limits changelog.Limits) ([]changelog.Record, error) {
 	var records []changelog.Record
+	shared := min(maxRecordBytes, maxItemBytes(limits)-cborHeadBytes)
 	for len(items) > 0 {
 		n, size := 0, 0
-		for n < len(items) && (n == 0 || size+itemSize(&items[n]) <= maxRecordBytes) {
+		for n < len(items) && (n == 0 || size+itemSize(&items[n]) <= shared) {
 			size += itemSize(&items[n])
 			n++
 		}
