instance: a start reads at most 1,500 records of the back ends

With 3,000 records, about 1 MB, a start of 300 instances in front of hundreds of back ends would read 300 MB, four seconds of what the users' stores send (derived, not measured). Back ends that show twice in the shorter log are known to live; the others need a second entry, as where the log was deleted.

--- a/instance/entries.go
+++ b/instance/entries.go
@@ -53,9 +53,9 @@
 	// historyPerBackend is the number of records for each back end that a starting instance reads of the log of the entries. At one in 1.2 s,
 	// they reach back by 10.8 s: a write that is executed 6 s late, and the entries before the removal that it follows.
 	historyPerBackend = 9
-	// minHistory serves deployments from which many back ends have just been removed. maxHistory is about 1 MB: all instances may start
-	// at the same time.
-	minHistory, maxHistory = 200, 3000
+	// minHistory serves deployments from which many back ends have just been removed. maxHistory is about 0.5 MB: hundreds of instances may
+	// start at the same time.
+	minHistory, maxHistory = 200, 1500
 	// historyTime bounds the time that this may take, because no entry counts until then.
 	historyTime = 1500 * time.Millisecond
 	// roleCheckInterval is how often an instance that reads the store checks whether it is still to do so.
