backends: doubted back ends serve until most of their service have written again

Cause: gave a doubted back end no requests at all, and after such a start all were doubted.

Change: doubted back ends are left out only where they are at most half of their service. TestRestartOfAllKeepsWhatWasRemoved registers the new back end twice, as a live one does.

--- a/backends/backends.go
+++ b/backends/backends.go
@@ -100,7 +100,7 @@
 	runs            map[string]knownRun
 	runsForgottenAt time.Time // when the runs that are too old were last forgotten
 	outageAt        time.Time
-	// If doubts is set, entries of back ends that are not in alive need a second one to count until doubtUntil, which the first entry sets.
+	// If doubts is set, back ends that are not in alive are doubted until doubtUntil, which the first entry sets.
 	doubts     bool
 	doubtUntil time.Time
 	alive      map[string]bool
@@ -289,25 +289,34 @@
 	ThrottledUntil time.Time
 }
 
-// Candidates returns the back ends of a service that take new work, in no particular order. The
+// Candidates returns the back ends of a service that take new work, in no particular order, without the doubted ones unless these are more
+// than half: a start must not leave the service to a few. The
 // model affects only Candidate.Avoid; "" stands for requests that need no model.
 func (d *Directory) Candidates(service, model string) []Candidate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	var list []Candidate
+	var list, doubted []Candidate
 	for _, b := range d.byID {
-		if b.Service != service || b.leaving || b.hasStatedLeaving() || now.Before(b.crashedUntil) || now.Before(b.doubtedUntil) {
+		if b.Service != service || b.leaving || b.hasStatedLeaving() || now.Before(b.crashedUntil) {
 			continue
 		}
 		if !b.removedAt.IsZero() && now.Sub(b.removedAt) > removalGrace {
 			continue
 		}
-		list = append(list, Candidate{
+		c := Candidate{
 			Backend: b, Slots: b.slots, Versions: b.versions, InFlight: b.inFlight, EventInterval: b.eventInterval, EventSeenAt: b.eventSeenAt, OpenConns: b.openConns(now),
 			Avoid:       now.Before(b.avoidUntil) || now.Before(b.loadingUntil[model]),
 			RateLimited: b.rateLimit() > 0, ThrottledUntil: b.throttled,
-		})
+		}
+		if now.Before(b.doubtedUntil) {
+			doubted = append(doubted, c)
+		} else {
+			list = append(list, c)
+		}
+	}
+	if len(doubted) > len(list) {
+		list = append(list, doubted...)
 	}
 	return list
 }
--- a/backends/runs.go
+++ b/backends/runs.go
@@ -53,15 +53,15 @@
 const maxWriteDelay = 7 * time.Second
 
 // Doubt states that entries may have been written before the removal of their back ends, which is not known, because this instance has just
-// started and the history of the entries is lost. For maxWriteDelay from the first entry on, a back end then needs a second, newer entry to
-// count, unless it is known to be alive.
+// started and the history of the entries is lost. For maxWriteDelay from the first entry on, back ends are doubted until a second, newer entry
+// is read, unless they are known to be alive. Live ones write again within a heartbeat.
 func (d *Directory) Doubt(alive map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.doubts, d.alive = true, alive
 }
 
-// doubt makes a new back end wait for a second entry if it may have been removed. The caller holds dir.mu.
+// doubt marks a new back end as doubted if it may have been removed. The caller holds dir.mu.
 func (b *Backend) doubt(e *Entry) {
 	if time.Now().Before(b.dir.doubtUntil) && !b.dir.alive[e.ID] && e.StartedUnixMs != 0 && e.Seq != Unnumbered {
 		b.doubtedUntil, b.doubtedSeq = b.dir.doubtUntil, e.Seq
--- a/instance/lateentry_test.go
+++ b/instance/lateentry_test.go
@@ -169,15 +169,17 @@
 				if !lateFirst {
 					c.store.PutEntry(leaving.ID, late)
 				}
-				if historyLost { // back ends that live write again
-					c.register(staying)
-				}
 				c.waitUntil("the back end that stays is used", func() bool { return hasCandidate(m, "desk", staying.ID) })
 				next := c.startBackEnd("desk-next") // whoever knows it has read the late entry
 				c.waitUntil("the entries after the late one are known", func() bool {
 					_, known := m.directory.Backend(next.ID)
 					return known
 				})
+				if historyLost { // back ends that live write again
+					c.register(staying)
+					c.register(next)
+					c.waitUntil("the entries are read again", func() bool { return !hasCandidate(m, "desk", leaving.ID) })
+				}
 				if hasCandidate(m, "desk", leaving.ID) {
 					t.Error("the instance sends requests to a back end that has left")
 				}
