instance: a configuration from the log counts from the first read on

Cause: put the configuration of the log in force before the replica had read anything, so that its age was unknown for some milliseconds and requests with keys were refused. Change: the highest version of the log is kept and applied with the first read. TestStartingInstanceIgnoresLateWritesOfOperators and the other tests of starts and keys pass three times.

--- a/instance/config.go
+++ b/instance/config.go
@@ -51,7 +51,8 @@
 var operatorHistory = changelog.HistoryOptions{PerKey: 1, Min: 16, Max: 16}
 
 // learnOperatorHistory applies the operators' last records, so that an older configuration that the store has executed late is not taken for
-// the newest one. It makes one attempt: without it, the newest record of each key counts.
+// the newest one. The configuration counts from the first read on, whose age is known. It makes one attempt: without it, the newest record of
+// each key counts.
 func (i *Instance) learnOperatorHistory(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
@@ -69,9 +70,15 @@
 	for _, record := range history.Records {
 		decoder.Apply(record)
 	}
-	if newest != nil {
-		i.operators.View(func() { i.applyConfig(newest, 0) })
+	if newest == nil {
+		return
 	}
+	i.loggedConfig.Store(newest)
+	i.operators.View(func() { // another read may have begun before
+		if i.config.Load() != nil {
+			i.applyConfig(newest, 0)
+		}
+	})
 }
 
 // followOperators reads the operators' records until ctx ends.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -106,9 +106,11 @@
 	log      *log.Logger
 	registry *prometheus.Registry
 
-	config    atomic.Pointer[routes.Config]
-	configLag prometheus.Histogram
-	draining  atomic.Bool
+	config atomic.Pointer[routes.Config]
+	// loggedConfig is the configuration with the highest version in the log of the operators, as far as it was read at the start.
+	loggedConfig atomic.Pointer[routes.Config]
+	configLag    prometheus.Histogram
+	draining     atomic.Bool
 	// answersEnd is the time at which a stopping instance ends the requests that have no answer yet. It is set before draining.
 	answersEnd atomic.Pointer[time.Time]
 	// requests is the parent of the contexts of all client requests. endRequests ends it at answersEnd.
@@ -279,6 +281,9 @@
 // applyConfig puts a configuration in force unless the current one is as new or newer. lag is the longest time for which the store
 // may have had it; 0 if that is not known.
 func (i *Instance) applyConfig(c *routes.Config, lag time.Duration) {
+	if logged := i.loggedConfig.Load(); logged != nil && logged.Version > c.Version {
+		c = logged
+	}
 	old := i.config.Load()
 	if old != nil && old.Version >= c.Version {
 		return
