soak: a back end that begins as the requests end need not get any

The check counted time in which no requests were sent. It now counts the time up to the last request; its bound of 2 s is the same.

--- a/soak/lateheartbeats.go
+++ b/soak/lateheartbeats.go
@@ -51,9 +51,10 @@
 	stop chan struct{}
 	late sync.WaitGroup // writes that are still to be executed
 
-	mu      sync.Mutex // guards the fields below
-	started []time.Time
-	senders map[string]sender // by request id
+	mu        sync.Mutex // guards the fields below
+	started   []time.Time
+	senders   map[string]sender // by request id
+	stoppedAt time.Time         // when the last request was sent; zero before
 }
 
 // RunLateHeartbeats runs a fleet whose back ends come and go while the store executes their heartbeats late and instances are stopped and
@@ -82,6 +83,9 @@
 		work.Go(r.runRestarts)
 		time.Sleep(lateTime)
 	}
+	r.mu.Lock()
+	r.stoppedAt = time.Now()
+	r.mu.Unlock()
 	close(r.stop)
 	work.Wait()
 	r.late.Wait()
@@ -195,11 +199,21 @@
 		r.obs.addViolation("%s, which began at %v and left at %v (drains: %t), got %d requests later than %v after that", l.ID,
 			begin.UTC().Format(time.TimeOnly), left.UTC().Format(time.TimeOnly), drains, late, drainTime)
 	}
-	if early == 0 && left.Sub(begin) > discoveryTime {
+	if early == 0 && r.requestsEnd(left).Sub(begin) > discoveryTime {
 		r.obs.addViolation("%s, which began at %v, got no request until %v", l.ID, begin.UTC().Format(time.TimeOnly), left.UTC().Format(time.TimeOnly))
 	}
 }
 
+// requestsEnd returns when the requests ended that a back end could get up to a time.
+func (r *lateRun) requestsEnd(left time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.stoppedAt.IsZero() && r.stoppedAt.Before(left) {
+		return r.stoppedAt
+	}
+	return left
+}
+
 // runRequests sends requests to one instance on kept connections.
 func (r *lateRun) runRequests(process int) {
 	c := newClient(r.f, r.obs, rand.New(rand.NewPCG(r.seed, uint64(200+process))))
