forward: the test of instances out of step reads entries before it states their age

A replica applies records before it sets the time of its read, under one lock, and so does a follower of a digest. The test keeps that order now and shares the time atomically; its checks are the same.

--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -216,8 +217,13 @@
 				origins := &sharedOrigins{fakeOrigins: fakeOrigins{known: map[string]origin.Origin{}}, at: map[string]time.Time{}}
 				behind, inStep := newOriginFixture(), newOriginFixture()
 				behind.opts.Origins, inStep.opts.Origins = origins, origins
-				readAt := time.Now()
-				behind.opts.EntriesAge = func() time.Duration { return time.Since(readAt) }
+				var readAt atomic.Pointer[time.Time]
+				read := func() {
+					now := time.Now()
+					readAt.Store(&now)
+				}
+				read()
+				behind.opts.EntriesAge = func() time.Duration { return time.Since(*readAt.Load()) }
 				behind.route.Shares, inStep.route.Shares = behind.route.Shares[1:], inStep.route.Shares[1:]
 				inStep.put("t1", "t", "v1", 1) // would go on with a text of t0's old software
 				time.Sleep(3 * time.Second)
@@ -242,12 +248,12 @@
 				time.Sleep(2 * runDoubt)
 				went, _ = takenUp()
 				is.Equal(went, !replaced)
-				readAt = time.Now() // the instance is in step again
 				if replaced {
 					behind.put("t0", "t", "v2", 2)
 				}
+				read() // the instance is in step again
 				time.Sleep(2 * runDoubt)
-				readAt = time.Now()
+				read()
 				time.Sleep(2 * confirmInterval)
 				began, _, _ := origins.Find(t.Context(), "", "first")
 				is.Equal(began.Software == "", replaced)
