forward: the age of the entries is asked before the entries

The version of a stream that began at an instance out of step could be confirmed although another process had taken the back end's place (ORDER): the check asked the entries first and their age after, and a read in between made old entries pass for new ones. The same order stood where a stream is recorded and where it is taken up.

Found by TestStreamBegunAtAnInstanceOutOfStep, which failed in one of about 8,000 runs with the race detector. Change: the age is asked first in all three places, as in job.isWriterDoubtful.

--- a/forward/origin.go
+++ b/forward/origin.go
@@ -138,10 +138,11 @@
 	if !began.Doubtful {
 		return nil
 	}
+	age := f.entriesAge() // before the entries are asked, which may be read meanwhile
 	if current, known := f.opts.Backends.Backend(began.Backend); known && current.Software != began.Software {
 		return errOriginUnknown
 	}
-	if wait := runDoubt - began.KnownFor + f.entriesAge(); wait > 0 {
+	if wait := runDoubt - began.KnownFor + age; wait > 0 {
 		return &DoubtfulOriginError{CertainIn: wait}
 	}
 	return nil
@@ -179,6 +180,7 @@
 	if f.opts.Origins == nil || status/100 != http.StatusOK/100 {
 		return nil
 	}
+	doubtful := f.hasOldEntries() // before the entries are asked, which may be read meanwhile
 	if f.isReplaced(b) {
 		f.countTakeUp(r, takeUpOtherSoftware)
 		if r.TakesUp {
@@ -186,7 +188,6 @@
 		}
 		return nil // it stays unknown
 	}
-	doubtful := f.hasOldEntries()
 	if r.TakesUp && doubtful {
 		f.countTakeUp(r, takeUpOldEntries)
 		return errOldEntries
@@ -211,11 +212,11 @@
 // confirmOrigin corrects the record of a stream that began at a moment, once entries have been read that show which process was in the place
 // of b then. It gives up when the record is no longer kept.
 func (f *Forwarder) confirmOrigin(r *Request, b *backends.Backend, o origin.Origin, begunAt time.Time) {
-	elapsed := time.Since(begunAt)
+	elapsed, age := time.Since(begunAt), f.entriesAge() // before the entries are asked, which may be read meanwhile
 	switch {
 	case f.isReplaced(b):
 		o.Software = ""
-	case elapsed-f.entriesAge() >= runDoubt:
+	case elapsed-age >= runDoubt:
 		if !o.Doubtful {
 			return
 		}
