job: the bounds of items and outputs in copies are named as budgets

The fields copies and outputs of the registry and of the partitions held budgets, not copies. Only names change; the tests of the package pass.

--- a/job/copies.go
+++ b/job/copies.go
@@ -45,8 +45,8 @@
 		help   string
 		budget *copyBudget
 	}{
-		"cicadasill_copied_item_bytes":   {"Bytes of batch job items in this instance's copies of data partitions.", g.copies},
-		"cicadasill_copied_output_bytes": {"Bytes of listed outputs and checkpoints in this instance's copies of data partitions.", g.outputs},
+		"cicadasill_copied_item_bytes":   {"Bytes of batch job items in this instance's copies of data partitions.", g.itemBudget},
+		"cicadasill_copied_output_bytes": {"Bytes of listed outputs and checkpoints in this instance's copies of data partitions.", g.outputBudget},
 	} {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: metric.help},
 			func() float64 { return float64(metric.budget.used.Load()) }))
@@ -89,8 +89,8 @@
 
 // reduceItems returns a record of items as a load keeps it.
 func (s *partitionState) reduceItems(r changelog.Record) changelog.Record {
-	if size := int64(len(r.Value)); s.copies.take(size) {
-		s.loadTaken += size
+	if size := int64(len(r.Value)); s.itemBudget.take(size) {
+		s.loadTakenItems += size
 		return r
 	}
 	var items []storedItem
@@ -118,7 +118,7 @@
 		return itemChunk{}, err
 	}
 	chunk := itemChunk{count: len(items)}
-	if size := int64(len(value)); s.copies.take(size) {
+	if size := int64(len(value)); s.itemBudget.take(size) {
 		chunk.items, chunk.taken = items, size
 	}
 	return chunk, nil
@@ -132,24 +132,24 @@
 
 // removeChunk removes a chunk of a job, if there is one.
 func (s *partitionState) removeChunk(j *jobData, key string) {
-	s.copies.giveBack(j.chunks[key].taken)
+	s.itemBudget.giveBack(j.chunks[key].taken)
 	delete(j.chunks, key)
 }
 
 // giveBackAll returns all bytes that the state and a load of it have taken.
 func (s *partitionState) giveBackAll() {
-	s.copies.giveBack(s.loadTaken)
-	s.outputs.giveBack(s.loadTakenOutputs)
-	s.loadTaken, s.loadTakenOutputs, s.held = 0, 0, nil
+	s.itemBudget.giveBack(s.loadTakenItems)
+	s.outputBudget.giveBack(s.loadTakenOutputs)
+	s.loadTakenItems, s.loadTakenOutputs, s.held = 0, 0, nil
 	for _, j := range s.jobs {
 		for _, chunk := range j.chunks {
-			s.copies.giveBack(chunk.taken)
+			s.itemBudget.giveBack(chunk.taken)
 		}
 		for _, r := range j.records {
-			s.outputs.giveBack(r.taken)
+			s.outputBudget.giveBack(r.taken)
 		}
 		for _, c := range j.checkpoints {
-			s.outputs.giveBack(int64(c.size()))
+			s.outputBudget.giveBack(int64(c.size()))
 		}
 	}
 }
--- a/job/copies_test.go
+++ b/job/copies_test.go
@@ -105,8 +105,8 @@
 				_, err := g.Results(t.Context(), ID(fmt.Sprint("job-", n)), 0, time.Millisecond)
 				is.NoErr(err)
 			}
-			is.True(g.copies.used.Load() <= g.copies.limit)
-			is.True(heapInUse()-before < g.copies.limit+copiedItems*copiedItemBytes/2)
+			is.True(g.itemBudget.used.Load() <= g.itemBudget.limit)
+			is.True(heapInUse()-before < g.itemBudget.limit+copiedItems*copiedItemBytes/2)
 			d := NewDriver(DriverOptions{Self: g.opts.Self, Registry: g, Backends: backends.New(), Logger: telemetry.Discard()})
 			for n := range copiedJobs {
 				id := ID(fmt.Sprint("job-", n))
@@ -123,17 +123,17 @@
 					is.Equal(whole.Body, copiedBody(n, i))
 				}
 			}
-			is.True(g.copies.used.Load() <= g.copies.limit)
+			is.True(g.itemBudget.used.Load() <= g.itemBudget.limit)
 			for _, p := range g.partitions { // a load gives back what the copy before held
 				p.Reload()
 				is.NoErr(p.Sync(t.Context()))
 			}
-			is.True(g.copies.used.Load() <= g.copies.limit)
+			is.True(g.itemBudget.used.Load() <= g.itemBudget.limit)
 			for n := range copiedJobs {
 				s, _ := g.Summary(ID(fmt.Sprint("job-", n)))
 				is.NoErr(g.deleteItems(t.Context(), &s))
 			}
-			is.Equal(g.copies.used.Load(), int64(0))
+			is.Equal(g.itemBudget.used.Load(), int64(0))
 		})
 	}
 }
@@ -144,7 +144,7 @@
 	log := &pagedLog{countingLog: newCountingLog(), pageRecords: 5}
 	submitCopiedJobs(t, log)
 	g := limitedCopies(log)
-	g.copies.limit = 1
+	g.itemBudget.limit = 1
 	d := NewDriver(DriverOptions{Self: g.opts.Self, Registry: g, Backends: backends.New(), Logger: telemetry.Discard()})
 	is.NoErr(g.indexReplica.Sync(t.Context()))
 	s, _ := g.Summary("job-3")
@@ -208,18 +208,18 @@
 			listOutputs(t, log)
 			before := heapInUse()
 			g := limitedCopies(log)
-			g.outputs.limit = copiedItems * copiedItemBytes * 3 / 2
+			g.outputBudget.limit = copiedItems * copiedItemBytes * 3 / 2
 			for n := range copiedJobs {
 				readOutputs(t, g, n, 0)
-				is.True(g.outputs.used.Load() <= g.outputs.limit)
+				is.True(g.outputBudget.used.Load() <= g.outputBudget.limit)
 			}
-			is.True(heapInUse()-before < g.copies.limit+g.outputs.limit+copiedItems*copiedItemBytes/2)
+			is.True(heapInUse()-before < g.itemBudget.limit+g.outputBudget.limit+copiedItems*copiedItemBytes/2)
 			for _, p := range g.partitions {
 				p.Reload()
 				is.NoErr(p.Sync(t.Context()))
 			}
-			is.True(g.outputs.used.Load() <= g.outputs.limit)
-			is.True(heapInUse()-before < g.copies.limit+g.outputs.limit+copiedItems*copiedItemBytes/2)
+			is.True(g.outputBudget.used.Load() <= g.outputBudget.limit)
+			is.True(heapInUse()-before < g.itemBudget.limit+g.outputBudget.limit+copiedItems*copiedItemBytes/2)
 			for n := range copiedJobs {
 				readOutputs(t, g, n, n) // from another position
 			}
@@ -227,8 +227,8 @@
 				s, _ := g.Summary(ID(fmt.Sprint("job-", n)))
 				is.NoErr(g.delete(t.Context(), &s))
 			}
-			is.Equal(g.outputs.used.Load(), int64(0))
-			is.Equal(g.copies.used.Load(), int64(0))
+			is.Equal(g.outputBudget.used.Load(), int64(0))
+			is.Equal(g.itemBudget.used.Load(), int64(0))
 		})
 	}
 }
@@ -252,7 +252,7 @@
 		is.NoErr(err)
 	}
 	for _, other := range []*Registry{follows, loads} {
-		other.outputs.limit = 500
+		other.outputBudget.limit = 500
 		is.NoErr(other.indexReplica.Sync(t.Context()))
 		d := NewDriver(DriverOptions{Self: other.opts.Self, Registry: other, Backends: backends.New(), Logger: telemetry.Discard()})
 		job, err := d.loadJob(t.Context(), &s)
@@ -264,5 +264,5 @@
 		}
 	}
 	is.NoErr(loads.deleteItems(t.Context(), &s))
-	is.Equal(loads.outputs.used.Load(), int64(0))
+	is.Equal(loads.outputBudget.used.Load(), int64(0))
 }
--- a/job/index.go
+++ b/job/index.go
@@ -88,15 +88,15 @@
 	jobs      map[ID]*jobData
 	gaps      map[ID]*resultsGap // kept over loads
 	loading   bool
-	// copies and outputs bound what the copies of all partitions hold.
-	copies, outputs *copyBudget
-	// loadTaken and loadTakenOutputs are what a load has taken of them since the last Reset.
-	loadTaken, loadTakenOutputs int64
-	held                        []heldRecord // in the order in which they were applied
+	// itemBudget and outputBudget bound what the copies of all partitions hold.
+	itemBudget, outputBudget *copyBudget
+	// loadTakenItems and loadTakenOutputs are what a load has taken of them since the last Reset.
+	loadTakenItems, loadTakenOutputs int64
+	held                             []heldRecord // in the order in which they were applied
 }
 
-func newPartitionState(logger *log.Logger, gapsFound prometheus.Counter, copies, outputs *copyBudget) *partitionState {
-	return &partitionState{log: logger, gapsFound: gapsFound, copies: copies, outputs: outputs, jobs: map[ID]*jobData{}, gaps: map[ID]*resultsGap{}}
+func newPartitionState(logger *log.Logger, gapsFound prometheus.Counter, itemBudget, outputBudget *copyBudget) *partitionState {
+	return &partitionState{log: logger, gapsFound: gapsFound, itemBudget: itemBudget, outputBudget: outputBudget, jobs: map[ID]*jobData{}, gaps: map[ID]*resultsGap{}}
 }
 
 // Reset implements changelog.State.
@@ -209,7 +209,7 @@
 		return
 	}
 	for _, r := range j.records[at:] {
-		s.outputs.giveBack(r.taken)
+		s.outputBudget.giveBack(r.taken)
 	}
 	left := j.records[at].position
 	for _, r := range j.results[left:] {
--- a/job/outputs.go
+++ b/job/outputs.go
@@ -34,7 +34,7 @@
 
 // takeOutputs takes n bytes for outputs, in place of the oldest listed ones if need be. It returns false if they do not fit.
 func (s *partitionState) takeOutputs(n int64) bool {
-	for !s.outputs.take(n) {
+	for !s.outputBudget.take(n) {
 		if !s.leaveOutOldest() {
 			return false
 		}
@@ -58,7 +58,7 @@
 		for n := j.records[at].position; n < j.recordEnd(at); n++ {
 			j.results[n].Output = nil
 		}
-		s.outputs.giveBack(j.records[at].taken)
+		s.outputBudget.giveBack(j.records[at].taken)
 		j.records[at].taken, j.records[at].leftOut = 0, true
 		return true
 	}
@@ -109,7 +109,7 @@
 // reduceOutputs returns a record of results, or a checkpoint, as a load keeps it.
 func (s *partitionState) reduceOutputs(r changelog.Record) changelog.Record {
 	size := int64(len(r.Value))
-	if s.outputs.take(size) {
+	if s.outputBudget.take(size) {
 		s.loadTakenOutputs += size
 		return r
 	}
@@ -153,7 +153,7 @@
 // removeCheckpoint removes the checkpoint of an item, if there is one.
 func (s *partitionState) removeCheckpoint(j *jobData, item string) {
 	old := j.checkpoints[item]
-	s.outputs.giveBack(int64(old.size()))
+	s.outputBudget.giveBack(int64(old.size()))
 	delete(j.checkpoints, item)
 }
 
--- a/job/registry.go
+++ b/job/registry.go
@@ -87,8 +87,8 @@
 	partitions   []*partition
 	refusals     *refusalLog
 	peerReads    *peerReadLog
-	// copies and outputs bound the items, and the outputs of results and checkpoints, in the copies of data partitions.
-	copies, outputs *copyBudget
+	// itemBudget and outputBudget bound the items, and the outputs of results and checkpoints, in the copies of data partitions.
+	itemBudget, outputBudget *copyBudget
 	// runningBody returns the body of an item that this instance's driver runs; nil without a driver.
 	runningBody func(id ID, item string) ([]byte, bool)
 	// unlisted counts the results that the store never accepts.
@@ -125,10 +125,10 @@
 	g.indexReplica = changelog.NewReplica(opts.Log, changelog.Partition{Topic: indexTopic}, g.index)
 	gapsFound := newGapCounter(opts.Registerer)
 	g.unlisted = newUnlistedCounter(opts.Registerer)
-	g.copies, g.outputs = &copyBudget{limit: opts.MaxCopiedItemBytes}, &copyBudget{limit: opts.MaxCopiedOutputBytes}
+	g.itemBudget, g.outputBudget = &copyBudget{limit: opts.MaxCopiedItemBytes}, &copyBudget{limit: opts.MaxCopiedOutputBytes}
 	g.registerCopyMetrics(opts.Registerer)
 	for i := range dataTopics * opts.Partitions {
-		state := newPartitionState(opts.Logger, gapsFound, g.copies, g.outputs)
+		state := newPartitionState(opts.Logger, gapsFound, g.itemBudget, g.outputBudget)
 		id := changelog.Partition{Topic: fmt.Sprintf("%s-%d", dataTopic, i/opts.Partitions), Index: i % opts.Partitions}
 		g.partitions = append(g.partitions, &partition{
 			Replica: changelog.NewReplica(opts.Log, id, state), id: id, state: state,
